--- /dev/null
+++ b/core/error.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+// Typed errors and variant results. Nothing in the decision modules throws.
+namespace hawthorn::core {
+
+/// Whether the work behind a request happened.
+enum class Execution {
+  kRan,      ///< The upstream completed it.
+  kNotRun,   ///< It provably never started.
+  kUnknown,  ///< It may have run; a non-idempotent call is never repeated.
+};
+
+/// Stable reason of an error. The text form is part of the public interface.
+enum class ErrorCode {
+  kInvalidArgument,
+  kUnauthenticated,
+  kNotFound,
+  kConflict,
+  kOutOfOrder,
+  kBudgetExceeded,
+  kLimitExceeded,
+  kOverloaded,
+  kUnavailable,
+  kNotLeader,
+  kDeadlineExceeded,
+  kProgramEnded,
+  kPoisonous,
+  kExpired,
+  kStorage,
+  kInternal,
+};
+
+/// Why a request or operation failed.
+struct Error {
+  ErrorCode code = ErrorCode::kInternal;
+  std::string message;
+  Execution execution = Execution::kNotRun;
+  /// Time after which a retry may succeed; absent when a retry cannot help.
+  std::optional<std::chrono::milliseconds> retry_after;
+
+  bool operator==(const Error&) const = default;
+};
+
+/// A value or the error that prevented it.
+template <typename T>
+using Result = std::variant<T, Error>;
+
+/// Result of an operation that yields no value.
+using Status = Result<std::monostate>;
+
+/// Returns whether `result` holds a value.
+template <typename T>
+bool IsOk(const Result<T>& result) {
+  return std::holds_alternative<T>(result);
+}
+
+/// Returns the value; `result` must hold one.
+template <typename T>
+const T& Value(const Result<T>& result) {
+  return std::get<T>(result);
+}
+
+/// Moves the value out; `result` must hold one.
+template <typename T>
+T TakeValue(Result<T>&& result) {
+  return std::get<T>(std::move(result));
+}
+
+/// Returns the error; `result` must hold one.
+template <typename T>
+const Error& ErrorOf(const Result<T>& result) {
+  return std::get<Error>(result);
+}
+
+/// Text form of `code`, for example "budget_exceeded".
+std::string_view ToString(ErrorCode code);
+
+/// Text form of `execution`: "ran", "not run" or "unknown".
+std::string_view ToString(Execution execution);
+
+}  // namespace hawthorn::core
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/generate_schema.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Regenerates the committed code in schema/generated. With arguments, only
+# for the named .proto files.
+set -euo pipefail
+cd "$(dirname "$0")/../schema"
+if [ "$#" -eq 0 ]; then
+  set -- ./*.proto
+fi
+protoc --cpp_out=generated "$@"
