transport: Add the guarded HTTP server, the HTTP client and stand-in upstreams

Cause: callers and upstreams speak HTTP. The packaged server accepts ambiguous framing, crosses pipelined answers and crashes when a client leaves; the packaged client sends a POST again when its connection is lost. Change: a socket class of our own hands the Qt server one complete, checked request at a time. The client opens a connection for each call, parses with Boost.Beast and never sends twice.

--- a/core/error.cpp
+++ b/core/error.cpp
@@ -30,6 +30,8 @@
       return "program_ended";
     case ErrorCode::kPoisonous:
       return "poisonous";
+    case ErrorCode::kCancelled:
+      return "cancelled";
     case ErrorCode::kExpired:
       return "expired";
     case ErrorCode::kStorage:
@@ -40,6 +42,16 @@
   return "internal";
 }
 
+ErrorCode ErrorCodeOf(std::string_view text) {
+  for (int n = 0; n < static_cast<int>(ErrorCode::kInternal); ++n) {
+    const auto code = static_cast<ErrorCode>(n);
+    if (ToString(code) == text) {
+      return code;
+    }
+  }
+  return ErrorCode::kInternal;
+}
+
 std::string_view ToString(Execution execution) {
   switch (execution) {
     case Execution::kRan:
--- a/core/error.h
+++ b/core/error.h
@@ -33,6 +33,7 @@
   kDeadlineExceeded,
   kProgramEnded,
   kPoisonous,
+  kCancelled,
   kExpired,
   kStorage,
   kInternal,
@@ -83,6 +84,9 @@
 /// Text form of `code`, for example "budget_exceeded".
 std::string_view ToString(ErrorCode code);
 
+/// Code whose text form is `text`; kInternal for an unknown one.
+ErrorCode ErrorCodeOf(std::string_view text);
+
 /// Text form of `execution`: "ran", "not run" or "unknown".
 std::string_view ToString(Execution execution);
 
--- /dev/null
+++ b/tests/transport/http_client_test.cpp
@@ -0,0 +1,133 @@
+#include "transport/http_client.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "tests/support/event_loop.h"
+
+namespace hawthorn::transport {
+namespace {
+
+using test::WaitFor;
+
+/// Upstream that answers every whole request with fixed bytes; by default it
+/// closes the connection after each.
+struct FakeUpstream {
+  explicit FakeUpstream(std::string answer, bool closes = true)
+      : answer(std::move(answer)), closes(closes) {
+    server.listen(QHostAddress::LocalHost);
+    QObject::connect(&server, &QTcpServer::newConnection, [this] {
+      QTcpSocket* socket = server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, [this, socket] {
+        received += socket->readAll();
+        if (received.endsWith("END")) {
+          ++requests;
+          received.clear();
+          socket->write(this->answer.c_str());
+          if (this->closes) {
+            socket->disconnectFromHost();
+          }
+        }
+      });
+    });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server.serverPort());
+  }
+
+  std::string answer;
+  bool closes;
+  QTcpServer server;
+  QByteArray received;
+  int requests = 0;
+};
+
+struct ClientFixture {
+  ClientFixture()
+      : client([this](ClientCallId, std::string piece) { body += piece; },
+               [this](ClientCallId, ClientAnswer it) { answer = it; }) {}
+
+  ClientAnswer Call(const std::string& address) {
+    ClientRequest request;
+    request.id = 7;
+    request.address = address;
+    request.body = "END";
+    client.Start(request);
+    REQUIRE(WaitFor([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  std::string body;
+  std::optional<ClientAnswer> answer;
+  HttpClient client;
+};
+
+TEST_CASE("an answer with a length arrives whole") {
+  FakeUpstream upstream("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  ClientFixture fixture;
+  const ClientAnswer answer = fixture.Call(upstream.address());
+  REQUIRE(answer.complete);
+  REQUIRE(answer.status == 200);
+  REQUIRE(fixture.body == "hello");
+}
+
+TEST_CASE("an answer in chunks arrives whole") {
+  FakeUpstream upstream(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+  ClientFixture fixture;
+  REQUIRE(fixture.Call(upstream.address()).complete);
+  REQUIRE(fixture.body == "hello world");
+}
+
+TEST_CASE("a request is sent once when the upstream dies after taking it") {
+  FakeUpstream upstream("");
+  ClientFixture fixture;
+  const ClientAnswer answer = fixture.Call(upstream.address());
+  REQUIRE_FALSE(answer.complete);
+  REQUIRE(answer.error.execution == core::Execution::kUnknown);
+  REQUIRE(upstream.requests == 1);
+}
+
+TEST_CASE("a cut answer is told from a whole one") {
+  FakeUpstream upstream(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel");
+  ClientFixture fixture;
+  const ClientAnswer answer = fixture.Call(upstream.address());
+  REQUIRE_FALSE(answer.complete);
+  REQUIRE(answer.error.execution == core::Execution::kUnknown);
+}
+
+TEST_CASE("a refused connection is known not to have run") {
+  QTcpServer closed;
+  closed.listen(QHostAddress::LocalHost);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(closed.serverPort());
+  closed.close();
+  ClientFixture fixture;
+  const ClientAnswer answer = fixture.Call(address);
+  REQUIRE_FALSE(answer.complete);
+  REQUIRE(answer.error.execution == core::Execution::kNotRun);
+}
+
+TEST_CASE("a cancelled call reports nothing and is cut") {
+  FakeUpstream upstream("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+                        /*closes=*/false);
+  ClientFixture fixture;
+  ClientRequest request;
+  request.id = 8;
+  request.address = upstream.address();
+  request.body = "END";
+  fixture.client.Start(request);
+  REQUIRE(WaitFor([&] { return fixture.body == "hello"; }));
+  fixture.client.Cancel(8);
+  REQUIRE(fixture.client.open_calls() == 0);
+  test::Settle();
+  REQUIRE_FALSE(fixture.answer.has_value());
+}
+
+}  // namespace
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/guarded_listener.cpp
@@ -0,0 +1,79 @@
+#include "transport/guarded_listener.h"
+
+#include "transport/guarded_socket.h"
+
+namespace hawthorn::transport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kScanInterval{500};
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+
+}  // namespace
+
+GuardedListener::GuardedListener(ListenerLimits limits,
+                                 const core::Clock& clock, QObject* parent)
+    : QTcpServer(parent), limits_(limits), clock_(clock) {
+  setMaxPendingConnections(static_cast<int>(limits.max_connections));
+  setListenBacklogSize(1024);
+  connect(&timer_, &QTimer::timeout, this, &GuardedListener::CloseIdle);
+  timer_.start(kScanInterval);
+}
+
+void GuardedListener::incomingConnection(qintptr descriptor) {
+  auto* socket = new GuardedSocket(descriptor, limits_.framing, clock_, this);
+  if (!HasRoomFor(socket->peerAddress())) {
+    connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    socket->RefuseConnection(kServiceUnavailable, "too many connections");
+    return;
+  }
+  connections_.insert(socket, socket->peerAddress());
+  ++clients_[socket->peerAddress()];
+  connect(socket, &QObject::destroyed, this,
+          [this, socket] { Forget(socket); });
+  addPendingConnection(socket);
+}
+
+bool GuardedListener::HasRoomFor(const QHostAddress& client) const {
+  return connection_count() < limits_.max_connections &&
+         clients_.value(client) < limits_.max_connections_per_client;
+}
+
+void GuardedListener::Forget(GuardedSocket* socket) {
+  const auto it = connections_.find(socket);
+  if (it == connections_.end()) {
+    return;
+  }
+  if (--clients_[it.value()] == 0) {
+    clients_.remove(it.value());
+  }
+  connections_.erase(it);
+}
+
+qint64 GuardedListener::pending_bytes() const {
+  qint64 total = 0;
+  for (auto it = connections_.keyBegin(); it != connections_.keyEnd(); ++it) {
+    total += (*it)->pending_bytes();
+  }
+  return total;
+}
+
+void GuardedListener::CloseIdle() {
+  const core::TimePoint now = clock_.Now();
+  const QList<GuardedSocket*> sockets = connections_.keys();
+  for (GuardedSocket* socket : sockets) {
+    const auto silence = now - socket->last_activity();
+    if (socket->busy()) {
+      continue;
+    }
+    if (socket->mid_request() && silence >= limits_.request_timeout) {
+      socket->RefuseConnection(kRequestTimeout,
+                               "the request did not arrive in time");
+    } else if (silence >= limits_.idle_timeout) {
+      socket->disconnectFromHost();
+    }
+  }
+}
+
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/http_client.cpp
@@ -0,0 +1,238 @@
+#include "transport/http_client.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+
+namespace hawthorn::transport {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr char kExecutionField[] = "hawthorn-execution";
+
+std::string Serialize(const ClientRequest& request) {
+  std::string text =
+      absl::StrCat(request.method, " ", request.target,
+                   " HTTP/1.1\r\nHost: ", request.address, "\r\n");
+  for (const auto& [name, value] : request.headers) {
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+  }
+  absl::StrAppend(&text, "Content-Length: ", request.body.size(),
+                  "\r\nConnection: close\r\n\r\n", request.body);
+  return text;
+}
+
+}  // namespace
+
+/// One call with its connection and parser.
+class HttpClient::Call {
+ public:
+  Call(HttpClient& client, const ClientRequest& request)
+      : client_(client), request_(request) {
+    parser_.body_limit(std::numeric_limits<uint64_t>::max());
+    parser_.eager(true);
+  }
+
+  ~Call() { socket_.disconnect(); }
+
+  /// Drops the connection without reporting an end.
+  void Cut() {
+    ended_ = true;
+    whole_timer_.stop();
+    silence_timer_.stop();
+    socket_.disconnect();
+    socket_.abort();
+  }
+
+  /// Connects and sends the request.
+  void Start() {
+    const size_t colon = request_.address.rfind(':');
+    const QHostAddress host(
+        QString::fromStdString(request_.address.substr(0, colon)));
+    const int port =
+        colon == std::string::npos
+            ? 0
+            : QString::fromStdString(request_.address.substr(colon + 1))
+                  .toInt();
+    if (host.isNull() || port <= 0 || port > 65535) {
+      Fail("malformed address '" + request_.address + "'");
+      return;
+    }
+    QObject::connect(&socket_, &QTcpSocket::connected, [this] { Send(); });
+    QObject::connect(&socket_, &QTcpSocket::readyRead, [this] { Receive(); });
+    QObject::connect(&socket_, &QTcpSocket::disconnected,
+                     [this] { OnClosed(); });
+    QObject::connect(&socket_, &QTcpSocket::errorOccurred,
+                     [this] { OnError(); });
+    QObject::connect(&whole_timer_, &QTimer::timeout,
+                     [this] { Fail("the call exceeded its time"); });
+    QObject::connect(&silence_timer_, &QTimer::timeout,
+                     [this] { Fail("the upstream fell silent"); });
+    whole_timer_.setSingleShot(true);
+    silence_timer_.setSingleShot(true);
+    whole_timer_.start(request_.timeout);
+    silence_timer_.start(request_.silence_timeout);
+    socket_.connectToHost(host, static_cast<quint16>(port));
+  }
+
+ private:
+  void Send() {
+    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    sent_ = true;
+    socket_.write(QByteArray::fromStdString(Serialize(request_)));
+  }
+
+  void Receive() {
+    silence_timer_.start(request_.silence_timeout);
+    pending_ += socket_.readAll().toStdString();
+    Parse();
+  }
+
+  /// Feeds the parser; emits what became readable of the body.
+  void Parse() {
+    while (!ended_ && !pending_.empty() && !parser_.is_done()) {
+      boost::system::error_code ec;
+      const size_t used = parser_.put(
+          boost::asio::buffer(pending_.data(), pending_.size()), ec);
+      pending_.erase(0, used);
+      if (ec == http::error::need_more) {
+        break;
+      }
+      if (ec) {
+        Fail("malformed answer: " + ec.message());
+        return;
+      }
+      if (used == 0) {
+        break;
+      }
+    }
+    EmitBody();
+    if (!ended_ && parser_.is_done()) {
+      Finish();
+    }
+  }
+
+  void EmitBody() {
+    std::string& body = parser_.get().body();
+    if (ended_ || body.empty()) {
+      return;
+    }
+    std::string piece;
+    piece.swap(body);
+    client_.on_piece_(request_.id, std::move(piece));
+  }
+
+  void OnError() {
+    if (socket_.error() == QAbstractSocket::RemoteHostClosedError) {
+      return;  // The disconnected signal follows.
+    }
+    Fail("connection failed: " + socket_.errorString().toStdString());
+  }
+
+  void OnClosed() {
+    if (ended_) {
+      return;
+    }
+    boost::system::error_code ec;
+    if (parser_.is_header_done()) {
+      parser_.put_eof(ec);
+    }
+    if (parser_.is_header_done() && !ec && parser_.is_done()) {
+      Finish();
+      return;
+    }
+    Fail("the upstream closed the connection in mid-answer");
+  }
+
+  void Finish() {
+    ClientAnswer answer;
+    answer.status = static_cast<int>(parser_.get().result_int());
+    answer.execution = std::string(parser_.get()[kExecutionField]);
+    answer.complete = true;
+    End(std::move(answer));
+  }
+
+  void Fail(std::string message) {
+    ClientAnswer answer;
+    if (parser_.is_header_done()) {
+      answer.status = static_cast<int>(parser_.get().result_int());
+    }
+    answer.error = core::Error{
+        core::ErrorCode::kUnavailable,
+        std::move(message),
+        sent_ ? core::Execution::kUnknown : core::Execution::kNotRun,
+        {}};
+    End(std::move(answer));
+  }
+
+  void End(ClientAnswer answer) {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    whole_timer_.stop();
+    silence_timer_.stop();
+    // The end is delivered from the event loop, since the caller may be
+    // inside Start() and the call's socket inside one of its signals.
+    QMetaObject::invokeMethod(
+        &client_,
+        [&client = client_, id = request_.id, answer = std::move(answer)] {
+          client.End(id, answer);
+        },
+        Qt::QueuedConnection);
+  }
+
+  HttpClient& client_;
+  ClientRequest request_;
+  QTcpSocket socket_;
+  QTimer whole_timer_;
+  QTimer silence_timer_;
+  http::response_parser<http::string_body> parser_;
+  std::string pending_;
+  bool sent_ = false;
+  bool ended_ = false;
+};
+
+HttpClient::HttpClient(PieceHandler on_piece, EndHandler on_end)
+    : on_piece_(std::move(on_piece)), on_end_(std::move(on_end)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Start(const ClientRequest& request) {
+  const auto [it, inserted] = calls_.try_emplace(request.id);
+  if (!inserted) {
+    return;
+  }
+  it->second = std::make_unique<Call>(*this, request);
+  it->second->Start();
+}
+
+void HttpClient::Cancel(ClientCallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  // The call may be inside one of its own signals: it is cut now and
+  // destroyed from the event loop.
+  std::shared_ptr<Call> call = std::move(it->second);
+  calls_.erase(it);
+  call->Cut();
+  QMetaObject::invokeMethod(
+      this, [call] {}, Qt::QueuedConnection);
+}
+
+void HttpClient::End(ClientCallId id, ClientAnswer answer) {
+  if (calls_.erase(id) > 0) {
+    on_end_(id, std::move(answer));
+  }
+}
+
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/http_client.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <QObject>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/error.h"
+
+namespace hawthorn::transport {
+
+/// Names one call of an HTTP client; chosen by the user, unique while open.
+using ClientCallId = uint64_t;
+
+/// A request to an upstream.
+struct ClientRequest {
+  ClientCallId id = 0;
+  /// IP number and port, for example "10.0.0.4:8000".
+  std::string address;
+  std::string method = "POST";
+  std::string target = "/";
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  /// Time for the whole call.
+  std::chrono::milliseconds timeout{30'000};
+  /// Time without a byte of the answer after which the call ends.
+  std::chrono::milliseconds silence_timeout{30'000};
+
+  bool operator==(const ClientRequest&) const = default;
+};
+
+/// How a call ended.
+struct ClientAnswer {
+  int status = 0;
+  /// Field "hawthorn-execution" of the answer, or empty.
+  std::string execution;
+  /// Whether the body arrived whole.
+  bool complete = false;
+  /// Set where the call failed below HTTP; its `execution` says whether any
+  /// byte of the request left this process.
+  core::Error error;
+
+  bool operator==(const ClientAnswer&) const = default;
+};
+
+/// HTTP/1.1 client for upstream calls. It opens a connection for each call
+/// and never sends a request twice: QNetworkAccessManager repeats a POST
+/// whose connection was lost, limits itself to six connections a host and
+/// starts a thread for each manager. Lives in the thread that created it.
+class HttpClient final : public QObject {
+  Q_OBJECT
+
+ public:
+  using PieceHandler = std::function<void(ClientCallId, std::string piece)>;
+  using EndHandler = std::function<void(ClientCallId, ClientAnswer)>;
+
+  /// `on_piece` receives the body as it arrives, `on_end` the end of each
+  /// call exactly once.
+  HttpClient(PieceHandler on_piece, EndHandler on_end);
+  ~HttpClient() override;
+
+  /// Starts a call. An id that is already open is ignored.
+  void Start(const ClientRequest& request);
+
+  /// Cuts the call's connection; `on_end` is not called for it.
+  void Cancel(ClientCallId id);
+
+  size_t open_calls() const { return calls_.size(); }
+
+ private:
+  class Call;
+
+  void End(ClientCallId id, ClientAnswer answer);
+
+  PieceHandler on_piece_;
+  EndHandler on_end_;
+  std::unordered_map<ClientCallId, std::unique_ptr<Call>> calls_;
+};
+
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/request_framer.cpp
@@ -0,0 +1,318 @@
+#include "transport/request_framer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace hawthorn::transport {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kNotImplemented = 501;
+constexpr int kVersionNotSupported = 505;
+constexpr size_t kMaxChunkLineBytes = 256;
+constexpr size_t kMaxTrailerBytes = 1024;
+
+bool IsTokenChar(char c) {
+  constexpr std::string_view kExtra = "!#$%&'*+-.^_`|~";
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         kExtra.find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+std::string Lower(std::string_view text) {
+  std::string lower(text);
+  std::transform(
+      lower.begin(), lower.end(), lower.begin(),
+      [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+/// Parses a whole unsigned number in `base`; nothing else may stand there.
+std::optional<uint64_t> ParseNumber(std::string_view text, int base) {
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, number, base);
+  if (text.empty() || ec != std::errc() || it != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+bool IsPlainTarget(std::string_view target) {
+  return !target.empty() && target.front() == '/' &&
+         std::all_of(target.begin(), target.end(),
+                     [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+bool HasControlByte(std::string_view value) {
+  return std::any_of(value.begin(), value.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < 0x20 && c != '\t') || byte == 0x7f;
+  });
+}
+
+}  // namespace
+
+void RequestFramer::Reset() { *this = RequestFramer(limits_); }
+
+void RequestFramer::Refuse(int status, std::string reason) {
+  state_ = State::kRefused;
+  error_ = FramingError{status, std::move(reason)};
+}
+
+size_t RequestFramer::Feed(std::string_view bytes) {
+  size_t used = 0;
+  while (used < bytes.size() && state_ == State::kHead) {
+    if (!TakeByteOfHead(bytes[used++])) {
+      return used;
+    }
+  }
+  if (state_ != State::kBody) {
+    return used;
+  }
+  const std::string_view rest = bytes.substr(used);
+  return used + (has_transfer_encoding_ ? FeedChunkedBody(rest)
+                                        : FeedLengthBody(rest));
+}
+
+bool RequestFramer::TakeByteOfHead(char c) {
+  if (message_.size() >= limits_.max_head_bytes) {
+    Refuse(kHeaderTooLarge, "the request head is larger than " +
+                                std::to_string(limits_.max_head_bytes) +
+                                " bytes");
+    return false;
+  }
+  const bool after_cr = !message_.empty() && message_.back() == '\r';
+  if ((c == '\n') != after_cr) {
+    Refuse(kBadRequest, "a line of the head does not end in CR LF");
+    return false;
+  }
+  message_ += c;
+  if (c == '\n' && message_.ends_with("\r\n\r\n")) {
+    FinishHead();
+  }
+  return state_ != State::kRefused;
+}
+
+void RequestFramer::FinishHead() {
+  std::string_view head(message_);
+  head.remove_suffix(2);
+  bool first = true;
+  while (!head.empty()) {
+    const size_t end = head.find("\r\n");
+    const std::string_view line = head.substr(0, end);
+    const bool parsed = first ? ParseRequestLine(line) : ParseField(line);
+    if (!parsed) {
+      return;
+    }
+    first = false;
+    head.remove_prefix(end + 2);
+  }
+  if (has_transfer_encoding_ && content_length_) {
+    Refuse(kBadRequest, "Content-Length beside Transfer-Encoding");
+    return;
+  }
+  if (has_transfer_encoding_ && is_http_1_0_) {
+    Refuse(kBadRequest, "Transfer-Encoding in HTTP/1.0");
+    return;
+  }
+  if (!has_host_ && !is_http_1_0_) {
+    Refuse(kBadRequest, "the Host field is missing");
+    return;
+  }
+  remaining_ = content_length_.value_or(0);
+  if (!has_transfer_encoding_ && !GrowBody(remaining_)) {
+    return;
+  }
+  const bool has_body = has_transfer_encoding_ || remaining_ > 0;
+  state_ = has_body ? State::kBody : State::kComplete;
+}
+
+bool RequestFramer::ParseRequestLine(std::string_view line) {
+  const size_t first = line.find(' ');
+  const size_t last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last) {
+    Refuse(kBadRequest, "malformed request line");
+    return false;
+  }
+  const std::string_view method = line.substr(0, first);
+  const std::string_view target = line.substr(first + 1, last - first - 1);
+  const std::string_view version = line.substr(last + 1);
+  if (!IsToken(method) || !IsPlainTarget(target)) {
+    Refuse(kBadRequest, "malformed method or target");
+    return false;
+  }
+  is_http_1_0_ = version == "HTTP/1.0";
+  wants_close_ = is_http_1_0_;
+  if (version != "HTTP/1.1" && !is_http_1_0_) {
+    Refuse(kVersionNotSupported, "only HTTP/1.1 and HTTP/1.0 are served");
+    return false;
+  }
+  return true;
+}
+
+bool RequestFramer::ParseField(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos || !IsToken(line.substr(0, colon))) {
+    Refuse(kBadRequest, "malformed header field");
+    return false;
+  }
+  const std::string name = Lower(line.substr(0, colon));
+  const std::string_view value = Trim(line.substr(colon + 1));
+  if (HasControlByte(value)) {
+    Refuse(kBadRequest, "control byte in the field " + name);
+    return false;
+  }
+  return ParseFraming(name, value);
+}
+
+bool RequestFramer::ParseFraming(const std::string& name,
+                                 std::string_view value) {
+  if (name == "content-length") {
+    const auto length = ParseNumber(value, 10);
+    if (content_length_ || !length) {
+      Refuse(kBadRequest, "ambiguous or malformed Content-Length");
+      return false;
+    }
+    content_length_ = length;
+  }
+  if (name == "transfer-encoding") {
+    if (has_transfer_encoding_ || Lower(value) != "chunked") {
+      Refuse(kBadRequest, "only one Transfer-Encoding: chunked is served");
+      return false;
+    }
+    has_transfer_encoding_ = true;
+  }
+  if (name == "host") {
+    if (has_host_) {
+      Refuse(kBadRequest, "the Host field stands twice");
+      return false;
+    }
+    has_host_ = true;
+  }
+  if (name == "upgrade") {
+    Refuse(kNotImplemented, "protocol upgrades are not served");
+    return false;
+  }
+  if (name == "expect") {
+    expects_continue_ = Lower(value) == "100-continue";
+  }
+  if (name == "connection" && Lower(value).find("close") != std::string::npos) {
+    wants_close_ = true;
+  }
+  return true;
+}
+
+bool RequestFramer::GrowBody(uint64_t n) {
+  if (n > limits_.max_body_bytes || body_bytes_ + n > limits_.max_body_bytes) {
+    Refuse(kPayloadTooLarge, "the body is larger than " +
+                                 std::to_string(limits_.max_body_bytes) +
+                                 " bytes");
+    return false;
+  }
+  body_bytes_ += n;
+  return true;
+}
+
+size_t RequestFramer::FeedLengthBody(std::string_view bytes) {
+  const size_t n = std::min<uint64_t>(remaining_, bytes.size());
+  message_.append(bytes.substr(0, n));
+  remaining_ -= n;
+  if (remaining_ == 0) {
+    state_ = State::kComplete;
+  }
+  return n;
+}
+
+size_t RequestFramer::FeedChunkedBody(std::string_view bytes) {
+  size_t used = 0;
+  while (used < bytes.size() && state_ == State::kBody) {
+    if (chunk_state_ == ChunkState::kData) {
+      const size_t n = std::min<uint64_t>(remaining_, bytes.size() - used);
+      message_.append(bytes.substr(used, n));
+      used += n;
+      remaining_ -= n;
+      if (remaining_ == 0) {
+        chunk_state_ = ChunkState::kDataEnd;
+      }
+      continue;
+    }
+    const char c = bytes[used++];
+    const bool after_cr = !chunk_line_.empty() && chunk_line_.back() == '\r';
+    if ((c == '\n') != after_cr || chunk_line_.size() > kMaxChunkLineBytes) {
+      Refuse(kBadRequest, "malformed line in a chunked body");
+      return used;
+    }
+    message_ += c;
+    chunk_line_ += c;
+    if (c == '\n') {
+      TakeChunkLine();
+    }
+  }
+  return used;
+}
+
+void RequestFramer::TakeChunkLine() {
+  const std::string line = chunk_line_.substr(0, chunk_line_.size() - 2);
+  chunk_line_.clear();
+  switch (chunk_state_) {
+    case ChunkState::kSize:
+      if (!ParseChunkSize(line)) {
+        Refuse(kBadRequest, "malformed chunk size");
+        return;
+      }
+      if (!GrowBody(remaining_)) {
+        return;
+      }
+      chunk_state_ = remaining_ == 0 ? ChunkState::kTrailer : ChunkState::kData;
+      return;
+    case ChunkState::kDataEnd:
+      if (!line.empty()) {
+        Refuse(kBadRequest, "a chunk is longer than its size");
+        return;
+      }
+      chunk_state_ = ChunkState::kSize;
+      return;
+    case ChunkState::kTrailer:
+      if (line.empty()) {
+        state_ = State::kComplete;
+        return;
+      }
+      body_bytes_ += line.size();
+      if (body_bytes_ > limits_.max_body_bytes + kMaxTrailerBytes) {
+        Refuse(kHeaderTooLarge, "the trailer is too large");
+      }
+      return;
+    case ChunkState::kData:
+      return;
+  }
+}
+
+bool RequestFramer::ParseChunkSize(std::string_view line) {
+  const auto size = ParseNumber(line.substr(0, line.find(';')), 16);
+  if (!size) {
+    return false;
+  }
+  remaining_ = *size;
+  return true;
+}
+
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/request_framer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hawthorn::transport {
+
+/// Upper bounds of one request.
+struct FramingLimits {
+  size_t max_head_bytes = size_t{16} * 1024;
+  size_t max_body_bytes = size_t{8} * 1024 * 1024;
+
+  bool operator==(const FramingLimits&) const = default;
+};
+
+/// Why a request was refused before it reached the HTTP server.
+struct FramingError {
+  int status = 400;
+  std::string reason;
+
+  bool operator==(const FramingError&) const = default;
+};
+
+/// Finds the end of one HTTP/1.1 request in a stream of bytes and refuses
+/// every framing that two implementations could read differently (RFC 9112,
+/// sections 2.2, 5.1, 6.1 to 6.3 and 7.1).
+class RequestFramer {
+ public:
+  enum class State { kHead, kBody, kComplete, kRefused };
+
+  explicit RequestFramer(FramingLimits limits) : limits_(limits) {}
+
+  /// Consumes bytes up to the end of the request and returns how many; what
+  /// is left over belongs to a later request.
+  size_t Feed(std::string_view bytes);
+
+  State state() const { return state_; }
+  /// Whether any byte of the request has arrived.
+  bool started() const { return !message_.empty(); }
+  /// The request so far, byte for byte.
+  const std::string& message() const { return message_; }
+  /// Set in state kRefused.
+  const FramingError& error() const { return error_; }
+  /// The client waits for "100 Continue" before it sends the body.
+  bool expects_continue() const { return expects_continue_; }
+  /// The client asked to close the connection after the answer.
+  bool wants_close() const { return wants_close_; }
+
+  /// Forgets the request and waits for the next one.
+  void Reset();
+
+ private:
+  enum class BodyKind { kNone, kLength, kChunked };
+  enum class ChunkState { kSize, kData, kDataEnd, kTrailer };
+
+  void Refuse(int status, std::string reason);
+  bool TakeByteOfHead(char c);
+  void FinishHead();
+  bool ParseRequestLine(std::string_view line);
+  bool ParseField(std::string_view line);
+  bool ParseFraming(const std::string& name, std::string_view value);
+  size_t FeedLengthBody(std::string_view bytes);
+  size_t FeedChunkedBody(std::string_view bytes);
+  void TakeChunkLine();
+  bool ParseChunkSize(std::string_view line);
+  bool GrowBody(uint64_t n);
+
+  FramingLimits limits_;
+  State state_ = State::kHead;
+  std::string message_;
+  FramingError error_;
+  bool expects_continue_ = false;
+  bool wants_close_ = false;
+  bool is_http_1_0_ = false;
+  bool has_host_ = false;
+  bool has_transfer_encoding_ = false;
+  std::optional<uint64_t> content_length_;
+  uint64_t body_bytes_ = 0;
+  uint64_t remaining_ = 0;
+  ChunkState chunk_state_ = ChunkState::kSize;
+  std::string chunk_line_;
+};
+
+}  // namespace hawthorn::transport
