--- /dev/null
+++ b/membership/instance_directory.cpp
@@ -0,0 +1,307 @@
+#include "membership/instance_directory.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace hawthorn::membership {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+InstanceDirectory::InstanceDirectory(InstanceSeed self,
+                                     std::vector<InstanceSeed> seeds,
+                                     uint32_t incarnation, core::TimePoint now,
+                                     InstanceTimings timings)
+    : self_(std::move(self)), timings_(timings), started_at_(now) {
+  own_.instance = self_.instance;
+  own_.incarnation = incarnation;
+  for (const InstanceSeed& seed : seeds) {
+    AddSeed(seed);
+  }
+  AddSeed(self_);
+  zones_[self_.zone] = {.heard_at = now, .reachable = true};
+}
+
+void InstanceDirectory::AddSeed(const InstanceSeed& seed) {
+  zones_.try_emplace(seed.zone);
+  if (seed.instance != self_.instance) {
+    members_[seed.instance].zone = seed.zone;
+  }
+}
+
+void InstanceDirectory::RemoveSeed(const core::InstanceId& instance) {
+  members_.erase(instance);
+}
+
+void InstanceDirectory::SetRevision(uint64_t revision) {
+  own_.revision = revision;
+}
+
+uint32_t InstanceDirectory::SupersedeIncarnation(uint32_t incarnation) {
+  if (incarnation > own_.incarnation) {
+    own_.incarnation = incarnation + 1;
+  }
+  return own_.incarnation;
+}
+
+void InstanceDirectory::SetDraining(bool draining) { own_.draining = draining; }
+
+Heartbeat InstanceDirectory::Beat(uint64_t report_version,
+                                  uint64_t export_version) {
+  ++own_.number;
+  own_.report_version = report_version;
+  own_.export_version = export_version;
+  return own_;
+}
+
+bool InstanceDirectory::Hear(const Heartbeat& heartbeat, core::TimePoint now) {
+  HearRevision(heartbeat.revision);
+  const auto it = members_.find(heartbeat.instance);
+  if (it == members_.end()) {
+    return false;
+  }
+  Member& member = it->second;
+  const bool newer = std::tuple(heartbeat.incarnation, heartbeat.number) >
+                     std::tuple(member.last.incarnation, member.last.number);
+  if (!newer) {
+    return false;
+  }
+  if (!IsOwnZone(member)) {
+    HearZone(member.zone, now - heartbeat.age);
+  }
+  const bool restarted = heartbeat.incarnation != member.last.incarnation;
+  const bool was_draining = member.last.draining && !restarted;
+  member.last = heartbeat;
+  member.made_at = now - heartbeat.age;
+  const bool first = !member.heard;
+  member.heard = true;
+  ++member.since_death;
+  if (heartbeat.draining && !was_draining) {
+    events_.emplace_back(InstanceDraining{heartbeat.instance});
+  }
+  // Hysteresis keeps a link that carries single messages from making an
+  // instance alive and dead in turn.
+  const bool returns = member.state != InstanceState::kDead ||
+                       member.since_death >= timings_.heartbeats_to_return;
+  const bool fresh = heartbeat.age < timings_.suspect_after;
+  if (fresh && returns) {
+    if (restarted && !first && member.state != InstanceState::kDead) {
+      MarkDead(heartbeat.instance, member);
+    }
+    MarkAlive(heartbeat.instance, member);
+  }
+  return true;
+}
+
+void InstanceDirectory::HearDead(const core::ZoneId& zone,
+                                 const std::set<core::InstanceId>& dead) {
+  if (zone == self_.zone) {
+    return;
+  }
+  for (auto& [instance, member] : members_) {
+    if (member.zone != zone) {
+      continue;
+    }
+    if (dead.contains(instance)) {
+      MarkDead(instance, member);
+    } else {
+      MarkAlive(instance, member);
+    }
+  }
+}
+
+void InstanceDirectory::HearRevision(uint64_t revision) {
+  highest_heard_ = std::max(highest_heard_, revision);
+}
+
+void InstanceDirectory::Tick(core::TimePoint now) {
+  for (auto& [id, zone] : zones_) {
+    if (id != self_.zone && zone.reachable &&
+        now - zone.heard_at >= timings_.zone_unreachable_after) {
+      zone.reachable = false;
+      events_.emplace_back(ZoneUnreachable{id});
+    }
+  }
+  for (auto& [instance, member] : members_) {
+    TickMember(instance, member, now);
+  }
+}
+
+std::vector<InstanceEvent> InstanceDirectory::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+InstanceState InstanceDirectory::StateOf(
+    const core::InstanceId& instance) const {
+  if (instance == self_.instance) {
+    return InstanceState::kAlive;
+  }
+  const auto it = members_.find(instance);
+  return it == members_.end() ? InstanceState::kUnknown : it->second.state;
+}
+
+std::optional<InstanceView> InstanceDirectory::Find(
+    const core::InstanceId& instance) const {
+  if (instance == self_.instance) {
+    return InstanceView{
+        .instance = instance,
+        .zone = self_.zone,
+        .state = InstanceState::kAlive,
+        .draining = own_.draining,
+        .incarnation = own_.incarnation,
+        .revision = own_.revision,
+    };
+  }
+  const auto it = members_.find(instance);
+  if (it == members_.end()) {
+    return std::nullopt;
+  }
+  const Member& member = it->second;
+  return InstanceView{
+      .instance = instance,
+      .zone = member.zone,
+      .state = member.state,
+      .draining = member.last.draining,
+      .incarnation = member.last.incarnation,
+      .revision = member.last.revision,
+  };
+}
+
+std::vector<InstanceView> InstanceDirectory::All() const {
+  std::vector<InstanceView> views;
+  views.push_back(*Find(self_.instance));
+  for (const auto& [instance, member] : members_) {
+    views.push_back(*Find(instance));
+  }
+  std::ranges::sort(views);
+  return views;
+}
+
+std::vector<core::InstanceId> InstanceDirectory::PeersIn(
+    const core::ZoneId& zone) const {
+  std::vector<core::InstanceId> peers;
+  for (const auto& [instance, member] : members_) {
+    if (member.zone == zone && member.state != InstanceState::kDead) {
+      peers.push_back(instance);
+    }
+  }
+  return peers;
+}
+
+std::set<core::ZoneId> InstanceDirectory::ReachableZones() const {
+  std::set<core::ZoneId> reachable;
+  for (const auto& [id, zone] : zones_) {
+    if (zone.reachable) {
+      reachable.insert(id);
+    }
+  }
+  return reachable;
+}
+
+std::set<core::ZoneId> InstanceDirectory::Zones() const {
+  std::set<core::ZoneId> zones;
+  for (const auto& [id, zone] : zones_) {
+    zones.insert(id);
+  }
+  return zones;
+}
+
+std::vector<core::InstanceId> InstanceDirectory::RelaysOf(
+    const core::ZoneId& zone) const {
+  std::vector<core::InstanceId> relays;
+  for (const InstanceView& view : All()) {
+    if (relays.size() == timings_.relays_per_zone) {
+      break;
+    }
+    if (view.zone == zone && view.state != InstanceState::kDead &&
+        !view.draining) {
+      relays.push_back(view.instance);
+    }
+  }
+  return relays;
+}
+
+bool InstanceDirectory::IsRelay() const {
+  const std::vector<core::InstanceId> relays = RelaysOf(self_.zone);
+  return std::ranges::find(relays, self_.instance) != relays.end();
+}
+
+uint64_t InstanceDirectory::HighestRevision() const {
+  return std::max(own_.revision, highest_heard_);
+}
+
+bool InstanceDirectory::MayServe(core::TimePoint now) const {
+  const bool looked =
+      now - started_at_ >= timings_.discovery || HeardAllPeers();
+  return looked && own_.revision >= HighestRevision();
+}
+
+std::optional<Heartbeat> InstanceDirectory::LastHeartbeat(
+    const core::InstanceId& instance, core::TimePoint now) const {
+  const auto it = members_.find(instance);
+  if (it == members_.end() || !it->second.heard) {
+    return std::nullopt;
+  }
+  Heartbeat last = it->second.last;
+  last.age = duration_cast<milliseconds>(now - it->second.made_at);
+  return last;
+}
+
+void InstanceDirectory::HearZone(const core::ZoneId& zone, core::TimePoint at) {
+  Zone& heard = zones_[zone];
+  heard.heard_at = std::max(heard.heard_at, at);
+  if (!heard.reachable) {
+    heard.reachable = true;
+    events_.emplace_back(ZoneReachable{zone});
+  }
+}
+
+void InstanceDirectory::MarkAlive(const core::InstanceId& instance,
+                                  Member& member) {
+  const InstanceState before = member.state;
+  member.state = InstanceState::kAlive;
+  if (before == InstanceState::kUnknown || before == InstanceState::kDead) {
+    events_.emplace_back(InstanceReturned{instance, member.last.incarnation});
+  }
+}
+
+void InstanceDirectory::MarkDead(const core::InstanceId& instance,
+                                 Member& member) {
+  if (member.state == InstanceState::kDead) {
+    return;
+  }
+  member.state = InstanceState::kDead;
+  member.since_death = 0;
+  events_.emplace_back(InstanceDied{instance});
+}
+
+void InstanceDirectory::TickMember(const core::InstanceId& instance,
+                                   Member& member, core::TimePoint now) {
+  if (!IsOwnZone(member)) {
+    const auto zone = zones_.find(member.zone);
+    const bool silent = zone == zones_.end() || !zone->second.reachable;
+    if (silent && member.state == InstanceState::kAlive) {
+      member.state = InstanceState::kSuspect;
+    }
+    return;
+  }
+  const core::TimePoint heard_at = member.heard ? member.made_at : started_at_;
+  const auto silence = now - heard_at;
+  if (silence >= timings_.dead_after) {
+    MarkDead(instance, member);
+  } else if (silence >= timings_.suspect_after &&
+             member.state == InstanceState::kAlive) {
+    member.state = InstanceState::kSuspect;
+  }
+}
+
+bool InstanceDirectory::HeardAllPeers() const {
+  const bool zones_heard = std::ranges::all_of(
+      zones_, [](const auto& entry) { return entry.second.reachable; });
+  return zones_heard && std::ranges::all_of(members_, [&](const auto& entry) {
+           return entry.second.heard || !IsOwnZone(entry.second);
+         });
+}
+
+}  // namespace hawthorn::membership
--- /dev/null
+++ b/membership/membership.cpp
@@ -0,0 +1,222 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+
+#include "membership/gossip_codec.h"
+
+namespace hawthorn::membership {
+
+Membership::Membership(const MembershipSettings& settings, core::TimePoint now)
+    : options_(settings.gossip),
+      instances_(settings.self, settings.seeds, settings.incarnation, now,
+                 settings.instances),
+      upstreams_(settings.self.instance, settings.self.zone,
+                 settings.incarnation, settings.upstreams),
+      random_(settings.gossip.seed),
+      next_round_(now),
+      next_cross_(now) {
+  for (const InstanceSeed& seed : settings.seeds) {
+    by_hash_[detail::HashOf(seed.instance)] = seed.instance;
+    zone_of_[seed.instance] = seed.zone;
+  }
+  by_hash_[detail::HashOf(settings.self.instance)] = settings.self.instance;
+  zone_of_[settings.self.instance] = settings.self.zone;
+  upstreams_.SetAliveCheck([this](const core::InstanceId& reporter) {
+    const auto view = instances_.Find(reporter);
+    return view && view->state == InstanceState::kAlive && !view->draining;
+  });
+  Beat(now);
+}
+
+std::vector<OutgoingGossip> Membership::Tick(core::TimePoint now) {
+  std::vector<OutgoingGossip> out;
+  upstreams_.Expire(now);
+  instances_.Tick(now);
+  CollectNews();
+  SendNews(now, out);
+  SendPending(out);
+  if (now >= next_round_) {
+    next_round_ = now + options_.interval;
+    Beat(now);
+    SendRound(now, out);
+    ++rounds_;
+  }
+  if (now >= next_cross_) {
+    next_cross_ = now + options_.cross_interval;
+    SendAcross(now, out);
+    ++cross_rounds_;
+  }
+  return out;
+}
+
+std::map<core::ZoneId, std::vector<ServiceLoad>> Membership::ForeignLoad()
+    const {
+  std::map<core::ZoneId, std::vector<ServiceLoad>> loads;
+  for (const auto& [zone, summary] : summaries_) {
+    for (const schema::ServiceSummary& service : summary.services()) {
+      loads[zone].push_back({
+          .service = core::ServiceId(service.service()),
+          .upstreams = service.upstreams(),
+          .max_running = service.max_running(),
+          .running = service.running(),
+          .waiting = service.waiting(),
+      });
+    }
+  }
+  return loads;
+}
+
+void Membership::CollectNews() {
+  const core::InstanceId& self = instances_.self().instance;
+  for (const SetNews& news : upstreams_.TakeNews()) {
+    if (news.key == SetKey{self, true}) {
+      continue;
+    }
+    std::vector<News>& queue = news.key.source == self ? fresh_ : repeated_;
+    queue.push_back({news, options_.news_repeats});
+  }
+}
+
+std::vector<Membership::News> Membership::DueNews() {
+  std::vector<News> due = repeated_;
+  for (News& it : repeated_) {
+    --it.repeats_left;
+  }
+  std::erase_if(repeated_, [](const News& it) { return it.repeats_left == 0; });
+  return due;
+}
+
+void Membership::SendNews(core::TimePoint now,
+                          std::vector<OutgoingGossip>& out) {
+  if (fresh_.empty()) {
+    return;
+  }
+  Beat(now);
+  schema::Gossip gossip = Base(now);
+  AddNews(fresh_, now, gossip);
+  for (const core::InstanceId& to :
+       instances_.PeersIn(instances_.self().zone)) {
+    out.push_back({to, gossip});
+  }
+  repeated_.insert(repeated_.end(), fresh_.begin(), fresh_.end());
+  fresh_.clear();
+}
+
+void Membership::SendPending(std::vector<OutgoingGossip>& out) {
+  for (const core::InstanceId& reporter : upstreams_.PendingReporters()) {
+    schema::Gossip gossip;
+    for (const PendingRenewal& it : upstreams_.TakePending(reporter)) {
+      schema::ForwardedRenewal* renewal = gossip.add_renewals();
+      renewal->set_upstream(it.upstream.text());
+      renewal->set_incarnation(it.incarnation);
+      renewal->set_running(it.load.running);
+      renewal->set_waiting(it.load.waiting);
+      renewal->set_cached_tokens(it.load.cached_tokens);
+    }
+    out.push_back({reporter, gossip});
+  }
+}
+
+void Membership::SendRound(core::TimePoint now,
+                           std::vector<OutgoingGossip>& out) {
+  const std::vector<News> due = DueNews();
+  for (const core::InstanceId& to : NextTargets()) {
+    schema::Gossip gossip = Base(now);
+    AddHeartbeats(to, now, gossip);
+    AddNews(due, now, gossip);
+    AddLoads(gossip);
+    if (rounds_ % options_.summary_rounds == 0) {
+      AddSummary(gossip);
+    }
+    out.push_back({to, std::move(gossip)});
+  }
+}
+
+void Membership::SendAcross(core::TimePoint now,
+                            std::vector<OutgoingGossip>& out) {
+  const InstanceSeed& self = instances_.self();
+  const std::vector<core::InstanceId> relays = instances_.RelaysOf(self.zone);
+  const auto own = std::ranges::find(relays, self.instance);
+  if (own == relays.end()) {
+    return;
+  }
+  upstreams_.RefreshExport(now);
+  CollectNews();
+  Beat(now);
+  const size_t index = own - relays.begin();
+  const std::set<core::ZoneId> reachable = instances_.ReachableZones();
+  size_t position = 0;
+  for (const core::ZoneId& zone : instances_.Zones()) {
+    ++position;
+    if (zone == self.zone ||
+        (position + cross_rounds_) % relays.size() != index) {
+      continue;
+    }
+    // An unreachable zone may have other relays than this instance believes,
+    // so any of its instances is tried.
+    std::vector<core::InstanceId> targets = reachable.contains(zone)
+                                                ? instances_.RelaysOf(zone)
+                                                : InstancesOf(zone);
+    if (targets.empty()) {
+      targets = InstancesOf(zone);
+    }
+    if (targets.empty()) {
+      continue;
+    }
+    const size_t turn = cross_rounds_ / relays.size() + index;
+    schema::Gossip gossip = Base(now);
+    *gossip.add_zones() = OwnSummary(now);
+    out.push_back({targets[turn % targets.size()], std::move(gossip)});
+  }
+}
+
+std::vector<core::InstanceId> Membership::InstancesOf(
+    const core::ZoneId& zone) const {
+  std::vector<core::InstanceId> found;
+  for (const auto& [instance, its_zone] : zone_of_) {
+    if (its_zone == zone) {
+      found.push_back(instance);
+    }
+  }
+  return found;
+}
+
+std::vector<core::InstanceId> Membership::NextTargets() {
+  const core::ZoneId& zone = instances_.self().zone;
+  std::vector<core::InstanceId> targets;
+  const std::vector<core::InstanceId> peers = instances_.PeersIn(zone);
+  const size_t wanted = std::min(options_.fan_out, peers.size());
+  while (targets.size() < wanted) {
+    if (order_.empty()) {
+      order_ = peers;
+      std::ranges::shuffle(order_, random_);
+    }
+    const core::InstanceId next = order_.back();
+    order_.pop_back();
+    if (std::ranges::find(peers, next) != peers.end() &&
+        std::ranges::find(targets, next) == targets.end()) {
+      targets.push_back(next);
+    }
+  }
+  if (rounds_ % options_.dead_probe_rounds == 0) {
+    std::vector<core::InstanceId> dead;
+    for (const core::InstanceId& it : InstancesOf(zone)) {
+      if (instances_.StateOf(it) == InstanceState::kDead) {
+        dead.push_back(it);
+      }
+    }
+    if (!dead.empty()) {
+      targets.push_back(dead[random_() % dead.size()]);
+    }
+  }
+  return targets;
+}
+
+void Membership::Beat(core::TimePoint now) {
+  const core::InstanceId& self = instances_.self().instance;
+  beat_ = instances_.Beat(upstreams_.FindSet({self, false})->set.version(),
+                          upstreams_.FindSet({self, true})->set.version());
+  beat_at_ = now;
+}
+
+}  // namespace hawthorn::membership
--- /dev/null
+++ b/membership/membership.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/id.h"
+#include "membership/instance_directory.h"
+#include "membership/upstream_directory.h"
+#include "schema/generated/peer.pb.h"
+
+// Gossip between instances: keeps both directories of one instance in step
+// with those of the others.
+namespace hawthorn::membership {
+
+/// Rhythm and bounds of gossip.
+struct GossipOptions {
+  /// Time between rounds within the zone.
+  std::chrono::milliseconds interval{250};
+  /// Time between messages of a relay to another zone.
+  std::chrono::milliseconds cross_interval{1000};
+  /// Instances of the zone to which each round goes.
+  size_t fan_out = 2;
+  /// Rounds in which an instance repeats news that it learned.
+  uint32_t news_repeats = 3;
+  /// Heartbeats of other instances in one message.
+  size_t max_heartbeats = 8;
+  /// Heartbeats of relays of other zones in one message.
+  size_t max_foreign_heartbeats = 4;
+  /// Load reports in one message.
+  size_t max_loads = 32;
+  /// Every how many rounds a message carries a summary of another zone.
+  uint32_t summary_rounds = 2;
+  /// Upstream records in one message, but for a set sent in full.
+  size_t max_records = 32;
+  /// Rounds after which instances that are held for dead are tried again.
+  uint32_t dead_probe_rounds = 8;
+  /// Seed of the random choice of targets.
+  uint64_t seed = 1;
+};
+
+/// Who this instance is and whom it knows from its settings.
+struct MembershipSettings {
+  InstanceSeed self;
+  /// All instances of the deployment.
+  std::vector<InstanceSeed> seeds;
+  /// Start of this instance in seconds since the Unix epoch; must rise with
+  /// each restart.
+  uint32_t incarnation = 0;
+  GossipOptions gossip;
+  InstanceTimings instances;
+  UpstreamTimings upstreams;
+};
+
+/// Message for another instance.
+struct OutgoingGossip {
+  core::InstanceId to;
+  schema::Gossip gossip;
+};
+
+/// Both directories of one instance and their exchange with others.
+/// Deterministic; not thread-safe. The host calls Tick at least every 50 ms,
+/// and Receive for each message, and sends what they return. Every message
+/// may be lost.
+class Membership {
+ public:
+  Membership(const MembershipSettings& settings, core::TimePoint now);
+
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
+
+  InstanceDirectory& instances() { return instances_; }
+  const InstanceDirectory& instances() const { return instances_; }
+  UpstreamDirectory& upstreams() { return upstreams_; }
+  const UpstreamDirectory& upstreams() const { return upstreams_; }
+
+  /// Updates leases and states; returns the messages that are due, news that
+  /// became known since the last call included.
+  std::vector<OutgoingGossip> Tick(core::TimePoint now);
+
+  /// Takes the gossip of `from`, an authenticated instance, whose message
+  /// carried `revision`. Returns answers to send.
+  std::vector<OutgoingGossip> Receive(const core::InstanceId& from,
+                                      uint64_t revision,
+                                      const schema::Gossip& gossip,
+                                      core::TimePoint now);
+
+  /// Load of each service in the other zones, as their relays reported it.
+  std::map<core::ZoneId, std::vector<ServiceLoad>> ForeignLoad() const;
+
+ private:
+  struct News {
+    SetNews news;
+    uint32_t repeats_left = 0;
+  };
+  void CollectNews();
+  std::vector<News> DueNews();
+  void SendRound(core::TimePoint now, std::vector<OutgoingGossip>& out);
+  void SendNews(core::TimePoint now, std::vector<OutgoingGossip>& out);
+  void SendPending(std::vector<OutgoingGossip>& out);
+  void SendAcross(core::TimePoint now, std::vector<OutgoingGossip>& out);
+  std::vector<core::InstanceId> NextTargets();
+  std::vector<core::InstanceId> InstancesOf(const core::ZoneId& zone) const;
+
+  /// A message that carries the last heartbeat of this instance.
+  schema::Gossip Base(core::TimePoint now) const;
+  void Beat(core::TimePoint now);
+  void AddHeartbeats(const core::InstanceId& to, core::TimePoint now,
+                     schema::Gossip& gossip) const;
+  std::vector<Heartbeat> ZoneHeartbeats(const core::InstanceId& to,
+                                        core::TimePoint now) const;
+  std::vector<Heartbeat> ForeignHeartbeats(core::TimePoint now) const;
+  void AddNews(const std::vector<News>& news, core::TimePoint now,
+               schema::Gossip& gossip) const;
+  void AddChanges(const SetKey& key, uint64_t since, core::TimePoint now,
+                  schema::Gossip& gossip) const;
+  void AddLoads(schema::Gossip& gossip);
+  void AddSummary(schema::Gossip& gossip);
+  schema::ZoneSummary OwnSummary(core::TimePoint now) const;
+
+  void TakeDeltas(const schema::Gossip& gossip, core::TimePoint now);
+  void TakeHeartbeats(const schema::Heartbeats& heartbeats, core::TimePoint now,
+                      schema::Gossip& answer);
+  void TakeHeartbeat(const Heartbeat& heartbeat, core::TimePoint now,
+                     schema::Gossip& answer);
+  void RequestMissing(const SetKey& key, uint32_t incarnation,
+                      schema::Gossip& answer) const;
+  void TakeLoads(const core::InstanceId& from,
+                 const schema::UpstreamLoads& loads);
+  void TakeSummary(const schema::ZoneSummary& summary);
+  void Answer(const schema::Gossip& gossip, core::TimePoint now,
+              schema::Gossip& answer) const;
+  const core::InstanceId* ByHash(uint32_t hash) const;
+
+  GossipOptions options_;
+  InstanceDirectory instances_;
+  UpstreamDirectory upstreams_;
+  std::mt19937_64 random_;
+  std::map<uint32_t, core::InstanceId> by_hash_;
+  std::map<core::InstanceId, core::ZoneId> zone_of_;
+  std::vector<News> fresh_;
+  std::vector<News> repeated_;
+  std::vector<core::InstanceId> order_;
+  std::map<core::ZoneId, schema::ZoneSummary> summaries_;
+  // Start and heartbeat of the last summary of each relay.
+  std::map<uint32_t, std::pair<uint32_t, uint64_t>> summary_marks_;
+  core::ZoneId last_summary_;
+  Heartbeat beat_;
+  core::TimePoint beat_at_;
+  core::TimePoint next_round_;
+  core::TimePoint next_cross_;
+  uint64_t rounds_ = 0;
+  uint64_t cross_rounds_ = 0;
+  uint32_t last_load_slot_ = 0;
+};
+
+}  // namespace hawthorn::membership
