scheduling: Add the scheduler's interface and its decisions

Cause: the daemon needs one object that queues calls and says which call goes to which upstream. Conclusion: the public header is meant to be final; the policies are not measured yet.

--- /dev/null
+++ b/scheduling/call_queue.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "scheduling/policy.h"
+
+namespace hawthorn::scheduling {
+
+/// Calls of one service in the order of a policy, with their deadlines.
+class CallQueue {
+ public:
+  /// Rank and order of arrival; unique.
+  using Position = std::pair<double, uint64_t>;
+
+  explicit CallQueue(AnyPolicy policy);
+
+  void Push(const CallRequest& request, core::TimePoint now);
+  /// Removes a call without dispatching it; false if it is not queued.
+  bool Erase(CallId call);
+  /// Removes a call that is dispatched and tells the policy.
+  void TakeForDispatch(CallId call);
+  /// Replaces the policy and ranks all queued calls anew.
+  void SetPolicy(AnyPolicy policy);
+
+  PlacementRules placement() const { return placement_; }
+  bool empty() const { return order_.empty(); }
+  size_t size() const { return order_.size(); }
+  /// Calls of `organisation` in the queue.
+  size_t CountOf(const core::OrganisationId& organisation) const;
+  size_t interactive() const { return interactive_; }
+  size_t isolated() const { return isolated_; }
+  /// The queued call; null if it is not queued.
+  QueuedCall* Find(CallId call);
+
+  /// Visits calls in order until `visit` returns false.
+  template <typename Visit>
+  void ForEach(Visit visit) {
+    for (const auto& [position, call] : order_) {
+      if (!visit(*call)) {
+        return;
+      }
+    }
+  }
+
+  /// Queued calls whose deadline is at or before `now`.
+  std::vector<CallId> Expired(core::TimePoint now) const;
+  std::optional<core::TimePoint> NextDeadline() const;
+
+ private:
+  struct Ranked {
+    Position position;
+    QueuedCall* call;
+    bool operator<(const Ranked& other) const {
+      return position < other.position;
+    }
+  };
+
+  void Unlink(std::unordered_map<CallId, QueuedCall>::iterator it);
+
+  AnyPolicy policy_;
+  PlacementRules placement_;
+  std::unordered_map<CallId, QueuedCall> calls_;
+  std::set<Ranked> order_;
+  std::set<std::pair<core::TimePoint, CallId>> deadlines_;
+  std::unordered_map<core::OrganisationId, size_t> by_organisation_;
+  size_t interactive_ = 0;
+  size_t isolated_ = 0;
+  uint64_t next_sequence_ = 0;
+};
+
+}  // namespace hawthorn::scheduling
--- /dev/null
+++ b/scheduling/prefix_policy.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "scheduling/policy.h"
+
+namespace hawthorn::scheduling {
+
+/// Order of arrival; an upstream that holds the prompt's prefix is preferred
+/// while its load stays within a bound.
+class PrefixPolicy {
+ public:
+  double Rank(QueuedCall& call);
+  void OnDispatched(QueuedCall& call);
+  PlacementRules placement() const;
+};
+
+}  // namespace hawthorn::scheduling
--- /dev/null
+++ b/scheduling/program_cache.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/id.h"
+#include "scheduling/upstream.h"
+
+namespace hawthorn::scheduling {
+
+/// Where the prefixes of programs are, which of them are held, and how fast
+/// each engine's cache is rewritten.
+class ProgramCache {
+ public:
+  /// Programs remembered; the one unused for longest is forgotten first.
+  static constexpr size_t kMaxPrograms = 20000;
+  /// Prefixes remembered for one program.
+  static constexpr size_t kMaxCopies = 8;
+
+  /// Notes that `upstream` holds `prefix` for the program after a call that
+  /// wrote `written` tokens into its cache.
+  void OnProduced(const core::ProgramId& program,
+                  const core::UpstreamId& upstream, const PrefixSegment& prefix,
+                  int64_t written, core::TimePoint now);
+  /// Latest prefix of the program.
+  std::optional<CacheDrop> Latest(const core::ProgramId& program) const;
+  /// Counts a hold on the program's latest prefix until `lease_end`.
+  void Hold(const core::ProgramId& program, core::TimePoint lease_end);
+  /// Ends a hold, for example because the program went on.
+  void Release(const core::ProgramId& program);
+  /// Forgets the program and returns all its prefixes.
+  std::vector<CacheDrop> Forget(const core::ProgramId& program);
+  void RemoveUpstream(const core::UpstreamId& upstream);
+
+  /// Tokens held on `upstream`; holds whose lease is over do not count.
+  int64_t HeldTokens(const core::UpstreamId& upstream, core::TimePoint now);
+  double ChurnTokensPerSecond(const core::UpstreamId& upstream) const;
+
+ private:
+  struct Program {
+    std::vector<CacheDrop> copies;
+    std::optional<core::TimePoint> lease_end;
+    std::list<core::ProgramId>::iterator order;
+  };
+  struct Engine {
+    int64_t held = 0;
+    double churn = 0;
+    core::TimePoint last_write;
+  };
+
+  void ExpireHolds(core::TimePoint now);
+
+  std::unordered_map<core::ProgramId, Program> programs_;
+  /// Least recently used first.
+  std::list<core::ProgramId> order_;
+  std::unordered_map<core::UpstreamId, Engine> engines_;
+  std::vector<std::pair<core::TimePoint, core::ProgramId>> leases_;
+};
+
+}  // namespace hawthorn::scheduling
