--- a/scheduling/call_queue.cpp
+++ b/scheduling/call_queue.cpp
@@ -7,13 +7,15 @@
 CallQueue::CallQueue(AnyPolicy policy)
     : policy_(std::move(policy)), placement_(policy_.placement()) {}
 
-void CallQueue::Push(const CallRequest& request, core::TimePoint now) {
+void CallQueue::Push(const CallRequest& request, std::optional<size_t> home,
+                     core::TimePoint now) {
   QueuedCall& call = calls_[request.id];
   call.request = request;
+  call.home = home;
   call.enqueued = now;
   call.sequence = next_sequence_++;
   call.rank = policy_.Rank(call);
-  order_.insert({{call.rank, call.sequence}, &call});
+  Link(call);
   if (request.deadline) {
     deadlines_.emplace(*request.deadline, request.id);
   }
@@ -22,6 +24,19 @@
   isolated_ += request.isolate ? 1 : 0;
 }
 
+void CallQueue::Link(QueuedCall& call) {
+  const Ranked ranked{{call.rank, call.sequence}, &call};
+  order_.insert(ranked);
+  if (call.home) {
+    by_home_[*call.home].insert(ranked);
+  }
+}
+
+QueuedCall* CallQueue::FirstAtHome(size_t upstream) {
+  const auto it = by_home_.find(upstream);
+  return it == by_home_.end() ? nullptr : it->second.begin()->call;
+}
+
 QueuedCall* CallQueue::Find(CallId call) {
   const auto it = calls_.find(call);
   return it == calls_.end() ? nullptr : &it->second;
@@ -48,7 +63,15 @@
 void CallQueue::Unlink(std::unordered_map<CallId, QueuedCall>::iterator it) {
   const QueuedCall& call = it->second;
   const CallRequest& request = call.request;
-  order_.erase({{call.rank, call.sequence}, nullptr});
+  const Ranked ranked{{call.rank, call.sequence}, nullptr};
+  order_.erase(ranked);
+  const auto home = call.home ? by_home_.find(*call.home) : by_home_.end();
+  if (home != by_home_.end()) {
+    home->second.erase(ranked);
+    if (home->second.empty()) {
+      by_home_.erase(home);
+    }
+  }
   if (request.deadline) {
     deadlines_.erase({*request.deadline, request.id});
   }
@@ -74,10 +97,11 @@
               return a->sequence < b->sequence;
             });
   order_.clear();
+  by_home_.clear();
   for (QueuedCall* call : arrivals) {
     call->share_tag = 0;
     call->rank = policy_.Rank(*call);
-    order_.insert({{call->rank, call->sequence}, call});
+    Link(*call);
   }
 }
 
--- a/scheduling/call_queue.h
+++ b/scheduling/call_queue.h
@@ -21,7 +21,9 @@
 
   explicit CallQueue(AnyPolicy policy);
 
-  void Push(const CallRequest& request, core::TimePoint now);
+  /// Adds a call; `home` is the upstream that holds its longest prefix.
+  void Push(const CallRequest& request, std::optional<size_t> home,
+            core::TimePoint now);
   /// Removes a call without dispatching it; false if it is not queued.
   bool Erase(CallId call);
   /// Removes a call that is dispatched and tells the policy.
@@ -49,6 +51,9 @@
     }
   }
 
+  /// First call in order whose home is `upstream`; null if there is none.
+  QueuedCall* FirstAtHome(size_t upstream);
+
   /// Queued calls whose deadline is at or before `now`.
   std::vector<CallId> Expired(core::TimePoint now) const;
   std::optional<core::TimePoint> NextDeadline() const;
@@ -62,12 +67,14 @@
     }
   };
 
+  void Link(QueuedCall& call);
   void Unlink(std::unordered_map<CallId, QueuedCall>::iterator it);
 
   AnyPolicy policy_;
   PlacementRules placement_;
   std::unordered_map<CallId, QueuedCall> calls_;
   std::set<Ranked> order_;
+  std::unordered_map<size_t, std::set<Ranked>> by_home_;
   std::set<std::pair<core::TimePoint, CallId>> deadlines_;
   std::unordered_map<core::OrganisationId, size_t> by_organisation_;
   size_t interactive_ = 0;
--- a/scheduling/combined_policy.cpp
+++ b/scheduling/combined_policy.cpp
@@ -16,8 +16,7 @@
 constexpr double kMaxShareDelay = 60;
 constexpr double kMinImbalanceBound = 0.3;
 constexpr double kMaxImbalanceBound = 0.8;
-constexpr size_t kLookahead = 8;
-constexpr double kLookaheadRankSeconds = 5;
+constexpr double kHomeRankSlackSeconds = 10;
 
 }  // namespace
 
@@ -48,8 +47,7 @@
   rules.imbalance_bound =
       kMaxImbalanceBound -
       latency_weight_ * (kMaxImbalanceBound - kMinImbalanceBound);
-  rules.lookahead = kLookahead;
-  rules.lookahead_rank = kLookaheadRankSeconds;
+  rules.home_rank_slack = kHomeRankSlackSeconds;
   rules.manages_cache = true;
   return rules;
 }
--- a/scheduling/policy.h
+++ b/scheduling/policy.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "core/clock.h"
@@ -23,8 +24,8 @@
   double rank = 0;
   /// Start tag in the fair queue; 0 for policies without one.
   double share_tag = 0;
-  /// Times that a call behind it was dispatched first.
-  uint32_t bypassed = 0;
+  /// Upstream that held its longest prefix when it was queued.
+  std::optional<size_t> home;
 };
 
 /// How an upstream is chosen for a call.
@@ -34,11 +35,9 @@
   /// Load of a preferred upstream above the least loaded one, as a fraction
   /// of its window.
   double imbalance_bound = 0;
-  /// Calls at the head of the queue among which the one with the best cached
-  /// prefix may go first; 1 keeps the order of the queue.
-  size_t lookahead = 1;
-  /// Largest difference in rank that such a call may gain.
-  double lookahead_rank = 0;
+  /// Largest difference in rank by which a call whose prefix is on a free
+  /// upstream may go before the head of the queue.
+  double home_rank_slack = 0;
   /// Drop the prefixes of programs that ended, and hold through pauses.
   bool manages_cache = false;
 };
--- a/scheduling/service_scheduler.cpp
+++ b/scheduling/service_scheduler.cpp
@@ -9,8 +9,6 @@
 /// Calls at the head of the queue that are passed over because no upstream
 /// with room may run them.
 constexpr size_t kMaxSkipped = 64;
-/// Times that one call may be passed by a call with a better cached prefix.
-constexpr uint32_t kMaxBypassed = 4;
 constexpr double kRunSmoothing = 0.05;
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 
@@ -71,7 +69,7 @@
                   "the expected wait exceeds the deadline",
                   now + wait - *call.deadline);
   }
-  queue_.Push(call, now);
+  queue_.Push(call, pool_.Home(call.prefix), now);
   ++counters.enqueued;
   return std::monostate{};
 }
@@ -115,45 +113,39 @@
 std::optional<ServiceScheduler::Choice> ServiceScheduler::Choose(
     core::TimePoint now) {
   const PlacementRules rules = queue_.placement();
-  std::optional<Choice> best;
-  std::optional<double> first_rank;
+  std::optional<Choice> first;
+  double first_rank = 0;
   size_t skipped = 0;
-  size_t seen = 0;
   queue_.ForEach([&](QueuedCall& call) {
-    if (first_rank && call.rank > *first_rank + rules.lookahead_rank) {
-      return false;
-    }
     const auto placement = call.request.isolate
                                ? PlaceIsolated(call.request, now)
                                : pool_.Choose(call.request, rules);
     if (!placement) {
       return ++skipped < kMaxSkipped;
     }
-    if (!best || placement->cached_tokens > best->placement.cached_tokens) {
-      best = Choice{call.request.id, *placement};
-    }
-    if (!first_rank) {
-      first_rank = call.rank;
-      if (call.bypassed >= kMaxBypassed || call.request.isolate) {
-        return false;
-      }
-    }
-    return ++seen < rules.lookahead;
-  });
-  if (best && seen > 1) {
-    MarkBypassed(best->call);
-  }
-  return best;
-}
-
-void ServiceScheduler::MarkBypassed(CallId chosen) {
-  queue_.ForEach([chosen](QueuedCall& call) {
-    if (call.request.id == chosen) {
-      return false;
-    }
-    ++call.bypassed;
-    return true;
+    first = Choice{call.request.id, *placement};
+    first_rank = call.rank;
+    return false;
   });
+  if (!first || !rules.affinity || queue_.Find(first->call)->request.isolate) {
+    return first;
+  }
+  // The head of the queue leaves a free upstream to a call whose prefix is
+  // there, if its own is elsewhere.
+  const size_t slot = first->placement.slot;
+  const QueuedCall* local = queue_.FirstAtHome(slot);
+  const bool is_better =
+      local != nullptr && local->rank <= first_rank + rules.home_rank_slack &&
+      !local->request.isolate && pool_.Admits(slot, local->request);
+  if (!is_better) {
+    return first;
+  }
+  const int64_t cached = pool_.CachedTokens(slot, local->request.prefix);
+  if (cached <= first->placement.cached_tokens) {
+    return first;
+  }
+  return Choice{local->request.id,
+                {slot, first->placement.crosses_zone, cached}};
 }
 
 std::optional<Placement> ServiceScheduler::PlaceIsolated(
--- a/scheduling/service_scheduler.h
+++ b/scheduling/service_scheduler.h
@@ -65,7 +65,6 @@
   void EndIsolation(core::TimePoint now);
   std::optional<Placement> PlaceIsolated(const CallRequest& call,
                                          core::TimePoint now);
-  void MarkBypassed(CallId chosen);
   std::chrono::duration<double> ExpectedWait(bool interactive) const;
 
   SchedulerSettings settings_;
--- a/scheduling/upstream_pool.cpp
+++ b/scheduling/upstream_pool.cpp
@@ -287,6 +287,30 @@
   return Placement{*remote, true, cache_.CachedTokens(*remote, call.prefix)};
 }
 
+std::optional<size_t> UpstreamPool::Home(
+    const std::vector<PrefixSegment>& prefix) const {
+  for (auto it = prefix.rbegin(); it != prefix.rend(); ++it) {
+    const std::vector<size_t>& holders = cache_.Holders(it->hash);
+    if (holders.empty()) {
+      continue;
+    }
+    const size_t compared = std::min(holders.size(), kMaxHolders);
+    return *std::min_element(
+        holders.begin(), holders.begin() + static_cast<ptrdiff_t>(compared),
+        [this](size_t a, size_t b) { return slots_[a].load < slots_[b].load; });
+  }
+  return std::nullopt;
+}
+
+bool UpstreamPool::Admits(size_t slot, const CallRequest& call) const {
+  return slots_[slot].indexed && Allows(slots_[slot], call);
+}
+
+int64_t UpstreamPool::CachedTokens(
+    size_t slot, const std::vector<PrefixSegment>& prefix) const {
+  return cache_.CachedTokens(slot, prefix);
+}
+
 std::optional<size_t> UpstreamPool::Reserve(const CallRequest& call,
                                             core::TimePoint now) {
   std::optional<size_t> best;
--- a/scheduling/upstream_pool.h
+++ b/scheduling/upstream_pool.h
@@ -69,6 +69,12 @@
   /// Best upstream with room for `call`; nothing if none is allowed.
   std::optional<Placement> Choose(const CallRequest& call,
                                   const PlacementRules& rules) const;
+  /// Least loaded holder of the longest known prefix.
+  std::optional<size_t> Home(const std::vector<PrefixSegment>& prefix) const;
+  /// Whether an upstream with room may run `call`.
+  bool Admits(size_t slot, const CallRequest& call) const;
+  int64_t CachedTokens(size_t slot,
+                       const std::vector<PrefixSegment>& prefix) const;
   /// Takes one upstream out of use for `call` alone, the least loaded one.
   std::optional<size_t> Reserve(const CallRequest& call, core::TimePoint now);
   bool IsIdle(size_t slot) const;
