--- /dev/null
+++ b/consensus/group.h
@@ -0,0 +1,325 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "consensus/replica.h"
+#include "consensus/state_machine.h"
+#include "storage/log_store.h"
+
+namespace hawthorn::consensus {
+
+/// How a group's host works with its state machine.
+struct GroupOptions {
+  ReplicaOptions replica;
+  /// Entries applied after which a snapshot is made and the log compacted.
+  uint64_t snapshot_entries = 10000;
+  /// Bytes of commands applied after which a snapshot is made.
+  uint64_t snapshot_bytes = uint64_t{64} * 1024 * 1024;
+};
+
+/// Joins a replica, a store and a state machine. One thread owns the group;
+/// batches may be written by another one (TakeBatch and OnPersisted), or by
+/// the same one (Persist). A group of one voter elects itself at once.
+template <StateMachine Machine>
+class Group {
+ public:
+  /// Gets the machine's reply at commit. Errors: kNotLeader and kOverloaded
+  /// were not appended (not run); an error with execution kUnknown was
+  /// appended and may commit later.
+  using ReplyCallback = std::function<void(const core::Result<std::string>&)>;
+  /// Called once the state machine may be read linearizably, or with the
+  /// reason why not.
+  using ReadCallback = std::function<void(const core::Status&)>;
+
+  /// Loads `store` and restores `machine`. Both outlive the group. Errors of
+  /// the store and of Restore are returned; identity and durability in the
+  /// options are taken from the store.
+  static core::Result<std::unique_ptr<Group>> Open(GroupOptions options,
+                                                   storage::LogStore* store,
+                                                   Machine* machine,
+                                                   core::TimePoint now) {
+    options.replica.id.incarnation = store->incarnation();
+    options.replica.durable = store->durable();
+    core::Result<storage::StoredState> state = store->Load();
+    if (!core::IsOk(state)) {
+      return core::ErrorOf(state);
+    }
+    std::unique_ptr<Group> group(new Group(std::move(options),
+                                           core::TakeValue(std::move(state)),
+                                           store, machine, now));
+    group->Tick(now);
+    if (group->failure_) {
+      return *group->failure_;
+    }
+    return group;
+  }
+
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  /// Takes a message of another replica of this group.
+  void Step(const schema::ConsensusMessage& message, core::TimePoint now) {
+    replica_.Step(message, now);
+    Drain(now);
+  }
+
+  /// Lets time pass; call at least every tenth of the election time-out.
+  void Tick(core::TimePoint now) {
+    replica_.Tick(now);
+    Drain(now);
+  }
+
+  /// Proposes a command. `callback` is called exactly once, maybe at once.
+  /// Proposals made before the next TakeOutbox or TakeBatch share a batch.
+  void Propose(std::string command, ReplyCallback callback,
+               core::TimePoint now) {
+    if (failure_) {
+      callback(*failure_);
+      return;
+    }
+    const auto position = replica_.Propose(std::move(command), now);
+    if (!core::IsOk(position)) {
+      callback(core::ErrorOf(position));
+      return;
+    }
+    const LogPosition& at = core::Value(position);
+    proposals_[at.index] = Proposal{at.term, std::move(callback)};
+  }
+
+  /// Asks to read the state machine linearizably.
+  void Read(ReadCallback callback, core::TimePoint now) {
+    const uint64_t token = ++last_token_;
+    const core::Status status = replica_.ReadIndex(token, now);
+    if (!core::IsOk(status)) {
+      callback(status);
+      return;
+    }
+    reads_[token] = PendingRead{std::nullopt, std::move(callback)};
+    Drain(now);
+  }
+
+  /// Appends a change of membership; see Replica::ProposeMembership.
+  core::Status ChangeMembership(const MembershipChange& change,
+                                core::TimePoint now) {
+    const auto position = replica_.ProposeMembership(change, now);
+    Drain(now);
+    if (!core::IsOk(position)) {
+      return core::ErrorOf(position);
+    }
+    return std::monostate{};
+  }
+
+  /// Hands leadership over before a shutdown; see Replica.
+  core::Status TransferLeadership(const std::string& instance,
+                                  core::TimePoint now) {
+    const core::Status status = replica_.TransferLeadership(instance, now);
+    Drain(now);
+    return status;
+  }
+
+  /// Messages for other replicas, each addressed by its `to`.
+  std::vector<schema::ConsensusMessage> TakeOutbox(core::TimePoint now) {
+    Drain(now);
+    return std::exchange(outbox_, {});
+  }
+
+  /// The batch to write and sync next, if any. At most one is out at a time;
+  /// what arrives meanwhile makes up the next one.
+  std::optional<storage::LogBatch> TakeBatch(core::TimePoint now) {
+    Drain(now);
+    return std::exchange(batch_, std::nullopt);
+  }
+
+  /// Reports the outcome of LogStore::Write for the batch taken. After an
+  /// error the group leads no more; the same content is offered again.
+  void OnPersisted(uint64_t sequence, const core::Status& status,
+                   core::TimePoint now) {
+    if (core::IsOk(status)) {
+      replica_.OnPersisted(sequence, now);
+    } else {
+      last_storage_error_ = core::ErrorOf(status);
+      replica_.OnPersistFailed(now);
+    }
+    Drain(now);
+  }
+
+  /// Writes pending batches on this thread until none is left.
+  core::Status Persist(core::TimePoint now) {
+    while (std::optional<storage::LogBatch> batch = TakeBatch(now)) {
+      const core::Status status = store_->Write(*batch);
+      OnPersisted(batch->sequence, status, now);
+      if (!core::IsOk(status)) {
+        return status;
+      }
+    }
+    return std::monostate{};
+  }
+
+  const Replica& replica() const { return replica_; }
+  bool is_leader() const { return replica_.role() == Role::kLeader; }
+  /// Index of the last entry that the state machine holds.
+  uint64_t applied_index() const { return applied_; }
+  uint64_t snapshot_count() const { return snapshot_count_; }
+  /// Why the last write failed; nothing if the last one succeeded.
+  std::optional<core::Error> storage_error() const {
+    return replica_.storage_failed() ? last_storage_error_ : std::nullopt;
+  }
+
+ private:
+  struct Proposal {
+    uint64_t term = 0;
+    ReplyCallback callback;
+  };
+  struct PendingRead {
+    std::optional<uint64_t> index;
+    ReadCallback callback;
+  };
+
+  Group(GroupOptions options, storage::StoredState state,
+        storage::LogStore* store, Machine* machine, core::TimePoint now)
+      : options_(options),
+        store_(store),
+        machine_(machine),
+        replica_(std::move(options.replica), std::move(state), now) {}
+
+  void Drain(core::TimePoint now) {
+    if (failure_) {
+      return;
+    }
+    Actions actions = replica_.TakeActions(now);
+    for (schema::ConsensusMessage& message : actions.messages) {
+      outbox_.push_back(std::move(message));
+    }
+    if (actions.persist) {
+      batch_ = std::move(actions.persist);
+    }
+    if (actions.install) {
+      Install(*actions.install);
+    }
+    for (const LogEntry& entry : actions.committed) {
+      Apply(entry);
+    }
+    ResolveReads(actions);
+    if (!is_leader()) {
+      FailProposals();
+    }
+    MaybeCompact();
+  }
+
+  void Install(const Snapshot& snapshot) {
+    const core::Status status = machine_->Restore(snapshot.data);
+    if (!core::IsOk(status)) {
+      failure_ = core::ErrorOf(status);
+      return;
+    }
+    applied_ = snapshot.index;
+    applied_since_snapshot_ = 0;
+    bytes_since_snapshot_ = 0;
+  }
+
+  void Apply(const LogEntry& entry) {
+    std::string reply;
+    if (entry.kind == storage::EntryKind::kCommand) {
+      reply = machine_->Apply(entry.index, entry.data);
+    }
+    applied_ = entry.index;
+    ++applied_since_snapshot_;
+    bytes_since_snapshot_ += entry.data.size();
+    const auto it = proposals_.find(entry.index);
+    if (it == proposals_.end()) {
+      return;
+    }
+    const Proposal proposal = std::move(it->second);
+    proposals_.erase(it);
+    if (proposal.term == entry.term) {
+      proposal.callback(std::move(reply));
+      return;
+    }
+    proposal.callback(core::Error{core::ErrorCode::kNotLeader,
+                                  "another entry took the place",
+                                  core::Execution::kNotRun,
+                                  {}});
+  }
+
+  void ResolveReads(const Actions& actions) {
+    for (const uint64_t token : actions.failed_reads) {
+      FinishRead(token, core::Error{core::ErrorCode::kNotLeader,
+                                    "leadership ended before the read",
+                                    core::Execution::kNotRun,
+                                    {}});
+    }
+    for (const ReadyRead& read : actions.ready_reads) {
+      const auto it = reads_.find(read.token);
+      if (it != reads_.end()) {
+        it->second.index = read.index;
+      }
+    }
+    std::vector<uint64_t> ready;
+    for (const auto& [token, read] : reads_) {
+      if (read.index && *read.index <= applied_) {
+        ready.push_back(token);
+      }
+    }
+    for (const uint64_t token : ready) {
+      FinishRead(token, std::monostate{});
+    }
+  }
+
+  void FinishRead(uint64_t token, const core::Status& status) {
+    const auto it = reads_.find(token);
+    if (it == reads_.end()) {
+      return;
+    }
+    const ReadCallback callback = std::move(it->second.callback);
+    reads_.erase(it);
+    callback(status);
+  }
+
+  void FailProposals() {
+    for (auto& [index, proposal] : std::exchange(proposals_, {})) {
+      proposal.callback(core::Error{
+          core::ErrorCode::kUnavailable,
+          "leadership ended before the commit; the command may still commit",
+          core::Execution::kUnknown,
+          {}});
+    }
+  }
+
+  void MaybeCompact() {
+    const bool due = applied_since_snapshot_ >= options_.snapshot_entries ||
+                     bytes_since_snapshot_ >= options_.snapshot_bytes;
+    if (!due || replica_.persisted_index() < applied_) {
+      return;
+    }
+    if (!core::IsOk(replica_.Compact(applied_, machine_->Snapshot()))) {
+      return;
+    }
+    applied_since_snapshot_ = 0;
+    bytes_since_snapshot_ = 0;
+    ++snapshot_count_;
+  }
+
+  GroupOptions options_;
+  storage::LogStore* store_;
+  Machine* machine_;
+  Replica replica_;
+  std::vector<schema::ConsensusMessage> outbox_;
+  std::optional<storage::LogBatch> batch_;
+  std::map<uint64_t, Proposal> proposals_;
+  std::map<uint64_t, PendingRead> reads_;
+  uint64_t last_token_ = 0;
+  uint64_t applied_ = 0;
+  uint64_t applied_since_snapshot_ = 0;
+  uint64_t bytes_since_snapshot_ = 0;
+  uint64_t snapshot_count_ = 0;
+  std::optional<core::Error> failure_;
+  std::optional<core::Error> last_storage_error_;
+};
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/consensus/leader_state.cpp
@@ -0,0 +1,128 @@
+#include "consensus/leader_state.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace hawthorn::consensus {
+
+namespace {
+
+/// Rounds whose start is remembered; older ones give no lease.
+constexpr size_t kMaxRounds = 1024;
+
+}  // namespace
+
+void LeaderState::Adopt(const Membership& membership, uint64_t next) {
+  for (const Member& member : membership.members()) {
+    if (member.id != self_ && !others_.contains(member.id)) {
+      others_[member.id].next = next;
+    }
+  }
+  std::erase_if(others_, [&](const auto& item) {
+    return membership.Find(item.first) == nullptr;
+  });
+}
+
+Progress* LeaderState::Find(const ReplicaId& id) {
+  const auto it = others_.find(id);
+  return it == others_.end() ? nullptr : &it->second;
+}
+
+uint64_t LeaderState::StartRound(core::TimePoint now) {
+  round_starts_[++round_] = now;
+  if (round_starts_.size() > kMaxRounds) {
+    round_starts_.erase(round_starts_.begin());
+  }
+  return round_;
+}
+
+void LeaderState::Acknowledge(const ReplicaId& id, uint64_t round,
+                              core::TimePoint now) {
+  Progress* progress = Find(id);
+  if (progress == nullptr) {
+    return;
+  }
+  progress->last_contact = now;
+  progress->acked_round = std::max(progress->acked_round, round);
+}
+
+uint64_t LeaderState::CommittableIndex(const Membership& membership,
+                                       uint64_t own_persisted,
+                                       bool require_durable) const {
+  std::vector<uint64_t> matches;
+  uint64_t durable = 0;
+  for (const Member& member : membership.members()) {
+    if (!member.voter) {
+      continue;
+    }
+    uint64_t match = 0;
+    if (member.id == self_) {
+      match = own_persisted;
+    } else if (const auto it = others_.find(member.id); it != others_.end()) {
+      match = it->second.match;
+    }
+    matches.push_back(match);
+    if (member.durable) {
+      durable = std::max(durable, match);
+    }
+  }
+  if (matches.empty()) {
+    return 0;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const uint64_t majority = matches[membership.quorum() - 1];
+  return require_durable ? std::min(majority, durable) : majority;
+}
+
+uint64_t LeaderState::ConfirmedRound(const Membership& membership) const {
+  std::vector<uint64_t> rounds;
+  for (const Member& member : membership.members()) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto it = others_.find(member.id);
+    if (member.id == self_) {
+      rounds.push_back(round_);
+    } else {
+      rounds.push_back(it == others_.end() ? 0 : it->second.acked_round);
+    }
+  }
+  if (rounds.empty()) {
+    return 0;
+  }
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  return rounds[membership.quorum() - 1];
+}
+
+bool LeaderState::RoundConfirmed(const Membership& membership,
+                                 uint64_t round) const {
+  return ConfirmedRound(membership) >= round;
+}
+
+std::optional<core::TimePoint> LeaderState::ConfirmedSince(
+    const Membership& membership) const {
+  const auto it = round_starts_.find(ConfirmedRound(membership));
+  if (it == round_starts_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+bool LeaderState::HeardMajority(const Membership& membership,
+                                core::TimePoint now,
+                                std::chrono::nanoseconds window) const {
+  size_t heard = 0;
+  for (const Member& member : membership.members()) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto it = others_.find(member.id);
+    const bool self = member.id == self_;
+    const bool recent = it != others_.end() &&
+                        it->second.last_contact.value_or(since_) + window > now;
+    heard += self || recent ? 1 : 0;
+  }
+  return heard >= membership.quorum();
+}
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/consensus/replica_admission.cpp
@@ -0,0 +1,147 @@
+// Formation of a group and repair of its membership without an operator.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/replica.h"
+
+namespace hawthorn::consensus {
+
+namespace {
+
+/// Election time-outs without a leader after which a member announces itself:
+/// its identity may have been removed without its knowledge.
+constexpr int kSilentTimeouts = 4;
+
+}  // namespace
+
+void Replica::TickAdmission() {
+  const bool member = membership().Find(options_.id) != nullptr;
+  const bool silent =
+      leader_heard_ &&
+      now_ > *leader_heard_ + options_.election_timeout * kSilentTimeouts;
+  const bool needed = !member || (silent && role_ != Role::kLeader);
+  if (options_.instances.empty() || !needed || now_ < next_announce_) {
+    return;
+  }
+  next_announce_ = now_ + options_.heartbeat_interval;
+  for (const std::string& instance : options_.instances) {
+    if (instance == options_.id.instance) {
+      continue;
+    }
+    const auto it = announced_.find(instance);
+    const bool known = it != announced_.end();
+    SendAnnounce(known ? it->second.id : ReplicaId{instance, 0}, term(), 0);
+  }
+  TryFormGroup();
+}
+
+void Replica::SendAnnounce(const ReplicaId& to, uint64_t term, uint64_t nonce) {
+  schema::ConsensusMessage message = MessageTo(to);
+  message.set_term(term);
+  message.mutable_announce()->set_durable(options_.durable);
+  message.mutable_announce()->set_fresh(fresh());
+  message.mutable_announce()->set_nonce(nonce);
+  Send(std::move(message));
+}
+
+void Replica::OnAnnounce(const schema::ConsensusMessage& message) {
+  const ReplicaId from = FromProto(message.from());
+  const ReplicaId to = FromProto(message.to());
+  const bool exact = to == options_.id;
+  const bool listed =
+      std::find(options_.instances.begin(), options_.instances.end(),
+                from.instance) != options_.instances.end();
+  if (!listed || to.instance != options_.id.instance) {
+    return;
+  }
+  if (role_ == Role::kLeader) {
+    OnAnnounceAtLeader(message);
+    return;
+  }
+  const uint64_t nonce = message.announce().nonce();
+  if (nonce != 0 && exact) {
+    SendAnnounce(from, message.term(), nonce);
+    return;
+  }
+  // Freshness counts only if it was said to this very life of this replica.
+  announced_[from.instance] = Announced{from,
+                                        message.announce().durable(),
+                                        exact && message.announce().fresh(),
+                                        0,
+                                        0,
+                                        now_};
+}
+
+void Replica::OnAnnounceAtLeader(const schema::ConsensusMessage& message) {
+  const ReplicaId from = FromProto(message.from());
+  if (membership().Find(from) != nullptr) {
+    return;
+  }
+  const uint64_t nonce = message.announce().nonce();
+  const bool confirms = FromProto(message.to()) == options_.id &&
+                        message.term() == term() && nonce != 0;
+  if (!confirms) {
+    SendAnnounce(from, term(), leading_->round());
+    return;
+  }
+  Announced& known = announced_[from.instance];
+  if (known.term == term() && nonce <= known.nonce && known.id != from) {
+    return;
+  }
+  known =
+      Announced{from, message.announce().durable(), false, term(), nonce, now_};
+}
+
+void Replica::TryFormGroup() {
+  if (!fresh() || options_.instances.front() != options_.id.instance) {
+    return;
+  }
+  for (const std::string& instance : options_.instances) {
+    const auto it = announced_.find(instance);
+    const bool is_fresh = it != announced_.end() && it->second.fresh;
+    if (instance != options_.id.instance && !is_fresh) {
+      return;
+    }
+  }
+  announced_.clear();
+  hard_state_.term = 1;
+  queue_.MarkHardState();
+  const Membership alone({Member{options_.id, true, options_.durable}});
+  AppendEntry(storage::EntryKind::kMembership, alone.Serialize());
+}
+
+void Replica::RepairMembership() {
+  if (role_ != Role::kLeader || options_.instances.empty() ||
+      !membership_committed() || !CommittedInTerm() || !accepts_proposals()) {
+    return;
+  }
+  for (const Member& member : membership().members()) {
+    if (!member.voter && HasCaughtUp(member.id)) {
+      ProposeMembership(
+          {MembershipChange::Kind::kPromote, member.id, member.durable}, now_);
+      return;
+    }
+  }
+  for (const auto& [instance, announced] : announced_) {
+    const bool current = announced.term == term() &&
+                         announced.at + options_.election_timeout > now_;
+    if (current && AdmitAnnounced(announced)) {
+      return;
+    }
+  }
+}
+
+bool Replica::AdmitAnnounced(const Announced& announced) {
+  if (membership().Find(announced.id) != nullptr) {
+    return false;
+  }
+  const Member* old = membership().FindInstance(announced.id.instance);
+  const MembershipChange change =
+      old != nullptr
+          ? MembershipChange{MembershipChange::Kind::kRemove, old->id, false}
+          : MembershipChange{MembershipChange::Kind::kAddLearner, announced.id,
+                             announced.durable};
+  return core::IsOk(ProposeMembership(change, now_));
+}
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/consensus/replica_follower.cpp
@@ -0,0 +1,142 @@
+// The follower's side of replication: entries and snapshots of the leader.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/replica.h"
+
+namespace hawthorn::consensus {
+
+namespace {
+
+storage::EntryKind KindOf(const schema::LogRecord& record) {
+  switch (record.kind()) {
+    case schema::LOG_ENTRY_KIND_EMPTY:
+      return storage::EntryKind::kEmpty;
+    case schema::LOG_ENTRY_KIND_MEMBERSHIP:
+      return storage::EntryKind::kMembership;
+    default:
+      return storage::EntryKind::kCommand;
+  }
+}
+
+}  // namespace
+
+void Replica::HearLeader(const schema::ConsensusMessage& message) {
+  const ReplicaId from = FromProto(message.from());
+  if (role_ != Role::kFollower || leader_ != from) {
+    BecomeFollower(term(), from);
+  }
+  leader_heard_ = now_;
+  ResetElectionTimer();
+}
+
+void Replica::OnAppend(const schema::ConsensusMessage& message) {
+  if (message.term() < term()) {
+    RejectAppend(message);
+    return;
+  }
+  HearLeader(message);
+  const schema::AppendRequest& request = message.append();
+  const uint64_t previous = request.previous_index();
+  const bool joined = previous <= commit_index_ ||
+                      log_.TermAt(previous) == request.previous_term();
+  if (!joined) {
+    RejectAppend(message);
+    return;
+  }
+  const uint64_t joined_up_to = JoinEntries(request);
+  verified_index_ = std::max(verified_index_, joined_up_to);
+  AdvanceCommit(std::min(request.commit(), verified_index_));
+  if (request.entries().empty() ||
+      queue_.persisted_index() >= verified_index_) {
+    AcknowledgeAppend(request.round());
+  }
+}
+
+uint64_t Replica::JoinEntries(const schema::AppendRequest& request) {
+  uint64_t index = request.previous_index();
+  for (const schema::LogRecord& record : request.entries()) {
+    index = record.index();
+    if (index <= commit_index_ || log_.TermAt(index) == record.term()) {
+      continue;
+    }
+    if (index <= last_index()) {
+      log_.TruncateFrom(index);
+      queue_.TruncateFrom(index);
+    }
+    log_.Append(LogEntry{index, record.term(), KindOf(record), record.data()});
+  }
+  return std::max(index, commit_index_);
+}
+
+void Replica::RejectAppend(const schema::ConsensusMessage& message) {
+  schema::ConsensusMessage out = MessageTo(FromProto(message.from()));
+  schema::AppendReply* reply = out.mutable_append_reply();
+  const uint64_t previous = message.append().previous_index();
+  reply->set_rejected(true);
+  reply->set_round(message.append().round());
+  reply->set_previous_index(previous);
+  uint64_t hint = last_index() + 1;
+  if (previous <= last_index() && previous > log_.base_index()) {
+    hint = log_.FirstIndexOfTerm(previous);
+  }
+  reply->set_hint(std::max(hint, commit_index_ + 1));
+  Send(std::move(out));
+}
+
+void Replica::AcknowledgeAppend(uint64_t round) {
+  reported_index_ = std::min(queue_.persisted_index(), verified_index_);
+  schema::ConsensusMessage out = MessageTo(leader_);
+  out.mutable_append_reply()->set_round(round);
+  out.mutable_append_reply()->set_match(reported_index_);
+  Send(std::move(out));
+}
+
+void Replica::OnSnapshotPiece(const schema::ConsensusMessage& message) {
+  if (message.term() < term()) {
+    schema::ConsensusMessage out = MessageTo(FromProto(message.from()));
+    out.mutable_append_reply()->set_rejected(true);
+    Send(std::move(out));
+    return;
+  }
+  HearLeader(message);
+  const schema::SnapshotPiece& piece = message.snapshot();
+  if (piece.index() <= commit_index_) {
+    verified_index_ = std::max(verified_index_, commit_index_);
+    AcknowledgeAppend(piece.round());
+    return;
+  }
+  if (!incoming_ || incoming_->index != piece.index() ||
+      incoming_->term != piece.index_term()) {
+    incoming_ = IncomingSnapshot{piece.index(), piece.index_term(), ""};
+  }
+  if (incoming_->data.size() == piece.offset()) {
+    incoming_->data += piece.data();
+  }
+  const uint64_t received = incoming_->data.size();
+  schema::ConsensusMessage out = MessageTo(leader_);
+  out.mutable_snapshot_reply()->set_index(piece.index());
+  out.mutable_snapshot_reply()->set_received(received);
+  out.mutable_snapshot_reply()->set_round(piece.round());
+  Send(std::move(out));
+  if (received == piece.total_size()) {
+    InstallSnapshot(piece);
+  }
+}
+
+void Replica::InstallSnapshot(const schema::SnapshotPiece& piece) {
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->index = piece.index();
+  snapshot->term = piece.index_term();
+  snapshot->membership = piece.membership().SerializeAsString();
+  snapshot->data = std::move(incoming_->data);
+  incoming_.reset();
+  log_.Reset(snapshot);
+  queue_.SaveSnapshot(snapshot, true);
+  install_ = snapshot;
+  commit_index_ = snapshot->index;
+  emitted_index_ = snapshot->index;
+  verified_index_ = std::max(verified_index_, snapshot->index);
+}
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/consensus/replica_leader.cpp
@@ -0,0 +1,343 @@
+// The leader's side of replication: entries, commit, reads and hand-over.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/replica.h"
+
+namespace hawthorn::consensus {
+
+namespace {
+
+schema::LogEntryKind KindOf(storage::EntryKind kind) {
+  switch (kind) {
+    case storage::EntryKind::kEmpty:
+      return schema::LOG_ENTRY_KIND_EMPTY;
+    case storage::EntryKind::kMembership:
+      return schema::LOG_ENTRY_KIND_MEMBERSHIP;
+    case storage::EntryKind::kCommand:
+      break;
+  }
+  return schema::LOG_ENTRY_KIND_COMMAND;
+}
+
+}  // namespace
+
+void Replica::TickLeader() {
+  if (!leading_->HeardMajority(membership(), now_, options_.election_timeout)) {
+    BecomeFollower(term(), {});
+    return;
+  }
+  ContinueTransfer();
+  if (now_ < next_heartbeat_) {
+    return;
+  }
+  commit_at_previous_heartbeat_ =
+      std::exchange(commit_at_heartbeat_, commit_index_);
+  Broadcast();
+  RepairMembership();
+}
+
+void Replica::Broadcast() {
+  next_heartbeat_ = now_ + options_.heartbeat_interval;
+  announce_commit_ = false;
+  leading_->StartRound(now_);
+  for (auto& [id, progress] : leading_->others()) {
+    progress.probe_sent = false;
+    SendAppend(id, &progress, true);
+  }
+}
+
+void Replica::SendAppend(const ReplicaId& id, Progress* progress,
+                         bool heartbeat) {
+  if (progress->state != Progress::State::kSnapshot &&
+      !log_.TermAt(progress->next - 1)) {
+    progress->state = Progress::State::kSnapshot;
+    progress->snapshot = log_.snapshot();
+    progress->snapshot_offset = 0;
+  }
+  if (progress->state == Progress::State::kSnapshot) {
+    SendSnapshotPiece(id, progress);
+    return;
+  }
+  schema::ConsensusMessage message = MessageTo(id);
+  schema::AppendRequest* request = message.mutable_append();
+  request->set_previous_index(progress->next - 1);
+  request->set_previous_term(*log_.TermAt(progress->next - 1));
+  request->set_commit(commit_index_);
+  request->set_round(leading_->round());
+  if (!heartbeat) {
+    for (LogEntry& entry :
+         log_.Slice(progress->next, options_.max_append_bytes)) {
+      schema::LogRecord* record = request->add_entries();
+      record->set_index(entry.index);
+      record->set_term(entry.term);
+      record->set_kind(KindOf(entry.kind));
+      record->set_data(std::move(entry.data));
+    }
+  }
+  if (progress->state == Progress::State::kProbe) {
+    progress->probe_sent = true;
+  } else if (!request->entries().empty()) {
+    progress->next += static_cast<uint64_t>(request->entries_size());
+    progress->in_flight.push_back(progress->next - 1);
+  }
+  Send(std::move(message));
+}
+
+void Replica::SendSnapshotPiece(const ReplicaId& id, Progress* progress) {
+  const Snapshot& snapshot = *progress->snapshot;
+  schema::ConsensusMessage message = MessageTo(id);
+  schema::SnapshotPiece* piece = message.mutable_snapshot();
+  piece->set_index(snapshot.index);
+  piece->set_index_term(snapshot.term);
+  piece->mutable_membership()->ParseFromString(snapshot.membership);
+  piece->set_offset(progress->snapshot_offset);
+  piece->set_data(snapshot.data.substr(progress->snapshot_offset,
+                                       options_.snapshot_piece_bytes));
+  piece->set_total_size(snapshot.data.size());
+  piece->set_round(leading_->round());
+  Send(std::move(message));
+}
+
+void Replica::FlushEntries() {
+  for (auto& [id, progress] : leading_->others()) {
+    if (progress.state == Progress::State::kProbe && !progress.probe_sent) {
+      SendAppend(id, &progress, false);
+      continue;
+    }
+    if (progress.state != Progress::State::kReplicate) {
+      continue;
+    }
+    bool sent = false;
+    while (progress.state == Progress::State::kReplicate &&
+           progress.next <= last_index() &&
+           progress.in_flight.size() < options_.max_appends_in_flight) {
+      SendAppend(id, &progress, false);
+      sent = true;
+    }
+    if (!sent && announce_commit_) {
+      SendAppend(id, &progress, true);
+    }
+  }
+  announce_commit_ = false;
+}
+
+void Replica::OnAppendReply(const schema::ConsensusMessage& message) {
+  if (role_ != Role::kLeader || message.term() != term()) {
+    return;
+  }
+  const ReplicaId from = FromProto(message.from());
+  const schema::AppendReply& reply = message.append_reply();
+  leading_->Acknowledge(from, reply.round(), now_);
+  Progress* progress = leading_->Find(from);
+  if (progress == nullptr) {
+    return;
+  }
+  if (reply.rejected()) {
+    const bool stale = reply.previous_index() <= progress->match ||
+                       (progress->state == Progress::State::kProbe &&
+                        reply.previous_index() != progress->next - 1);
+    if (stale || progress->state == Progress::State::kSnapshot) {
+      return;
+    }
+    progress->state = Progress::State::kProbe;
+    progress->in_flight.clear();
+    progress->probe_sent = false;
+    progress->next =
+        std::clamp(reply.hint(), progress->match + 1, reply.previous_index());
+    return;
+  }
+  progress->match = std::max(progress->match, reply.match());
+  JoinProgress(from, progress);
+  UpdateCommit();
+}
+
+void Replica::JoinProgress(const ReplicaId& id, Progress* progress) {
+  while (!progress->in_flight.empty() &&
+         progress->in_flight.front() <= progress->match) {
+    progress->in_flight.pop_front();
+  }
+  if (progress->state == Progress::State::kSnapshot) {
+    if (progress->match < progress->snapshot->index) {
+      return;
+    }
+    progress->snapshot.reset();
+  } else if (progress->state == Progress::State::kReplicate) {
+    progress->next = std::max(progress->next, progress->match + 1);
+    return;
+  }
+  progress->state = Progress::State::kReplicate;
+  progress->next = progress->match + 1;
+  progress->in_flight.clear();
+  if (!log_.TermAt(progress->match)) {
+    SendAppend(id, progress, false);
+  }
+}
+
+void Replica::OnSnapshotReply(const schema::ConsensusMessage& message) {
+  if (role_ != Role::kLeader || message.term() != term()) {
+    return;
+  }
+  const ReplicaId from = FromProto(message.from());
+  const schema::SnapshotReply& reply = message.snapshot_reply();
+  leading_->Acknowledge(from, reply.round(), now_);
+  Progress* progress = leading_->Find(from);
+  if (progress == nullptr || progress->state != Progress::State::kSnapshot ||
+      progress->snapshot->index != reply.index() ||
+      progress->snapshot_offset == reply.received()) {
+    return;
+  }
+  progress->snapshot_offset =
+      std::min<uint64_t>(reply.received(), progress->snapshot->data.size());
+  if (progress->snapshot_offset < progress->snapshot->data.size()) {
+    SendSnapshotPiece(from, progress);
+  }
+}
+
+bool Replica::CommittedInTerm() const {
+  return log_.TermAt(commit_index_) == term();
+}
+
+void Replica::UpdateCommit() {
+  const uint64_t index = leading_->CommittableIndex(
+      membership(), queue_.persisted_index(), options_.require_durable_copy);
+  if (index <= commit_index_ || log_.TermAt(index) != term()) {
+    return;
+  }
+  AdvanceCommit(index);
+  announce_commit_ = true;
+}
+
+core::Status Replica::ReadIndex(uint64_t token, core::TimePoint now) {
+  now_ = now;
+  if (role_ != Role::kLeader) {
+    return NotLeader();
+  }
+  leading_->reads().push_back({token, 0, 0});
+  return std::monostate{};
+}
+
+void Replica::ResolveReads(Actions* actions) {
+  if (!CommittedInTerm() || leading_->reads().empty()) {
+    return;
+  }
+  const bool lease = options_.lease_reads && HasLease(now_);
+  bool round_started = false;
+  for (LeaderState::Read& read : leading_->reads()) {
+    if (read.index == 0) {
+      read.index = commit_index_;
+    }
+    if (!lease && read.round == 0) {
+      if (!round_started) {
+        Broadcast();
+        round_started = true;
+      }
+      read.round = leading_->round();
+    }
+  }
+  std::erase_if(leading_->reads(), [&](const LeaderState::Read& read) {
+    const bool confirmed =
+        lease || leading_->RoundConfirmed(membership(), read.round);
+    if (confirmed) {
+      actions->ready_reads.push_back({read.token, read.index});
+    }
+    return confirmed;
+  });
+}
+
+std::optional<core::TimePoint> Replica::LeaseEnd() const {
+  if (role_ != Role::kLeader || lease_given_up_) {
+    return std::nullopt;
+  }
+  const auto since = leading_->ConfirmedSince(membership());
+  if (!since) {
+    return std::nullopt;
+  }
+  const int percent = 100 - options_.max_clock_drift_percent;
+  return *since + options_.election_timeout * percent / 100;
+}
+
+bool Replica::HasLease(core::TimePoint now) const {
+  const auto end = LeaseEnd();
+  return end && now < *end;
+}
+
+bool Replica::HasCaughtUp(const ReplicaId& id) const {
+  if (role_ != Role::kLeader) {
+    return false;
+  }
+  const auto it = leading_->others().find(id);
+  if (it == leading_->others().end() || !it->second.last_contact) {
+    return false;
+  }
+  const bool recent =
+      *it->second.last_contact + options_.election_timeout > now_;
+  return recent && CommittedInTerm() &&
+         it->second.match >= commit_at_previous_heartbeat_ &&
+         it->second.match > 0;
+}
+
+const ReplicaId* Replica::FurthestVoter() const {
+  const ReplicaId* best = nullptr;
+  uint64_t best_match = 0;
+  for (const auto& [id, progress] : leading_->others()) {
+    const bool recent =
+        progress.last_contact &&
+        *progress.last_contact + options_.election_timeout > now_;
+    if (!recent || !membership().IsVoter(id)) {
+      continue;
+    }
+    if (best == nullptr || progress.match > best_match) {
+      best = &id;
+      best_match = progress.match;
+    }
+  }
+  return best;
+}
+
+core::Status Replica::TransferLeadership(const std::string& instance,
+                                         core::TimePoint now) {
+  now_ = now;
+  if (role_ != Role::kLeader) {
+    return NotLeader();
+  }
+  const ReplicaId* target = FurthestVoter();
+  if (!instance.empty()) {
+    const Member* member = membership().FindInstance(instance);
+    target = member != nullptr && member->voter && member->id != options_.id
+                 ? &member->id
+                 : nullptr;
+  }
+  if (target == nullptr) {
+    return core::Error{core::ErrorCode::kUnavailable,
+                       "no other voter can take over",
+                       core::Execution::kNotRun,
+                       {}};
+  }
+  transfer_ = Transfer{*target, now + options_.election_timeout, false};
+  ContinueTransfer();
+  return std::monostate{};
+}
+
+void Replica::ContinueTransfer() {
+  if (!transfer_) {
+    return;
+  }
+  if (now_ >= transfer_->deadline) {
+    transfer_.reset();
+    return;
+  }
+  const Progress* progress = leading_->Find(transfer_->target);
+  if (progress == nullptr || transfer_->sent ||
+      progress->match < last_index()) {
+    return;
+  }
+  // A delayed TimeoutNow may start an election at any time of this term.
+  lease_given_up_ = true;
+  transfer_->sent = true;
+  schema::ConsensusMessage message = MessageTo(transfer_->target);
+  message.mutable_timeout_now();
+  Send(std::move(message));
+}
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/consensus/replica_log.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "consensus/membership.h"
+#include "storage/log_store.h"
+
+namespace hawthorn::consensus {
+
+using storage::LogEntry;
+using storage::Snapshot;
+
+/// The log of one replica in memory: entries after a base, the latest snapshot
+/// and the memberships that entries brought. Holds no decision.
+class ReplicaLog {
+ public:
+  /// Takes over what a store held; `initial` is in force before any entry.
+  ReplicaLog(storage::StoredState state, Membership initial);
+
+  /// Index before the first entry held.
+  uint64_t base_index() const { return base_index_; }
+  uint64_t last_index() const { return base_index_ + entries_.size(); }
+  uint64_t last_term() const;
+
+  /// Term of the entry at `index`; nothing if it is not known here.
+  std::optional<uint64_t> TermAt(uint64_t index) const;
+  /// The entry at `index`, which must lie after the base and exist.
+  const LogEntry& At(uint64_t index) const;
+  /// First index that has the same term as the entry at `index`.
+  uint64_t FirstIndexOfTerm(uint64_t index) const;
+
+  /// Adds an entry at last_index() + 1.
+  void Append(LogEntry entry);
+  /// Removes all entries from `index` on.
+  void TruncateFrom(uint64_t index);
+  /// Copies entries from `index` on, up to `max_bytes` of data but at least
+  /// one.
+  std::vector<LogEntry> Slice(uint64_t index, size_t max_bytes) const;
+
+  /// Takes a snapshot made here; keeps `retained` entries before its index.
+  void Compact(std::shared_ptr<const Snapshot> snapshot, uint64_t retained);
+  /// Replaces the whole log by a snapshot received from a leader.
+  void Reset(std::shared_ptr<const Snapshot> snapshot);
+
+  const std::shared_ptr<const Snapshot>& snapshot() const { return snapshot_; }
+
+  /// Membership of the last membership entry, committed or not.
+  const Membership& membership() const { return memberships_.back().value; }
+  /// Index of that entry; 0 for the initial membership.
+  uint64_t membership_index() const { return memberships_.back().index; }
+  /// Membership in force at `index`.
+  const Membership& MembershipAt(uint64_t index) const;
+
+ private:
+  struct IndexedMembership {
+    uint64_t index;
+    Membership value;
+  };
+
+  uint64_t base_index_ = 0;
+  uint64_t base_term_ = 0;
+  std::deque<LogEntry> entries_;
+  std::shared_ptr<const Snapshot> snapshot_;
+  std::vector<IndexedMembership> memberships_;
+};
+
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/storage/record.cpp
@@ -0,0 +1,137 @@
+#include "storage/record.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstring>
+#include <utility>
+
+namespace hawthorn::storage {
+
+namespace {
+
+constexpr uint32_t kRecordMark = 0x48574c31;
+constexpr size_t kCheckedHeaderBytes = 16;
+
+template <typename T>
+void Put(std::string* out, T value) {
+  for (size_t i = 0; i < sizeof(T); ++i) {
+    out->push_back(static_cast<char>((value >> (8 * i)) & 0xffU));
+  }
+}
+
+template <typename T>
+T Get(std::string_view bytes, uint64_t offset) {
+  T value = 0;
+  for (size_t i = 0; i < sizeof(T); ++i) {
+    const auto byte = static_cast<unsigned char>(bytes[offset + i]);
+    value |= static_cast<T>(byte) << (8 * i);
+  }
+  return value;
+}
+
+schema::LogEntryKind ToProto(EntryKind kind) {
+  switch (kind) {
+    case EntryKind::kEmpty:
+      return schema::LOG_ENTRY_KIND_EMPTY;
+    case EntryKind::kMembership:
+      return schema::LOG_ENTRY_KIND_MEMBERSHIP;
+    case EntryKind::kCommand:
+      break;
+  }
+  return schema::LOG_ENTRY_KIND_COMMAND;
+}
+
+EntryKind FromProto(schema::LogEntryKind kind) {
+  switch (kind) {
+    case schema::LOG_ENTRY_KIND_EMPTY:
+      return EntryKind::kEmpty;
+    case schema::LOG_ENTRY_KIND_MEMBERSHIP:
+      return EntryKind::kMembership;
+    default:
+      return EntryKind::kCommand;
+  }
+}
+
+}  // namespace
+
+std::string EncodeRecord(std::string_view payload) {
+  std::string out;
+  out.reserve(kRecordHeaderBytes + payload.size());
+  Put<uint32_t>(&out, kRecordMark);
+  Put<uint32_t>(&out, static_cast<uint32_t>(payload.size()));
+  Put<uint64_t>(&out, XXH64(payload.data(), payload.size(), 0));
+  Put<uint64_t>(&out, XXH64(out.data(), kCheckedHeaderBytes, 0));
+  out.append(payload);
+  return out;
+}
+
+std::optional<std::string_view> DecodeRecord(std::string_view file,
+                                             uint64_t offset) {
+  if (offset + kRecordHeaderBytes > file.size() ||
+      Get<uint32_t>(file, offset) != kRecordMark) {
+    return std::nullopt;
+  }
+  const uint64_t header_sum =
+      XXH64(file.data() + offset, kCheckedHeaderBytes, 0);
+  const auto size = Get<uint32_t>(file, offset + 4);
+  if (Get<uint64_t>(file, offset + 16) != header_sum ||
+      offset + kRecordHeaderBytes + size > file.size()) {
+    return std::nullopt;
+  }
+  const std::string_view payload =
+      file.substr(offset + kRecordHeaderBytes, size);
+  if (XXH64(payload.data(), payload.size(), 0) !=
+      Get<uint64_t>(file, offset + 8)) {
+    return std::nullopt;
+  }
+  return payload;
+}
+
+bool HasRecordAfter(std::string_view file, uint64_t offset) {
+  std::string mark;
+  Put<uint32_t>(&mark, kRecordMark);
+  size_t at = file.find(mark, offset + 1);
+  while (at != std::string_view::npos) {
+    if (DecodeRecord(file, at)) {
+      return true;
+    }
+    at = file.find(mark, at + 1);
+  }
+  return false;
+}
+
+std::string EncodeBatch(const LogBatch& batch) {
+  schema::StoredBatch out;
+  out.set_term(batch.hard_state.term);
+  const ReplicaId& vote = batch.hard_state.voted_for;
+  if (!vote.empty()) {
+    out.mutable_voted_for()->set_instance(vote.instance);
+    out.mutable_voted_for()->set_incarnation(vote.incarnation);
+  }
+  out.set_reset_log(batch.reset_log);
+  for (const LogEntry& entry : batch.entries) {
+    schema::LogRecord* record = out.add_entries();
+    record->set_index(entry.index);
+    record->set_term(entry.term);
+    record->set_kind(ToProto(entry.kind));
+    record->set_data(entry.data);
+  }
+  return EncodeRecord(out.SerializeAsString());
+}
+
+schema::StoredSnapshot ToProto(const Snapshot& snapshot) {
+  schema::StoredSnapshot out;
+  out.set_index(snapshot.index);
+  out.set_term(snapshot.term);
+  out.set_membership(snapshot.membership);
+  out.set_data(snapshot.data);
+  return out;
+}
+
+LogEntry FromProto(schema::LogRecord&& record) {
+  return LogEntry{record.index(), record.term(), FromProto(record.kind()),
+                  std::move(*record.mutable_data())};
+}
+
+}  // namespace hawthorn::storage
--- /dev/null
+++ b/storage/segment_store.cpp
@@ -0,0 +1,422 @@
+#include "storage/segment_store.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+#include "storage/memory_log_store.h"
+#include "storage/record.h"
+
+namespace hawthorn::storage {
+
+namespace {
+
+constexpr std::string_view kLockName = "lock";
+constexpr std::string_view kFormatName = "format";
+constexpr std::string_view kIdentityName = "identity";
+constexpr std::string_view kSegmentPrefix = "segment-";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+
+std::string Numbered(std::string_view prefix, uint64_t number) {
+  std::string digits(20, '0');
+  std::snprintf(digits.data(), digits.size() + 1, "%020llu",
+                static_cast<unsigned long long>(number));  // NOLINT
+  return std::string(prefix) + digits;
+}
+
+std::optional<uint64_t> NumberOf(std::string_view prefix,
+                                 std::string_view name) {
+  if (!name.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  name.remove_prefix(prefix.size());
+  uint64_t number = 0;
+  const auto [end, ec] =
+      std::from_chars(name.data(), name.data() + name.size(), number);
+  if (ec != std::errc() || end != name.data() + name.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+core::Error Corrupt(const std::string& path, uint64_t offset,
+                    const std::string& what) {
+  return core::Error{
+      core::ErrorCode::kStorage,
+      path + " is corrupt at offset " + std::to_string(offset) + ": " + what,
+      core::Execution::kNotRun,
+      {}};
+}
+
+/// Adds one entry of a record to the log as replayed so far.
+bool ReplayEntry(LogEntry entry, std::vector<LogEntry>* log) {
+  if (log->empty() || entry.index <= log->front().index) {
+    log->clear();
+    log->push_back(std::move(entry));
+    return true;
+  }
+  if (entry.index > log->back().index + 1) {
+    return false;
+  }
+  log->resize(entry.index - log->front().index);
+  log->push_back(std::move(entry));
+  return true;
+}
+
+}  // namespace
+
+core::Result<std::unique_ptr<SegmentStore>> SegmentStore::Open(
+    SegmentStoreOptions options, FileSystem* files) {
+  std::unique_ptr<SegmentStore> store(
+      new SegmentStore(std::move(options), files));
+  core::Status status = store->Prepare();
+  if (core::IsOk(status)) {
+    status = store->Recover();
+  }
+  if (!core::IsOk(status)) {
+    return core::ErrorOf(status);
+  }
+  return store;
+}
+
+core::Result<StoredState> SegmentStore::Load() {
+  return std::exchange(state_, {});
+}
+
+core::Status SegmentStore::Write(const LogBatch& batch) {
+  if (broken_) {
+    return Corrupt(options_.folder, file_size_,
+                   "an earlier sync failed; open the folder again");
+  }
+  if (batch.snapshot) {
+    core::Status saved = SaveSnapshot(*batch.snapshot);
+    if (!core::IsOk(saved)) {
+      return saved;
+    }
+  }
+  core::Status appended = AppendRecord(batch);
+  if (core::IsOk(appended)) {
+    RemoveObsolete();
+  }
+  return appended;
+}
+
+core::Status SegmentStore::Prepare() {
+  core::Status status = files_->CreateFolder(options_.folder);
+  if (!core::IsOk(status)) {
+    return status;
+  }
+  auto lock = files_->Lock(PathOf(std::string(kLockName)));
+  if (!core::IsOk(lock)) {
+    return core::ErrorOf(lock);
+  }
+  lock_ = core::TakeValue(std::move(lock));
+  const auto listed = files_->List(options_.folder);
+  if (!core::IsOk(listed)) {
+    return core::ErrorOf(listed);
+  }
+  const std::vector<std::string>& names = core::Value(listed);
+  const bool is_new =
+      std::none_of(names.begin(), names.end(), [](const std::string& name) {
+        return name == kFormatName || name.starts_with(kSegmentPrefix) ||
+               name.starts_with(kSnapshotPrefix);
+      });
+  status = LoadIdentity(is_new);
+  return core::IsOk(status) ? CheckVersion(is_new) : status;
+}
+
+core::Status SegmentStore::CheckVersion(bool is_new) {
+  const std::string expected =
+      "hawthorn-store " + std::to_string(kFormatVersion) + "\n";
+  if (is_new) {
+    return WriteAtomically(std::string(kFormatName), expected);
+  }
+  const std::string path = PathOf(std::string(kFormatName));
+  const auto found = files_->ReadAll(path);
+  if (!core::IsOk(found)) {
+    return core::ErrorOf(found);
+  }
+  if (core::Value(found) != expected) {
+    return Corrupt(path, 0,
+                   "not layout version " + std::to_string(kFormatVersion));
+  }
+  return std::monostate{};
+}
+
+core::Status SegmentStore::LoadIdentity(bool is_new) {
+  const std::string path = PathOf(std::string(kIdentityName));
+  if (is_new) {
+    incarnation_ = NewIncarnation();
+    return WriteAtomically(std::string(kIdentityName),
+                           EncodeRecord(std::to_string(incarnation_)));
+  }
+  const auto content = files_->ReadAll(path);
+  if (!core::IsOk(content)) {
+    return core::ErrorOf(content);
+  }
+  const auto payload = DecodeRecord(core::Value(content), 0);
+  const auto number = payload ? NumberOf("", *payload) : std::nullopt;
+  if (!number || *number == 0) {
+    return Corrupt(path, 0, "not an identity");
+  }
+  incarnation_ = *number;
+  return std::monostate{};
+}
+
+core::Status SegmentStore::Recover() {
+  const auto listed = files_->List(options_.folder);
+  if (!core::IsOk(listed)) {
+    return core::ErrorOf(listed);
+  }
+  std::vector<uint64_t> numbers;
+  std::string snapshot;
+  for (const std::string& name : core::Value(listed)) {
+    if (name.ends_with(kTemporarySuffix)) {
+      files_->Remove(PathOf(name));
+    } else if (const auto number = NumberOf(kSegmentPrefix, name)) {
+      numbers.push_back(*number);
+    } else if (NumberOf(kSnapshotPrefix, name)) {
+      if (!snapshot.empty()) {
+        old_snapshots_.push_back(snapshot);
+      }
+      snapshot = name;
+    }
+  }
+  core::Status status;
+  if (!snapshot.empty()) {
+    status = RecoverSnapshot(snapshot);
+  }
+  for (size_t i = 0; i < numbers.size() && core::IsOk(status); ++i) {
+    if (i > 0 && numbers[i] != numbers[i - 1] + 1) {
+      return Corrupt(PathOf(Numbered(kSegmentPrefix, numbers[i - 1] + 1)), 0,
+                     "the segment is missing");
+    }
+    status = RecoverSegment(numbers[i], i + 1 == numbers.size());
+  }
+  if (core::IsOk(status) && numbers.empty()) {
+    status = OpenSegment(1);
+  }
+  return core::IsOk(status) ? JoinSnapshot() : status;
+}
+
+core::Status SegmentStore::RecoverSnapshot(const std::string& name) {
+  const std::string path = PathOf(name);
+  const auto content = files_->ReadAll(path);
+  if (!core::IsOk(content)) {
+    return core::ErrorOf(content);
+  }
+  const auto payload = DecodeRecord(core::Value(content), 0);
+  schema::StoredSnapshot stored;
+  if (!payload || !stored.ParseFromArray(payload->data(),
+                                         static_cast<int>(payload->size()))) {
+    return Corrupt(path, 0, "not a snapshot");
+  }
+  state_.snapshot = std::make_shared<Snapshot>(
+      Snapshot{stored.index(), stored.term(), stored.membership(),
+               std::move(*stored.mutable_data())});
+  snapshot_index_ = stored.index();
+  return std::monostate{};
+}
+
+core::Status SegmentStore::RecoverSegment(uint64_t number, bool last) {
+  const std::string path = PathOf(Numbered(kSegmentPrefix, number));
+  const auto read = files_->ReadAll(path);
+  if (!core::IsOk(read)) {
+    return core::ErrorOf(read);
+  }
+  const std::string& content = core::Value(read);
+  Segment segment{number, 0};
+  uint64_t offset = 0;
+  while (offset < content.size()) {
+    const auto payload = DecodeRecord(content, offset);
+    if (!payload) {
+      break;
+    }
+    core::Status status = Replay(*payload, path, offset, &segment);
+    if (!core::IsOk(status)) {
+      return status;
+    }
+    offset += kRecordHeaderBytes + payload->size();
+  }
+  if (offset < content.size() && (!last || HasRecordAfter(content, offset))) {
+    return Corrupt(path, offset, "a record fails its checksum");
+  }
+  if (!last) {
+    segments_.push_back(segment);
+    return std::monostate{};
+  }
+  core::Status status = OpenSegment(number);
+  segments_.back() = segment;
+  if (core::IsOk(status) && offset < content.size()) {
+    truncated_bytes_ = content.size() - offset;
+    status = file_->Truncate(offset);
+  }
+  file_size_ = offset;
+  // A record that a killed process wrote may not have been synced.
+  return core::IsOk(status) ? file_->Sync() : status;
+}
+
+core::Status SegmentStore::Replay(std::string_view payload,
+                                  const std::string& path, uint64_t offset,
+                                  Segment* segment) {
+  schema::StoredBatch batch;
+  if (!batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+    return Corrupt(path, offset, "not a batch");
+  }
+  state_.hard_state.term = batch.term();
+  state_.hard_state.voted_for =
+      ReplicaId{batch.voted_for().instance(), batch.voted_for().incarnation()};
+  if (batch.reset_log()) {
+    state_.entries.clear();
+  }
+  for (schema::LogRecord& record : *batch.mutable_entries()) {
+    segment->last_index = std::max(segment->last_index, record.index());
+    if (!ReplayEntry(FromProto(std::move(record)), &state_.entries)) {
+      return Corrupt(path, offset, "entries are missing before it");
+    }
+  }
+  return std::monostate{};
+}
+
+core::Status SegmentStore::JoinSnapshot() {
+  std::vector<LogEntry>& log = state_.entries;
+  if (log.empty()) {
+    return std::monostate{};
+  }
+  if (!state_.snapshot) {
+    const bool whole = log.front().index == 1;
+    return whole ? core::Status()
+                 : Corrupt(options_.folder, 0, "the snapshot is missing");
+  }
+  const uint64_t index = state_.snapshot->index;
+  const auto it =
+      std::find_if(log.begin(), log.end(),
+                   [&](const LogEntry& entry) { return entry.index == index; });
+  const bool joined = it != log.end() && it->term == state_.snapshot->term;
+  if (joined) {
+    log.erase(log.begin(), it + 1);
+    return std::monostate{};
+  }
+  if (log.front().index == index + 1) {
+    return std::monostate{};
+  }
+  if (log.front().index > index) {
+    return Corrupt(
+        options_.folder, 0,
+        "entries are missing before " + std::to_string(log.front().index));
+  }
+  // The process ended between saving a received snapshot and its record.
+  log.clear();
+  LogBatch reset;
+  reset.hard_state = state_.hard_state;
+  reset.reset_log = true;
+  return AppendRecord(reset);
+}
+
+core::Status SegmentStore::WriteAtomically(const std::string& name,
+                                           const std::string& content) {
+  const std::string temporary = PathOf(name + std::string(kTemporarySuffix));
+  auto opened = files_->OpenForAppend(temporary);
+  if (!core::IsOk(opened)) {
+    return core::ErrorOf(opened);
+  }
+  const std::unique_ptr<WritableFile> file = core::TakeValue(std::move(opened));
+  core::Status status = file->Truncate(0);
+  if (core::IsOk(status)) {
+    status = file->Append(content);
+  }
+  if (core::IsOk(status)) {
+    status = file->Sync();
+  }
+  if (core::IsOk(status)) {
+    status = files_->Rename(temporary, PathOf(name));
+  }
+  if (core::IsOk(status)) {
+    return files_->SyncFolder(options_.folder);
+  }
+  files_->Remove(temporary);
+  return status;
+}
+
+core::Status SegmentStore::SaveSnapshot(const Snapshot& snapshot) {
+  const std::string name = Numbered(kSnapshotPrefix, snapshot.index);
+  core::Status status = WriteAtomically(
+      name, EncodeRecord(ToProto(snapshot).SerializeAsString()));
+  if (!core::IsOk(status) || snapshot.index <= snapshot_index_) {
+    return status;
+  }
+  if (snapshot_index_ != 0) {
+    old_snapshots_.push_back(Numbered(kSnapshotPrefix, snapshot_index_));
+  }
+  snapshot_index_ = snapshot.index;
+  return status;
+}
+
+core::Status SegmentStore::AppendRecord(const LogBatch& batch) {
+  if (file_size_ >= options_.segment_bytes) {
+    core::Status rolled = OpenSegment(segments_.back().number + 1);
+    if (!core::IsOk(rolled)) {
+      return rolled;
+    }
+  }
+  const std::string record = EncodeBatch(batch);
+  core::Status appended = file_->Append(record);
+  if (!core::IsOk(appended)) {
+    broken_ = !core::IsOk(file_->Truncate(file_size_));
+    return appended;
+  }
+  core::Status synced = file_->Sync();
+  if (!core::IsOk(synced)) {
+    broken_ = true;
+    return synced;
+  }
+  file_size_ += record.size();
+  if (batch.reset_log) {
+    for (Segment& segment : segments_) {
+      segment.last_index = 0;
+    }
+  }
+  if (!batch.entries.empty()) {
+    segments_.back().last_index =
+        std::max(segments_.back().last_index, batch.entries.back().index);
+  }
+  return std::monostate{};
+}
+
+core::Status SegmentStore::OpenSegment(uint64_t number) {
+  auto opened = files_->OpenForAppend(PathOf(Numbered(kSegmentPrefix, number)));
+  if (!core::IsOk(opened)) {
+    return core::ErrorOf(opened);
+  }
+  core::Status synced = files_->SyncFolder(options_.folder);
+  if (!core::IsOk(synced)) {
+    return synced;
+  }
+  file_ = core::TakeValue(std::move(opened));
+  file_size_ = 0;
+  segments_.push_back(Segment{number, 0});
+  return std::monostate{};
+}
+
+void SegmentStore::RemoveObsolete() {
+  for (const std::string& name : std::exchange(old_snapshots_, {})) {
+    files_->Remove(PathOf(name));
+  }
+  while (segments_.size() > 1 &&
+         segments_.front().last_index <= snapshot_index_) {
+    const std::string name = Numbered(kSegmentPrefix, segments_.front().number);
+    if (!core::IsOk(files_->Remove(PathOf(name)))) {
+      return;
+    }
+    segments_.erase(segments_.begin());
+  }
+}
+
+std::string SegmentStore::PathOf(const std::string& name) const {
+  return options_.folder + "/" + name;
+}
+
+}  // namespace hawthorn::storage
--- /dev/null
+++ b/tests/consensus/group_test.cpp
@@ -0,0 +1,167 @@
+#include "consensus/group.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "storage/memory_log_store.h"
+
+namespace hawthorn::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Appends each command to a text.
+class TextMachine {
+ public:
+  std::string Apply(uint64_t /*index*/, std::string_view command) {
+    text_ += command;
+    return text_;
+  }
+  std::string Snapshot() const { return text_; }
+  core::Status Restore(std::string_view bytes) {
+    text_ = bytes;
+    return std::monostate{};
+  }
+  const std::string& text() const { return text_; }
+
+ private:
+  std::string text_;
+};
+
+struct Node {
+  std::unique_ptr<storage::MemoryLogStore> store;
+  TextMachine machine;
+  std::unique_ptr<Group<TextMachine>> group;
+};
+
+/// Three replicas and a network without faults.
+class Trio {
+ public:
+  explicit Trio(std::vector<std::string> names, bool form = false) {
+    GroupOptions options;
+    for (size_t i = 0; i < names.size(); ++i) {
+      if (form) {
+        options.replica.instances.push_back(names[i]);
+      } else {
+        options.replica.initial_members.push_back(
+            Member{ReplicaId{names[i], i + 1}, true, false});
+      }
+    }
+    for (size_t i = 0; i < names.size(); ++i) {
+      options.replica.id.instance = names[i];
+      options.replica.seed = i + 1;
+      Node& node = nodes_[names[i]];
+      node.store = std::make_unique<storage::MemoryLogStore>(i + 1);
+      node.group = core::TakeValue(Group<TextMachine>::Open(
+          options, node.store.get(), &node.machine, now_));
+    }
+  }
+
+  void Run(milliseconds length) {
+    for (milliseconds t{0}; t < length; t += milliseconds(10)) {
+      now_ += milliseconds(10);
+      for (auto& [name, node] : nodes_) {
+        if (node.group) {
+          node.group->Tick(now_);
+        }
+      }
+      Deliver();
+    }
+  }
+
+  void Deliver() {
+    bool moved = true;
+    while (moved) {
+      moved = false;
+      for (auto& [name, node] : nodes_) {
+        if (!node.group) {
+          continue;
+        }
+        node.group->Persist(now_);
+        for (const auto& message : node.group->TakeOutbox(now_)) {
+          Node& to = nodes_[message.to().instance()];
+          if (to.group) {
+            to.group->Step(message, now_);
+            moved = true;
+          }
+        }
+      }
+    }
+  }
+
+  Node* Leader() {
+    for (auto& [name, node] : nodes_) {
+      if (node.group && node.group->is_leader()) {
+        return &node;
+      }
+    }
+    return nullptr;
+  }
+
+  std::map<std::string, Node>& nodes() { return nodes_; }
+  core::TimePoint now() const { return now_; }
+
+ private:
+  std::map<std::string, Node> nodes_;
+  core::TimePoint now_ = core::TimePoint() + milliseconds(1000);
+};
+
+TEST_CASE("a group of one voter elects itself and commits at once") {
+  Trio alone({"a"});
+  alone.Deliver();
+  Node* leader = alone.Leader();
+  REQUIRE(leader != nullptr);
+  std::string reply;
+  leader->group->Propose(
+      "x", [&](const auto& result) { reply = core::Value(result); },
+      alone.now());
+  alone.Deliver();
+  REQUIRE(reply == "x");
+}
+
+TEST_CASE("three replicas elect one leader and apply equal commands") {
+  Trio trio({"a", "b", "c"});
+  trio.Run(milliseconds(2500));
+  Node* leader = trio.Leader();
+  REQUIRE(leader != nullptr);
+  std::vector<std::string> replies;
+  for (const std::string command : {"x", "y", "z"}) {
+    leader->group->Propose(
+        command,
+        [&](const auto& result) { replies.push_back(core::Value(result)); },
+        trio.now());
+  }
+  trio.Run(milliseconds(300));
+  REQUIRE(replies == std::vector<std::string>{"x", "xy", "xyz"});
+  for (const auto& [name, node] : trio.nodes()) {
+    REQUIRE(node.machine.text() == "xyz");
+  }
+}
+
+TEST_CASE("fresh replicas form one group without an operator") {
+  Trio trio({"a", "b", "c"}, true);
+  trio.Run(milliseconds(5000));
+  Node* leader = trio.Leader();
+  REQUIRE(leader != nullptr);
+  REQUIRE(leader->group->replica().membership().voter_count() == 3);
+}
+
+TEST_CASE("leadership is handed over without an election time-out") {
+  Trio trio({"a", "b", "c"});
+  trio.Run(milliseconds(2500));
+  Node* leader = trio.Leader();
+  REQUIRE(leader != nullptr);
+  const auto status = leader->group->TransferLeadership("", trio.now());
+  REQUIRE(core::IsOk(status));
+  trio.Deliver();
+  Node* next = trio.Leader();
+  REQUIRE(next != nullptr);
+  REQUIRE(next != leader);
+}
+
+}  // namespace
+}  // namespace hawthorn::consensus
