consensus: Prove the log under faults with a simulated network

Cause: agreement holds only if it holds under loss, crashes and lost disks. Change: a fixture with a network, disks that lose unsynced batches, clocks of different rates and three callers; RapidCheck plans of ten faults for groups of 3 and 5, with and without disks; a checker of the register's history.

--- /dev/null
+++ b/tests/consensus/fault_property_test.cpp
@@ -0,0 +1,84 @@
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "tests/consensus/simulation.h"
+
+namespace hawthorn::consensus {
+namespace {
+
+rc::Gen<Fault> GenFault() {
+  return rc::gen::build<Fault>(
+      rc::gen::set(
+          &Fault::kind,
+          rc::gen::map(rc::gen::inRange<int>(0, kFaultKinds),
+                       [](int kind) { return static_cast<FaultKind>(kind); })),
+      rc::gen::set(&Fault::target, rc::gen::inRange(0, 8)),
+      rc::gen::set(&Fault::duration_ms, rc::gen::inRange(300, 2500)));
+}
+
+/// Runs a generated plan and checks every invariant and that the faults of
+/// the network and of the plan were really there.
+void RunPlan(SimulationOptions options) {
+  options.seed = *rc::gen::arbitrary<uint64_t>();
+  const auto plan = *rc::gen::container<std::vector<Fault>>(10, GenFault());
+  Simulation simulation(options);
+  RC_ASSERT(simulation.WaitUntilWhole(30000));
+  uint64_t applied = 0;
+  for (const Fault& fault : plan) {
+    applied += simulation.Apply(fault) ? 1 : 0;
+    RC_ASSERT(simulation.breach() == "");
+  }
+  simulation.Finish();
+  RC_ASSERT(simulation.breach() == "");
+  const Counts& counts = simulation.counts();
+  RC_ASSERT(applied >= plan.size() / 2);
+  RC_ASSERT(counts.lost > 0U);
+  RC_ASSERT(counts.doubled > 0U);
+  RC_ASSERT(counts.late > 0U);
+  RC_ASSERT(counts.acknowledged > 0U);
+  RC_ASSERT(counts.reads > 0U);
+  const auto fired = [&](FaultKind kind) {
+    return counts.faults[static_cast<size_t>(kind)] > 0;
+  };
+  if (fired(FaultKind::kCutIncoming) || fired(FaultKind::kIsolate)) {
+    RC_ASSERT(counts.cut > 0U);
+  }
+}
+
+TEST_CASE("three replicas with disks keep every invariant under faults") {
+  rc::prop("plan", [] { RunPlan({3, 3, false}); });
+}
+
+TEST_CASE("five replicas with disks keep every invariant under faults") {
+  rc::prop("plan", [] { RunPlan({5, 5, false}); });
+}
+
+TEST_CASE("three replicas with one disk keep every invariant under faults") {
+  rc::prop("plan", [] { RunPlan({3, 1, false}); });
+}
+
+TEST_CASE("a durable copy is needed where the group asks for it") {
+  rc::prop("plan", [] { RunPlan({5, 2, true}); });
+}
+
+TEST_CASE("a second loss right after a repair loses nothing") {
+  rc::prop("losses", [] {
+    SimulationOptions options;
+    options.with_disk = *rc::gen::inRange<size_t>(1, 4);
+    options.seed = *rc::gen::arbitrary<uint64_t>();
+    Simulation simulation(options);
+    for (int round = 0; round < 4; ++round) {
+      const Fault loss{FaultKind::kLoseState, *rc::gen::inRange(0, 4), 400};
+      RC_ASSERT(simulation.Apply(loss));
+    }
+    simulation.Finish();
+    RC_ASSERT(simulation.breach() == "");
+    RC_ASSERT(simulation.counts().faults[1] == 4U);
+    RC_ASSERT(simulation.counts().acknowledged > 0U);
+  });
+}
+
+}  // namespace
+}  // namespace hawthorn::consensus
--- /dev/null
+++ b/tests/consensus/simulation.cpp
@@ -0,0 +1,436 @@
+#include "tests/consensus/simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::consensus {
+
+namespace {
+
+constexpr int kStepMs = 5;
+constexpr int kCallerTimeoutMs = 1500;
+constexpr int kRepairMs = 30000;
+
+std::string NameOf(size_t node) { return std::string(1, char('a' + node)); }
+
+}  // namespace
+
+core::Status SimulatedDisk::Write(const storage::LogBatch& batch) {
+  state_.hard_state = batch.hard_state;
+  if (batch.reset_log) {
+    state_.entries.clear();
+  }
+  if (batch.snapshot) {
+    state_.snapshot = batch.snapshot;
+  }
+  for (const LogEntry& entry : batch.entries) {
+    std::erase_if(state_.entries, [&](const LogEntry& held) {
+      return held.index >= entry.index;
+    });
+    state_.entries.push_back(entry);
+  }
+  const uint64_t index = state_.snapshot ? state_.snapshot->index : 0;
+  std::erase_if(state_.entries,
+                [&](const LogEntry& entry) { return entry.index <= index; });
+  return std::monostate{};
+}
+
+std::string Simulation::Machine::Apply(uint64_t index,
+                                       std::string_view command) {
+  const auto [it, is_new] =
+      owner_->applied_.try_emplace(index, std::string(command));
+  if (!is_new && it->second != command) {
+    owner_->Breach("entry " + std::to_string(index) + " changed");
+  }
+  return state_.Apply(index, command);
+}
+
+core::Status Simulation::Machine::Restore(std::string_view bytes) {
+  ++owner_->counts_.snapshots_installed;
+  return state_.Restore(bytes);
+}
+
+Simulation::Simulation(SimulationOptions options)
+    : options_(options), random_(options.seed), nodes_(options.replicas) {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].drift = Draw(31) - 15;
+    nodes_[i].disk = std::make_unique<SimulatedDisk>(++last_incarnation_,
+                                                     i < options_.with_disk);
+    Open(i);
+  }
+}
+
+void Simulation::Open(size_t node) {
+  GroupOptions options;
+  options.snapshot_entries = 40;
+  options.replica.id.instance = NameOf(node);
+  options.replica.seed = random_();
+  options.replica.retained_entries = 10;
+  options.replica.snapshot_piece_bytes = 64;
+  options.replica.max_append_bytes = 64;
+  options.replica.require_durable_copy = options_.require_durable_copy;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    options.replica.instances.push_back(NameOf(i));
+  }
+  Node& it = nodes_[node];
+  it.machine = Machine(this);
+  auto opened =
+      Group<Machine>::Open(options, it.disk.get(), &it.machine, NowOf(it));
+  it.group = core::TakeValue(std::move(opened));
+  it.restart_at = -1;
+  ++it.life;
+}
+
+core::TimePoint Simulation::NowOf(const Node& node) const {
+  return core::TimePoint() +
+         std::chrono::microseconds(now_ms_ * (1000 + node.drift));
+}
+
+void Simulation::Run(int ms) {
+  const int64_t end = now_ms_ + ms;
+  while (now_ms_ < end && breach_.empty()) {
+    now_ms_ += kStepMs;
+    Deliver();
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      StepNode(i);
+    }
+    for (size_t i = 0; i < callers_.size(); ++i) {
+      StepCaller(i);
+    }
+    CheckLeaders();
+  }
+}
+
+void Simulation::StepNode(size_t node) {
+  Node& it = nodes_[node];
+  if (!it.group) {
+    if (it.restart_at >= 0 && now_ms_ >= it.restart_at) {
+      Restart(node);
+    }
+    return;
+  }
+  it.group->Tick(NowOf(it));
+  StepDisk(&it);
+  SendAll(node);
+}
+
+void Simulation::StepDisk(Node* node) {
+  if (node->writing && now_ms_ >= node->sync_at) {
+    const storage::LogBatch batch = *std::exchange(node->writing, {});
+    core::Status status;
+    if (now_ms_ < node->fail_writes_until) {
+      status = core::Error{core::ErrorCode::kStorage, "no space", {}, {}};
+      ++counts_.failed_writes;
+    } else {
+      status = node->disk->Write(batch);
+    }
+    node->group->OnPersisted(batch.sequence, status, NowOf(*node));
+  }
+  if (!node->writing) {
+    node->writing = node->group->TakeBatch(NowOf(*node));
+    node->sync_at = now_ms_ + (node->disk->durable() ? Draw(20) : 0);
+  }
+}
+
+void Simulation::SendAll(size_t node) {
+  Node& it = nodes_[node];
+  for (const schema::ConsensusMessage& message :
+       it.group->TakeOutbox(NowOf(it))) {
+    const auto to = static_cast<size_t>(message.to().instance()[0] - 'a');
+    if (now_ms_ < it.no_output_until) {
+      ++counts_.cut;
+      continue;
+    }
+    Post(to, message);
+  }
+}
+
+void Simulation::Post(size_t to, const schema::ConsensusMessage& message) {
+  if (Draw(1000) < options_.lost) {
+    ++counts_.lost;
+    return;
+  }
+  int delay = 1 + Draw(10);
+  if (Draw(1000) < options_.late) {
+    ++counts_.late;
+    delay += Draw(2000);
+  }
+  network_.emplace(now_ms_ + delay, Letter{message, to});
+  if (Draw(1000) < options_.doubled) {
+    ++counts_.doubled;
+    network_.emplace(now_ms_ + delay + Draw(500), Letter{message, to});
+  }
+}
+
+void Simulation::Deliver() {
+  while (!network_.empty() && network_.begin()->first <= now_ms_) {
+    const Letter letter = std::move(network_.begin()->second);
+    network_.erase(network_.begin());
+    Node& it = nodes_[letter.to];
+    if (now_ms_ < it.no_input_until) {
+      ++counts_.cut;
+    } else if (it.group) {
+      it.group->Step(letter.message, NowOf(it));
+    }
+  }
+}
+
+void Simulation::StepCaller(size_t caller) {
+  Caller& it = callers_[caller];
+  if (it.open && now_ms_ - it.open->invoked > kCallerTimeoutMs) {
+    ++counts_.unknown;
+    it.open.reset();
+  }
+  if (!it.open && Draw(4) == 0) {
+    Begin(caller);
+  }
+}
+
+void Simulation::Begin(size_t caller) {
+  Caller& it = callers_[caller];
+  Node& node = nodes_[it.target];
+  if (!node.group || !node.group->is_leader()) {
+    it.target = static_cast<size_t>(Draw(static_cast<int>(nodes_.size())));
+    return;
+  }
+  const uint64_t request = ++last_request_;
+  it.request = request;
+  it.open = Operation{Draw(2) == 0, "", 0, now_ms_, 0};
+  if (!it.open->is_write) {
+    const size_t target = it.target;
+    node.group->Read(
+        [this, caller, request, target](const core::Status& status) {
+          if (!core::IsOk(status)) {
+            Complete(caller, request, false, core::ErrorOf(status));
+            return;
+          }
+          const RegisterMachine& state = nodes_[target].machine.state();
+          Complete(caller, request, false,
+                   std::to_string(state.version()) + " " + state.value());
+        },
+        NowOf(node));
+    return;
+  }
+  it.open->value = "w" + std::to_string(request);
+  written_.push_back(*it.open);
+  node.group->Propose(
+      std::to_string(it.version) + " " + it.open->value,
+      [this, caller, request](const core::Result<std::string>& result) {
+        Complete(caller, request, true, result);
+      },
+      NowOf(node));
+}
+
+void Simulation::Complete(size_t caller, uint64_t request, bool is_write,
+                          const core::Result<std::string>& result) {
+  Caller& it = callers_[caller];
+  if (!it.open || it.request != request) {
+    return;
+  }
+  Operation op = *std::exchange(it.open, std::nullopt);
+  op.returned = now_ms_;
+  if (!core::IsOk(result)) {
+    it.target = static_cast<size_t>(Draw(static_cast<int>(nodes_.size())));
+    counts_.unknown +=
+        core::ErrorOf(result).execution == core::Execution::kUnknown ? 1 : 0;
+    return;
+  }
+  const std::string& reply = core::Value(result);
+  if (!is_write) {
+    op.version = std::stoull(reply);
+    op.value = reply.substr(reply.find(' ') + 1);
+    ++counts_.reads;
+  } else {
+    op.version = std::stoull(reply.substr(3));
+    op.is_write = reply.starts_with("ok");
+    op.value = op.is_write ? op.value : "";
+    counts_.acknowledged += op.is_write ? 1 : 0;
+  }
+  it.version = op.version;
+  history_.push_back(op);
+}
+
+void Simulation::CheckLeaders() {
+  for (const Node& node : nodes_) {
+    if (!node.group || !node.group->is_leader()) {
+      continue;
+    }
+    const Replica& replica = node.group->replica();
+    const auto [it, is_new] =
+        leaders_.try_emplace(replica.term(), replica.id());
+    if (it->second != replica.id()) {
+      Breach("two leaders of term " + std::to_string(replica.term()));
+    }
+  }
+}
+
+void Simulation::Breach(const std::string& what) {
+  if (breach_.empty()) {
+    breach_ = what + " at " + std::to_string(now_ms_) + " ms";
+  }
+}
+
+int Simulation::Draw(int below) {
+  return std::uniform_int_distribution<int>(0, below - 1)(random_);
+}
+
+std::optional<size_t> Simulation::Leader() const {
+  std::optional<size_t> best;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    const auto& group = nodes_[i].group;
+    if (group && group->is_leader() &&
+        (!best ||
+         group->replica().term() > nodes_[*best].group->replica().term())) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool Simulation::IsWhole() const {
+  const auto leader = Leader();
+  if (!leader) {
+    return false;
+  }
+  const Replica& replica = nodes_[*leader].group->replica();
+  if (!replica.membership_committed() ||
+      replica.membership().members().size() != nodes_.size()) {
+    return false;
+  }
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+    return node.group &&
+           replica.membership().IsVoter(node.group->replica().id());
+  });
+}
+
+bool Simulation::WaitUntilWhole(int ms) {
+  const int64_t end = now_ms_ + ms;
+  while (now_ms_ < end && breach_.empty()) {
+    if (IsWhole()) {
+      return true;
+    }
+    Run(kStepMs);
+  }
+  return IsWhole();
+}
+
+void Simulation::Crash(size_t node, bool lose_state) {
+  Node& it = nodes_[node];
+  if (it.writing && Draw(2) == 0 && !lose_state) {
+    it.disk->Write(*it.writing);
+    ++counts_.synced_without_report;
+  } else if (it.writing) {
+    ++counts_.unsynced_batches_lost;
+  }
+  it.writing.reset();
+  it.group.reset();
+  if (lose_state || !it.disk->durable()) {
+    it.disk = std::make_unique<SimulatedDisk>(++last_incarnation_,
+                                              it.disk->durable());
+  }
+}
+
+void Simulation::Restart(size_t node) {
+  if (!nodes_[node].group) {
+    Open(node);
+  }
+}
+
+size_t Simulation::Pick(int target) {
+  if (target == 0 && Leader()) {
+    return *Leader();
+  }
+  return static_cast<size_t>(target) % nodes_.size();
+}
+
+bool Simulation::Apply(const Fault& fault) {
+  const size_t node = Pick(fault.target);
+  Node& it = nodes_[node];
+  const int64_t until = now_ms_ + fault.duration_ms;
+  const bool loses_state =
+      fault.kind == FaultKind::kLoseState ||
+      (fault.kind == FaultKind::kCrash && !it.disk->durable());
+  // A majority of copies must survive: one loss of state at a time.
+  if ((loses_state && !WaitUntilWhole(kRepairMs)) || !it.group) {
+    Run(fault.duration_ms);
+    return false;
+  }
+  switch (fault.kind) {
+    case FaultKind::kCrash:
+    case FaultKind::kLoseState:
+      Crash(node, fault.kind == FaultKind::kLoseState);
+      it.restart_at = until;
+      break;
+    case FaultKind::kCutOutgoing:
+      it.no_output_until = until;
+      break;
+    case FaultKind::kCutIncoming:
+      it.no_input_until = until;
+      break;
+    case FaultKind::kIsolate:
+      it.no_output_until = until;
+      it.no_input_until = until;
+      break;
+    case FaultKind::kFailWrites:
+      it.fail_writes_until = until;
+      break;
+    case FaultKind::kHandOver:
+      if (!Leader() || !core::IsOk(nodes_[*Leader()].group->TransferLeadership(
+                           "", NowOf(nodes_[*Leader()])))) {
+        Run(fault.duration_ms);
+        return false;
+      }
+      break;
+  }
+  ++counts_.faults[static_cast<size_t>(fault.kind)];
+  Run(fault.duration_ms + kStepMs);
+  return true;
+}
+
+void Simulation::Finish() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].no_input_until = 0;
+    nodes_[i].no_output_until = 0;
+    nodes_[i].fail_writes_until = 0;
+    Restart(i);
+  }
+  options_.lost = 0;
+  const bool whole = WaitUntilWhole(kRepairMs);
+  const uint64_t before = counts_.acknowledged;
+  Run(3000);
+  if (!whole) {
+    Breach("the group did not become whole again");
+  } else if (counts_.acknowledged == before) {
+    Breach("no write was acknowledged after all faults ended");
+  }
+  CheckEnd();
+}
+
+void Simulation::CheckEnd() {
+  // Calls stop, so that all replicas can reach the same index.
+  for (int i = 0; i < 1000; ++i) {
+    now_ms_ += kStepMs;
+    Deliver();
+    for (size_t node = 0; node < nodes_.size(); ++node) {
+      StepNode(node);
+    }
+  }
+  const std::vector<std::string>& values = nodes_[0].machine.state().values();
+  for (const Node& node : nodes_) {
+    if (node.machine.state().values() != values) {
+      Breach("state machines differ");
+    }
+  }
+  for (const Operation& op : history_) {
+    if (op.is_write &&
+        (op.version > values.size() || values[op.version - 1] != op.value)) {
+      Breach("acknowledged write " + op.value + " was lost");
+    }
+  }
+  const std::string violation = CheckLinearizable(history_, written_);
+  if (!violation.empty()) {
+    Breach(violation);
+  }
+}
+
+}  // namespace hawthorn::consensus
