settings, control: Read settings by reflection and apply changes by compare-and-set

Cause: the daemon needs its settings, the first configuration and the state machine of the control group before the rest can be wired.

--- /dev/null
+++ b/control/revision_history.cpp
@@ -0,0 +1,64 @@
+#include "control/revision_history.h"
+
+#include <utility>
+
+namespace hawthorn::control {
+namespace {
+
+size_t ContentBytes(const schema::RevisionRecord& record) {
+  return record.forward().ByteSizeLong() + record.backward().ByteSizeLong();
+}
+
+}  // namespace
+
+void RevisionHistory::Add(schema::RevisionRecord record) {
+  content_bytes_ += ContentBytes(record);
+  records_.push_back(std::move(record));
+  while (content_bytes_ > kMaxContentBytes) {
+    schema::RevisionRecord& oldest = records_[without_content_];
+    content_bytes_ -= ContentBytes(oldest);
+    oldest.clear_forward();
+    oldest.clear_backward();
+    ++without_content_;
+  }
+  if (records_.size() <= kMaxRevisions) {
+    return;
+  }
+  content_bytes_ -= ContentBytes(records_.front());
+  records_.pop_front();
+  without_content_ -= without_content_ > 0 ? 1 : 0;
+}
+
+std::optional<std::vector<schema::RevisionRecord>>
+RevisionHistory::ChangesAfter(uint64_t revision) const {
+  std::vector<schema::RevisionRecord> changes;
+  if (records_.empty() || revision >= records_.back().revision()) {
+    return changes;
+  }
+  const uint64_t first = records_.front().revision() + without_content_;
+  if (revision + 1 < first) {
+    return std::nullopt;
+  }
+  const uint64_t skipped = revision + 1 - records_.front().revision();
+  changes.assign(records_.begin() + static_cast<std::ptrdiff_t>(skipped),
+                 records_.end());
+  return changes;
+}
+
+void RevisionHistory::Save(schema::ControlSnapshot* snapshot) const {
+  for (const schema::RevisionRecord& it : records_) {
+    *snapshot->add_history() = it;
+  }
+}
+
+void RevisionHistory::Load(const schema::ControlSnapshot& snapshot) {
+  records_.assign(snapshot.history().begin(), snapshot.history().end());
+  content_bytes_ = 0;
+  without_content_ = 0;
+  for (const schema::RevisionRecord& it : records_) {
+    content_bytes_ += ContentBytes(it);
+    without_content_ += it.has_forward() ? 0 : 1;
+  }
+}
+
+}  // namespace hawthorn::control
--- /dev/null
+++ b/control/revision_history.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "control.pb.h"
+
+namespace hawthorn::control {
+
+/// The last accepted revisions with the changes that lead to them and back.
+/// Bounded in number and in bytes: the oldest changes lose their content
+/// first, later their record.
+class RevisionHistory {
+ public:
+  /// Revisions that are listed.
+  static constexpr size_t kMaxRevisions = 1000;
+  /// Bytes of all changes together.
+  static constexpr size_t kMaxContentBytes = size_t{4} << 20;
+
+  /// Adds the record of the revision after the last one.
+  void Add(schema::RevisionRecord record);
+
+  /// Records from the oldest to the youngest.
+  const std::deque<schema::RevisionRecord>& records() const { return records_; }
+
+  /// Records of the revisions after `revision`, or nothing if one of them no
+  /// longer has its content.
+  std::optional<std::vector<schema::RevisionRecord>> ChangesAfter(
+      uint64_t revision) const;
+
+  void Save(schema::ControlSnapshot* snapshot) const;
+  void Load(const schema::ControlSnapshot& snapshot);
+
+ private:
+  std::deque<schema::RevisionRecord> records_;
+  size_t content_bytes_ = 0;
+  // Number of the oldest records whose content was dropped.
+  size_t without_content_ = 0;
+};
+
+}  // namespace hawthorn::control
--- /dev/null
+++ b/settings/yaml_reader.cpp
@@ -0,0 +1,284 @@
+#include "settings/yaml_reader.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <exception>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "settings/field_rule.h"
+#include "settings/scalar.h"
+
+namespace hawthorn::settings {
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+
+// Longest text that is echoed in a finding.
+constexpr size_t kMaxEchoBytes = 64;
+
+std::string Echo(const std::string& text) {
+  return text.size() <= kMaxEchoBytes ? text
+                                      : text.substr(0, kMaxEchoBytes) + "...";
+}
+
+size_t EditDistance(std::string_view a, std::string_view b) {
+  std::vector<size_t> row(b.size() + 1);
+  for (size_t j = 0; j < row.size(); ++j) {
+    row[j] = j;
+  }
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({change, row[j] + 1, row[j - 1] + 1});
+    }
+  }
+  return row.back();
+}
+
+const FieldDescriptor* FieldOf(const Descriptor& type, const std::string& key) {
+  for (int i = 0; i < type.field_count(); ++i) {
+    if (KeyOf(*type.field(i)) == key) {
+      return type.field(i);
+    }
+  }
+  return nullptr;
+}
+
+// Key that `key` was probably meant to be; empty if none is close.
+std::string NearestKey(const Descriptor& type, const std::string& key) {
+  if (key.size() > kMaxEchoBytes) {
+    return "";
+  }
+  std::string nearest;
+  size_t least = std::max<size_t>(2, key.size() / 3) + 1;
+  for (int i = 0; i < type.field_count(); ++i) {
+    const std::string known = KeyOf(*type.field(i));
+    const size_t distance = EditDistance(key, known);
+    if (distance < least) {
+      least = distance;
+      nearest = known;
+    }
+  }
+  return nearest;
+}
+
+std::string KnownKeys(const Descriptor& type) {
+  std::vector<std::string> keys;
+  keys.reserve(static_cast<size_t>(type.field_count()));
+  for (int i = 0; i < type.field_count(); ++i) {
+    keys.push_back(KeyOf(*type.field(i)));
+  }
+  return absl::StrJoin(keys, ", ");
+}
+
+std::string PathOf(const std::string& parent, const std::string& key) {
+  return parent.empty() ? key : absl::StrCat(parent, ".", key);
+}
+
+// Reads nodes by the schema, so that its depth bounds the recursion even
+// where anchors make a node contain itself.
+class Reader {
+ public:
+  Reader(std::string file, YamlDocument* document)
+      : file_(std::move(file)), document_(*document) {}
+
+  core::Place PlaceOf(const YAML::Mark& mark) const {
+    if (mark.is_null()) {
+      return core::Place{file_, 0, 0};
+    }
+    return core::Place{file_, mark.line + 1, mark.column + 1};
+  }
+
+  void ReadGroup(const YAML::Node& node, const std::string& path,
+                 Message* message) {
+    SetDefaults(message);
+    document_.places.Set(path, PlaceOf(node.Mark()));
+    if (!node.IsMap()) {
+      AddFinding(node, path, "not a group of keys",
+                 absl::StrCat("keys ", KnownKeys(*message->GetDescriptor())));
+      return;
+    }
+    std::set<std::string> seen;
+    for (const auto& entry : node) {
+      ReadKey(entry.first, entry.second, path, &seen, message);
+    }
+  }
+
+ private:
+  void AddFinding(const YAML::Node& node, const std::string& path,
+                  std::string message, std::string allowed) {
+    document_.faulty_paths.insert(path);
+    document_.findings.Add(PlaceOf(node.Mark()), std::move(message),
+                           std::move(allowed));
+  }
+
+  void ReadKey(const YAML::Node& key_node, const YAML::Node& value,
+               const std::string& path, std::set<std::string>* seen,
+               Message* message) {
+    const Descriptor& type = *message->GetDescriptor();
+    if (!key_node.IsScalar()) {
+      AddFinding(key_node, PathOf(path, "?"), "the key is not a text",
+                 absl::StrCat("keys ", KnownKeys(type)));
+      return;
+    }
+    const std::string& key = key_node.Scalar();
+    const FieldDescriptor* field = FieldOf(type, key);
+    if (field == nullptr) {
+      ReportUnknown(key_node, PathOf(path, key), type);
+      return;
+    }
+    const std::string field_path = PathOf(path, key);
+    if (!seen->insert(key).second) {
+      // The first value counts and is still checked under its own path.
+      AddFinding(key_node, field_path + "#again",
+                 absl::StrCat("key '", key, "' stands twice"), "each key once");
+      return;
+    }
+    document_.places.Set(field_path, PlaceOf(key_node.Mark()));
+    ReadField(value, field_path, *field, message);
+  }
+
+  void ReportUnknown(const YAML::Node& key_node, const std::string& path,
+                     const Descriptor& type) {
+    const std::string& key = key_node.Scalar();
+    const std::string nearest = NearestKey(type, key);
+    std::string text = absl::StrCat("unknown key '", Echo(key), "'");
+    if (!nearest.empty()) {
+      absl::StrAppend(&text, "; did you mean '", nearest, "'?");
+    }
+    AddFinding(key_node, path, std::move(text), KnownKeys(type));
+  }
+
+  void ReadField(const YAML::Node& node, const std::string& path,
+                 const FieldDescriptor& field, Message* message) {
+    if (!node.IsDefined() || node.IsNull()) {
+      AddFinding(node, path,
+                 absl::StrCat("key '", KeyOf(field), "' has no value"),
+                 AllowedOf(field));
+      return;
+    }
+    if (field.is_repeated()) {
+      ReadList(node, path, field, message);
+      return;
+    }
+    if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+      ReadGroup(node, path,
+                message->GetReflection()->MutableMessage(message, &field));
+      return;
+    }
+    ReadScalar(node, path, field, message);
+  }
+
+  void ReadList(const YAML::Node& node, const std::string& path,
+                const FieldDescriptor& field, Message* message) {
+    if (!node.IsSequence()) {
+      AddFinding(node, path, absl::StrCat("'", KeyOf(field), "' is not a list"),
+                 AllowedOf(field));
+      return;
+    }
+    int index = 0;
+    for (const auto& element : node) {
+      const std::string element_path = absl::StrCat(path, "[", index, "]");
+      ++index;
+      if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+        ReadGroup(element, element_path,
+                  message->GetReflection()->AddMessage(message, &field));
+        continue;
+      }
+      document_.places.Set(element_path, PlaceOf(element.Mark()));
+      ReadScalar(element, element_path, field, message);
+    }
+  }
+
+  void ReadScalar(const YAML::Node& node, const std::string& path,
+                  const FieldDescriptor& field, Message* message) {
+    std::optional<std::string> problem;
+    if (node.IsScalar()) {
+      document_.places.Set(path, PlaceOf(node.Mark()));
+      problem = StoreScalar(node.Scalar(), field, message);
+    } else {
+      problem = "the value is not a single one";
+    }
+    if (!problem.has_value()) {
+      return;
+    }
+    AddFinding(node, path,
+               absl::StrCat("'", KeyOf(field), "': ", Echo(*problem)),
+               AllowedOf(field));
+    if (field.is_repeated()) {
+      // An empty element keeps the indices of paths in step with the file.
+      StoreScalar("", field, message);
+    }
+  }
+
+  std::string file_;
+  YamlDocument& document_;
+};
+
+// Finding of an error that the parser threw; the file stays unread.
+void AddParserFinding(const YAML::Exception& error, const Reader& reader,
+                      YamlDocument* document) {
+  document->faulty_paths.insert("");
+  document->findings.Add(reader.PlaceOf(error.mark),
+                         absl::StrCat("not YAML: ", error.msg),
+                         "one YAML document with a group of keys");
+}
+
+}  // namespace
+
+void PlaceMap::Set(const std::string& path, core::Place place) {
+  places_.insert_or_assign(path, std::move(place));
+}
+
+core::Place PlaceMap::Find(std::string path) const {
+  while (true) {
+    const auto it = places_.find(path);
+    if (it != places_.end()) {
+      return it->second;
+    }
+    if (path.empty()) {
+      return core::Place{};
+    }
+    const size_t end = path.find_last_of(".[");
+    path.resize(end == std::string::npos ? 0 : end);
+  }
+}
+
+YamlDocument ReadYaml(std::string_view text, const std::string& file,
+                      Message* message) {
+  YamlDocument document;
+  Reader reader(file, &document);
+  document.places.Set("", core::Place{file, 1, 1});
+  try {
+    const std::vector<YAML::Node> nodes = YAML::LoadAll(std::string(text));
+    if (nodes.size() == 1) {
+      reader.ReadGroup(nodes.front(), "", message);
+      return document;
+    }
+    document.faulty_paths.insert("");
+    document.findings.Add(
+        core::Place{file, 1, 1},
+        absl::StrCat("the file holds ", nodes.size(), " YAML documents"),
+        "one YAML document with a group of keys");
+  } catch (const YAML::Exception& error) {
+    AddParserFinding(error, reader, &document);
+  } catch (const std::exception& error) {
+    document.faulty_paths.insert("");
+    document.findings.Add(core::Place{file, 1, 1},
+                          absl::StrCat("not YAML: ", error.what()),
+                          "one YAML document with a group of keys");
+  }
+  return document;
+}
+
+}  // namespace hawthorn::settings
