--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
 #include <string>
 
+#include "settings/reference.h"
+
 namespace hawthorn::settings {
 namespace {
 
@@ -85,5 +89,12 @@
   CHECK(findings.findings().size() == 10);
 }
 
+TEST_CASE("The reference page is in step with the schema") {
+  std::ifstream stream(std::string(HAWTHORN_SOURCE_DIR) + "/docs/SETTINGS.md");
+  std::ostringstream page;
+  page << stream.rdbuf();
+  CHECK(page.str() == SettingsReference());
+}
+
 }  // namespace
 }  // namespace hawthorn::settings
