programs: Add the ledger of programs with its rules

Cause: the daemon needs one deterministic state machine that decides the order, budgets and outcomes of programs.

--- /dev/null
+++ b/programs/program.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <absl/container/btree_set.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ledger.pb.h"
+#include "programs/budget_account.h"
+#include "programs/call_record.h"
+#include "programs/ledger_options.h"
+
+namespace hawthorn::programs {
+
+/// Message of the ledger in a history, after the call `after_number`.
+struct HistoryNote {
+  uint32_t after_number = 0;
+  std::string text;
+};
+
+/// Tool pause under way.
+struct ToolPause {
+  std::string tool;
+  int64_t deadline_ms = 0;
+};
+
+/// One program: who it is, its calls in order, its budget and its end.
+class Program {
+ public:
+  Program(uint64_t serial, const schema::CreateProgram& create,
+          int64_t created_ms);
+  explicit Program(const schema::SnapshotProgram& snapshot);
+
+  /// Whether `create` asks for this very program.
+  bool IsCreatedBy(const schema::CreateProgram& create) const;
+
+  /// Number of the next call that may begin.
+  uint32_t next_number() const {
+    return static_cast<uint32_t>(calls.size()) + 1;
+  }
+
+  /// Record of an ended call; null if the call has no outcome.
+  const CallRecord* FindRecord(uint32_t number) const;
+
+  /// Appends `record` as the outcome of the pending call.
+  void Append(CallRecord record);
+
+  /// Outcome of an ended call under its full name.
+  schema::FinishCall OutcomeOf(uint32_t number) const;
+
+  /// The pending call under its full name; there must be one.
+  schema::OpenCall OpenCall() const;
+
+  /// Drops the content of the history, but for what a resend needs: the
+  /// outcomes, the last answer and the answers of plain services.
+  void Compact();
+
+  /// Next time at which something is due; TimerIndex::kNever for nothing.
+  int64_t NextDeadline(const LedgerOptions& options) const;
+
+  /// Time at which the idle program expires; TimerIndex::kNever if it is busy.
+  int64_t IdleDeadline(const LedgerOptions& options) const;
+
+  /// Whether nothing of the program or its sub-agents is under way any more.
+  bool IsFinished() const { return ended && !pending && children.empty(); }
+
+  /// History between the calls from `from_number` on.
+  std::vector<schema::HistoryEntry> History(uint32_t from_number) const;
+
+  schema::ProgramSummary Summary() const;
+  schema::SnapshotProgram ToSnapshot() const;
+
+  // State; the rules of the ledger change it.
+  uint64_t serial = 0;
+  uint64_t parent_serial = 0;
+  std::string id;
+  std::string organisation;
+  std::string parent;
+  std::string service_class;
+  schema::ToolTimeoutAction on_tool_timeout =
+      schema::TOOL_TIMEOUT_ACTION_UNSPECIFIED;
+  int64_t idle_expiry_ms = 0;
+  int64_t wall_budget_ms = 0;
+  /// Time in the id.
+  int64_t id_ms = 0;
+  int64_t created_ms = 0;
+  int64_t active_ms = 0;
+  int64_t wall_deadline_ms = 0;
+  int64_t ended_ms = 0;
+  int64_t history_tokens = 0;
+  /// Used tokens of the program and of all its sub-agents.
+  int64_t attained_tokens = 0;
+  BudgetAccount budget;
+  /// Sub-agents that did not give back their budget yet.
+  absl::btree_set<uint64_t> children;
+  std::vector<CallRecord> calls;
+  std::vector<HistoryNote> notes;
+  std::unique_ptr<PendingCall> pending;
+  std::unique_ptr<ToolPause> pause;
+  std::string reason;
+  uint32_t last_pause = 0;
+  uint32_t depth = 0;
+  bool ended = false;
+  bool compacted = false;
+  /// The budget was given back to the parent.
+  bool returned = false;
+};
+
+}  // namespace hawthorn::programs
--- /dev/null
+++ b/programs/timer_index.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+
+namespace hawthorn::programs {
+
+/// Deadlines by key, one for each, in milliseconds of wall time. Finding what
+/// is due costs only what is due.
+class TimerIndex {
+ public:
+  /// Deadline that never comes.
+  static constexpr int64_t kNever = std::numeric_limits<int64_t>::max();
+
+  /// Sets the deadline of `key`; kNever removes it.
+  void Set(uint64_t key, int64_t due_ms);
+
+  /// Removes and returns a key whose deadline is at or before `now_ms`, the
+  /// earliest first.
+  std::optional<uint64_t> PopDue(int64_t now_ms);
+
+  size_t size() const { return due_.size(); }
+
+ private:
+  absl::btree_set<std::pair<int64_t, uint64_t>> order_;
+  absl::flat_hash_map<uint64_t, int64_t> due_;
+};
+
+}  // namespace hawthorn::programs
