peer: Add authenticated HTTP/2 links between instances

Cause: instances need one-way messages, requests and streamed replies whose errors tell the truth about whether the work may have run. Change: challenge-response with the shared key before any HTTP/2 byte, one outgoing link to each peer that opens on demand with a jittered wait after a failure, bounded queues, pings, cancel from both sides, a switch that freezes links. A session that the library ends after garbage closes its socket at once; before, such a link stayed until the silence limit.

--- a/membership/gossip_build.cpp
+++ b/membership/gossip_build.cpp
@@ -63,7 +63,7 @@
     return it.instance == to;
   };
   SortByAge(heartbeats);
-  std::ranges::stable_partition(heartbeats, is_receiver);
+  std::stable_partition(heartbeats.begin(), heartbeats.end(), is_receiver);
   if (heartbeats.size() > options_.max_heartbeats) {
     heartbeats.resize(options_.max_heartbeats);
   }
@@ -86,6 +86,7 @@
     }
   }
   std::vector<Heartbeat> heartbeats;
+  heartbeats.reserve(freshest.size());
   for (const auto& [zone, heartbeat] : freshest) {
     heartbeats.push_back(heartbeat);
   }
--- a/membership/instance_directory.cpp
+++ b/membership/instance_directory.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 InstanceDirectory::InstanceDirectory(InstanceSeed self,
-                                     std::vector<InstanceSeed> seeds,
+                                     const std::vector<InstanceSeed>& seeds,
                                      uint32_t incarnation, core::TimePoint now,
                                      InstanceTimings timings)
     : self_(std::move(self)), timings_(timings), started_at_(now) {
--- a/membership/instance_directory.h
+++ b/membership/instance_directory.h
@@ -113,7 +113,7 @@
 class InstanceDirectory {
  public:
   /// `seeds` are all instances of the deployment, this one included.
-  InstanceDirectory(InstanceSeed self, std::vector<InstanceSeed> seeds,
+  InstanceDirectory(InstanceSeed self, const std::vector<InstanceSeed>& seeds,
                     uint32_t incarnation, core::TimePoint now,
                     InstanceTimings timings = {});
 
--- a/membership/upstream_directory.cpp
+++ b/membership/upstream_directory.cpp
@@ -157,8 +157,8 @@
       routes.push_back({record, record.zone != zone_});
     }
   }
-  std::ranges::stable_partition(
-      routes, [](const Route& route) { return !route.crosses_zone; });
+  std::stable_partition(routes.begin(), routes.end(),
+                        [](const Route& route) { return !route.crosses_zone; });
   return routes;
 }
 
@@ -203,6 +203,7 @@
     load.waiting += record.load.waiting;
   }
   std::vector<ServiceLoad> result;
+  result.reserve(loads.size());
   for (const auto& [service, load] : loads) {
     result.push_back(load);
   }
--- /dev/null
+++ b/peer/link_context.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "core/id.h"
+#include "peer/peer_options.h"
+#include "peer/replier.h"
+#include "schema/generated/peer.pb.h"
+
+namespace hawthorn::peer::detail {
+
+/// What all links of a transport share. Outlives the links.
+struct LinkContext {
+  PeerOptions options;
+  PeerCounters counters;
+  std::set<core::InstanceId> known;
+  std::set<core::InstanceId> cut;
+  std::function<void(schema::PeerMessage, Replier)> handler;
+  /// Runs a function in a later turn of the event loop.
+  std::function<void(std::function<void()>)> defer;
+};
+
+/// Nonce from the system's random source.
+std::string NewNonce();
+
+}  // namespace hawthorn::peer::detail
--- /dev/null
+++ b/peer/link_socket.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <QElapsedTimer>
+#include <QObject>
+#include <QTcpSocket>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "peer/http2_session.h"
+#include "peer/link_context.h"
+
+namespace hawthorn::peer::detail {
+
+/// Socket of one link: counts bytes, notices silence, can be frozen as by a
+/// network partition, and moves the output of an HTTP/2 session.
+class LinkSocket : public QObject {
+ public:
+  struct Events {
+    std::function<void()> on_connected;
+    std::function<void(std::string_view)> on_bytes;
+    /// The connection is gone; called once, in a later turn of the loop.
+    std::function<void()> on_closed;
+  };
+
+  /// Takes over `socket`.
+  LinkSocket(QTcpSocket* socket, LinkContext& context, Events events,
+             QObject* parent);
+  ~LinkSocket() override;
+
+  void Connect(const QString& host, quint16 port);
+  /// Writes bytes of the handshake.
+  void Write(std::string_view bytes);
+  /// Moves output of `session` from now on.
+  void Attach(Http2Session* session);
+  /// Sends what the session has to send at the end of this turn of the loop.
+  void ScheduleFlush();
+  /// Closes the connection; on_closed follows.
+  void Close();
+  /// While frozen, no byte moves in either direction.
+  void SetFrozen(bool frozen);
+  /// Sends a ping or closes the link, by the time since the last byte.
+  void CheckSilence();
+
+  bool is_frozen() const { return frozen_; }
+
+ private:
+  void OnReadable();
+  void Flush();
+
+  QTcpSocket* socket_;
+  LinkContext& context_;
+  Events events_;
+  Http2Session* session_ = nullptr;
+  QElapsedTimer last_received_;
+  bool ping_sent_ = false;
+  bool flush_scheduled_ = false;
+  bool frozen_ = false;
+  bool closing_ = false;
+  bool close_reported_ = false;
+  bool reading_ = false;
+};
+
+}  // namespace hawthorn::peer::detail
--- /dev/null
+++ b/peer/outgoing_link.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <QElapsedTimer>
+#include <QHostAddress>
+#include <QObject>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "core/id.h"
+#include "peer/exchange.h"
+#include "peer/handshake.h"
+#include "peer/http2_session.h"
+#include "peer/link_context.h"
+#include "peer/link_socket.h"
+
+namespace hawthorn::peer::detail {
+
+/// Address of an instance.
+struct PeerEndpoint {
+  QHostAddress host;
+  quint16 port = 0;
+
+  bool operator==(const PeerEndpoint&) const = default;
+};
+
+/// Connection to another instance: carries messages there. Connects when
+/// there is something to send and waits after a failure.
+class OutgoingLink : public QObject, public Http2Events {
+ public:
+  OutgoingLink(core::InstanceId peer, PeerEndpoint endpoint,
+               LinkContext& context, uint64_t seed, QObject* parent);
+  ~OutgoingLink() override;
+
+  /// Takes `exchange` over. On an error its callbacks are not called.
+  core::Status Submit(Exchange exchange);
+  /// Drops an exchange without calling it back.
+  void Cancel(uint64_t number);
+
+  /// Freezes or heals the link by the set of instances that are cut off.
+  void ApplyCut();
+  /// Ends exchanges whose time is over, and closes a silent or idle link.
+  void Sweep(core::TimePoint now);
+  /// Fails everything that is under way.
+  void FailAll(const char* reason);
+
+  bool is_open() const { return state_ == State::kOpen; }
+  const PeerEndpoint& endpoint() const { return endpoint_; }
+
+ private:
+  enum class State { kIdle, kConnecting, kHandshake, kProved, kOpen, kBackoff };
+
+  void Connect();
+  void OnConnected();
+  void OnBytes(std::string_view bytes);
+  void OnHandshakeBytes(std::string_view bytes);
+  void OnSessionBytes(std::string_view bytes);
+  void OnClosed();
+  void Start(Exchange exchange);
+  void StartWaiting();
+  void EndExchange(Exchange exchange, const core::Status& status);
+  void FailActive(const char* reason);
+  void FailWaiting(const char* reason);
+  void SweepExchanges(core::TimePoint now);
+  void ReadPieces(int32_t stream);
+  std::chrono::milliseconds NextBackoff();
+  size_t QueuedBytes() const;
+
+  void OnHeader(int32_t stream, std::string_view name,
+                std::string_view value) override;
+  void OnBody(int32_t stream, std::string_view bytes) override;
+  void OnBodyEnd(int32_t stream) override;
+  void OnStreamClosed(int32_t stream, uint32_t error, bool sent_whole) override;
+  void OnBodyTaken(int32_t stream) override;
+
+  core::InstanceId peer_;
+  PeerEndpoint endpoint_;
+  LinkContext& context_;
+  std::mt19937_64 random_;
+  State state_ = State::kIdle;
+  uint32_t failures_ = 0;
+  core::TimePoint retry_at_;
+  core::TimePoint state_since_;
+  core::TimePoint last_used_;
+  std::deque<Exchange> waiting_;
+  size_t waiting_bytes_ = 0;
+  std::map<int32_t, Exchange> active_;
+  std::unique_ptr<HandshakeInitiator> handshake_;
+  HandshakeReader reader_;
+  std::unique_ptr<Http2Session> session_;
+  std::unique_ptr<LinkSocket> socket_;
+};
+
+}  // namespace hawthorn::peer::detail
--- a/peer/peer_transport.h
+++ b/peer/peer_transport.h
@@ -96,6 +96,10 @@
  private:
   class Impl;
 
+  StreamHandle Open(const core::InstanceId& to, schema::PeerMessage message,
+                    std::chrono::milliseconds timeout, bool single_reply,
+                    StreamCallbacks callbacks);
+
   std::unique_ptr<Impl> impl_;
 };
 
--- /dev/null
+++ b/peer/reply_stream.cpp
@@ -0,0 +1,134 @@
+#include "peer/reply_stream.h"
+
+#include <utility>
+
+#include "peer/errors.h"
+#include "peer/replier.h"
+
+namespace hawthorn::peer {
+
+namespace detail {
+
+ReplyStream::ReplyStream(IncomingLink* link, LinkContext& context,
+                         int32_t stream)
+    : link_(link), defer_(context.defer), stream_(stream) {}
+
+ReplyStream::~ReplyStream() {
+  if (IsOpen()) {
+    Fail(MakeError(core::ErrorCode::kInternal, "the peer gave no answer",
+                   core::Execution::kUnknown));
+  }
+}
+
+core::Status ReplyStream::SendPiece(const schema::PeerMessage& piece) {
+  if (!IsOpen()) {
+    return MakeError(core::ErrorCode::kUnavailable,
+                     "the caller no longer waits", core::Execution::kNotRun);
+  }
+  return link_->SendPiece(stream_, piece);
+}
+
+void ReplyStream::Finish() {
+  if (IsOpen()) {
+    ended_ = true;
+    link_->EndReply(stream_);
+  }
+}
+
+void ReplyStream::Fail(const core::Error& error) {
+  if (!IsOpen()) {
+    return;
+  }
+  schema::PeerMessage message;
+  *message.mutable_failure() = ToFailure(error);
+  link_->SendFinalPiece(stream_, message);
+  Finish();
+}
+
+void ReplyStream::OnCancel(std::function<void()> callback) {
+  if (cancelled_ || link_ == nullptr) {
+    defer_(std::move(callback));
+    return;
+  }
+  on_cancel_ = std::move(callback);
+}
+
+void ReplyStream::OnWritable(std::function<void()> callback) {
+  on_writable_ = std::move(callback);
+}
+
+void ReplyStream::Cancel() {
+  if (ended_ || std::exchange(cancelled_, true)) {
+    return;
+  }
+  on_writable_ = nullptr;
+  if (on_cancel_) {
+    defer_(std::exchange(on_cancel_, nullptr));
+  }
+}
+
+void ReplyStream::BecomeWritable() {
+  if (on_writable_) {
+    defer_(std::exchange(on_writable_, nullptr));
+  }
+}
+
+}  // namespace detail
+
+namespace {
+
+core::Error NoReplyWanted() {
+  return MakeError(core::ErrorCode::kUnavailable, "the message wants no reply",
+                   core::Execution::kNotRun);
+}
+
+}  // namespace
+
+Replier::Replier(std::shared_ptr<detail::ReplyStream> stream)
+    : stream_(std::move(stream)) {}
+
+core::Status Replier::SendPiece(const schema::PeerMessage& piece) const {
+  return stream_ ? stream_->SendPiece(piece) : core::Status(NoReplyWanted());
+}
+
+void Replier::Finish() const {
+  if (stream_) {
+    stream_->Finish();
+  }
+}
+
+void Replier::Reply(const schema::PeerMessage& reply) const {
+  if (!stream_) {
+    return;
+  }
+  const core::Status sent = stream_->SendPiece(reply);
+  if (core::IsOk(sent)) {
+    stream_->Finish();
+  } else {
+    core::Error error = core::ErrorOf(sent);
+    error.execution = core::Execution::kRan;
+    stream_->Fail(error);
+  }
+}
+
+void Replier::Fail(const core::Error& error) const {
+  if (stream_) {
+    stream_->Fail(error);
+  }
+}
+
+bool Replier::IsOpen() const { return stream_ && stream_->IsOpen(); }
+
+void Replier::OnCancel(std::function<void()> callback) const {
+  if (stream_) {
+    stream_->OnCancel(std::move(callback));
+  }
+}
+
+void Replier::OnWritable(std::function<void()> callback) const {
+  if (stream_) {
+    stream_->OnWritable(std::move(callback));
+  }
+}
+
+}  // namespace hawthorn::peer
--- /dev/null
+++ b/tests/peer/link_test.cpp
@@ -0,0 +1,259 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "tests/peer/peer_test_support.h"
+
+namespace hawthorn::peer {
+namespace {
+
+using std::chrono::milliseconds;
+using test::Ask;
+using test::Pair;
+using test::TextMessage;
+using test::TextOf;
+using test::WaitUntil;
+
+TEST_CASE("a request reaches its peer with the authenticated sender") {
+  const Pair pair;
+  std::string sender;
+  pair.b->SetHandler([&](const schema::PeerMessage& message, Replier replier) {
+    sender = message.from();
+    test::Echo(message, replier);
+  });
+  auto forged = TextMessage("hello");
+  forged.set_from("somebody");
+  std::optional<core::Result<schema::PeerMessage>> reply;
+  pair.a->Request(pair.right_id, forged, test::kDeadline,
+                  [&](auto result) { reply = std::move(result); });
+  REQUIRE_FALSE(reply.has_value());
+  REQUIRE(WaitUntil([&] { return reply.has_value(); }));
+  REQUIRE(TextOf(reply) == "hello");
+  REQUIRE(core::Value(*reply).from() == "right");
+  REQUIRE(sender == "left");
+  REQUIRE(pair.a->IsConnected(pair.right_id));
+}
+
+TEST_CASE("replies that come out of order match their requests") {
+  constexpr int kRequests = 200;
+  const Pair pair;
+  std::vector<std::pair<std::string, Replier>> held;
+  pair.b->SetHandler([&](const schema::PeerMessage& message, Replier replier) {
+    held.emplace_back(message.configuration(), std::move(replier));
+  });
+  std::map<int, std::string> replies;
+  for (int n = 0; n < kRequests; ++n) {
+    pair.a->Request(pair.right_id, TextMessage(std::to_string(n)),
+                    test::kDeadline, [&replies, n](auto result) {
+                      replies[n] = core::Value(result).configuration();
+                    });
+  }
+  REQUIRE(WaitUntil([&] { return held.size() == kRequests; }));
+  for (auto it = held.rbegin(); it != held.rend(); ++it) {
+    it->second.Reply(TextMessage("answer to " + it->first));
+  }
+  REQUIRE(WaitUntil([&] { return replies.size() == kRequests; }));
+  for (const auto& [n, text] : replies) {
+    REQUIRE(text == "answer to " + std::to_string(n));
+  }
+}
+
+TEST_CASE("one way messages arrive once and want no reply") {
+  const Pair pair;
+  std::vector<std::string> received;
+  pair.b->SetHandler([&](const schema::PeerMessage& message, Replier replier) {
+    received.push_back(message.configuration());
+    REQUIRE_FALSE(replier.IsOpen());
+  });
+  for (int n = 0; n < 50; ++n) {
+    REQUIRE(core::IsOk(
+        pair.a->Send(pair.right_id, TextMessage(std::to_string(n)))));
+  }
+  REQUIRE(WaitUntil([&] { return received.size() >= 50; }));
+  REQUIRE(received.size() == 50);
+  REQUIRE(std::set<std::string>(received.begin(), received.end()).size() == 50);
+}
+
+TEST_CASE("a message of several megabytes passes and a larger one is refused") {
+  PeerOptions left = test::OptionsOf("left");
+  left.max_message_bytes = 5'000'000;
+  const Pair pair(left);
+  pair.b->SetHandler(test::Echo);
+  const std::string big(4'999'000, 'x');
+  REQUIRE(TextOf(Ask(*pair.a, pair.right_id, big)) == big);
+  const auto refused = Ask(*pair.a, pair.right_id, std::string(5'000'001, 'x'));
+  REQUIRE(core::ErrorOf(*refused).code == core::ErrorCode::kInvalidArgument);
+  REQUIRE(core::ErrorOf(*refused).execution == core::Execution::kNotRun);
+}
+
+TEST_CASE("a message that is too large for the receiver is not run") {
+  PeerOptions right = test::OptionsOf("right");
+  right.max_message_bytes = 100'000;
+  const Pair pair(test::OptionsOf("left"), right);
+  int handled = 0;
+  pair.b->SetHandler([&](const auto&, const Replier&) { ++handled; });
+  const auto reply = Ask(*pair.a, pair.right_id, std::string(200'000, 'x'));
+  REQUIRE(core::ErrorOf(*reply).execution == core::Execution::kNotRun);
+  REQUIRE(pair.b->counters().refused_messages == 1);
+  REQUIRE(handled == 0);
+}
+
+TEST_CASE("a streamed reply arrives in order and whole") {
+  constexpr int kPieces = 300;
+  const Pair pair;
+  pair.b->SetHandler([&](const auto&, const Replier& replier) {
+    for (int n = 0; n < kPieces; ++n) {
+      REQUIRE(core::IsOk(replier.SendPiece(TextMessage(std::to_string(n)))));
+    }
+    replier.Finish();
+  });
+  std::vector<std::string> pieces;
+  std::optional<core::Status> end;
+  pair.a->OpenStream(
+      pair.right_id, TextMessage("go"), test::kDeadline,
+      {.on_piece =
+           [&](const auto& piece) { pieces.push_back(piece.configuration()); },
+       .on_end = [&](const core::Status& status) { end = status; }});
+  REQUIRE(WaitUntil([&] { return end.has_value(); }));
+  REQUIRE(core::IsOk(*end));
+  REQUIRE(pieces.size() == kPieces);
+  for (int n = 0; n < kPieces; ++n) {
+    REQUIRE(pieces[n] == std::to_string(n));
+  }
+}
+
+TEST_CASE("the replier hears that the caller cancelled a stream") {
+  const Pair pair;
+  bool cancelled = false;
+  std::optional<Replier> kept;
+  pair.b->SetHandler([&](const auto&, const Replier& replier) {
+    kept = replier;
+    replier.OnCancel([&] { cancelled = true; });
+    (void)replier.SendPiece(TextMessage("first"));
+  });
+  int pieces = 0;
+  int ends = 0;
+  const StreamHandle stream =
+      pair.a->OpenStream(pair.right_id, TextMessage("go"), test::kDeadline,
+                         {.on_piece = [&](const auto&) { ++pieces; },
+                          .on_end = [&](const auto&) { ++ends; }});
+  REQUIRE(WaitUntil([&] { return pieces == 1; }));
+  pair.a->CancelStream(stream);
+  REQUIRE(WaitUntil([&] { return cancelled; }));
+  REQUIRE_FALSE(kept->IsOpen());
+  REQUIRE_FALSE(core::IsOk(kept->SendPiece(TextMessage("late"))));
+  REQUIRE(ends == 0);
+}
+
+TEST_CASE("an error of the replier reaches the caller after the pieces") {
+  const Pair pair;
+  pair.b->SetHandler([&](const auto&, const Replier& replier) {
+    (void)replier.SendPiece(TextMessage("first"));
+    core::Error error;
+    error.code = core::ErrorCode::kBudgetExceeded;
+    error.message = "no tokens left";
+    error.execution = core::Execution::kRan;
+    error.retry_after = milliseconds(70);
+    replier.Fail(error);
+  });
+  int pieces = 0;
+  std::optional<core::Status> end;
+  pair.a->OpenStream(pair.right_id, TextMessage("go"), test::kDeadline,
+                     {.on_piece = [&](const auto&) { ++pieces; },
+                      .on_end = [&](const auto& status) { end = status; }});
+  REQUIRE(WaitUntil([&] { return end.has_value(); }));
+  const core::Error& error = core::ErrorOf(*end);
+  REQUIRE(pieces == 1);
+  REQUIRE(error.code == core::ErrorCode::kBudgetExceeded);
+  REQUIRE(error.execution == core::Execution::kRan);
+  REQUIRE(error.retry_after == milliseconds(70));
+}
+
+TEST_CASE("a replier that writes too fast is told to wait and goes on later") {
+  PeerOptions right = test::OptionsOf("right");
+  right.max_stream_queued_bytes = 100'000;
+  const Pair pair(test::OptionsOf("left"), right);
+  constexpr size_t kPieces = 100;
+  size_t sent = 0;
+  size_t overloads = 0;
+  std::optional<Replier> kept;
+  std::function<void()> write = [&] {
+    while (sent < kPieces) {
+      const auto status =
+          kept->SendPiece(TextMessage(std::string(40'000, 'x')));
+      if (!core::IsOk(status)) {
+        REQUIRE(core::ErrorOf(status).code == core::ErrorCode::kOverloaded);
+        ++overloads;
+        kept->OnWritable(write);
+        return;
+      }
+      ++sent;
+    }
+    kept->Finish();
+  };
+  pair.b->SetHandler([&](const auto&, const Replier& replier) {
+    kept = replier;
+    write();
+  });
+  size_t received = 0;
+  std::optional<core::Status> end;
+  pair.a->OpenStream(pair.right_id, TextMessage("go"), test::kDeadline,
+                     {.on_piece = [&](const auto&) { ++received; },
+                      .on_end = [&](const auto& status) { end = status; }});
+  REQUIRE(WaitUntil([&] { return end.has_value(); }));
+  REQUIRE(core::IsOk(*end));
+  REQUIRE(overloads > 0);
+  REQUIRE(received == kPieces);
+}
+
+TEST_CASE("a request that nobody answers fails as unknown") {
+  const Pair pair;
+  pair.b->SetHandler([](const auto&, const Replier&) {});
+  const auto reply = Ask(*pair.a, pair.right_id, "ignored");
+  REQUIRE(core::ErrorOf(*reply).code == core::ErrorCode::kInternal);
+  REQUIRE(core::ErrorOf(*reply).execution == core::Execution::kUnknown);
+}
+
+TEST_CASE("a late reply goes nowhere after the timeout") {
+  const Pair pair;
+  std::optional<Replier> kept;
+  pair.b->SetHandler([&](const auto& message, const Replier& replier) {
+    if (message.configuration() == "slow") {
+      kept = replier;
+    } else {
+      test::Echo(message, replier);
+    }
+  });
+  REQUIRE(TextOf(Ask(*pair.a, pair.right_id, "warm")) == "warm");
+  const auto reply = Ask(*pair.a, pair.right_id, "slow", milliseconds(50));
+  REQUIRE(core::ErrorOf(*reply).code == core::ErrorCode::kDeadlineExceeded);
+  REQUIRE(core::ErrorOf(*reply).execution == core::Execution::kUnknown);
+  REQUIRE(kept.has_value());
+  kept->Reply(TextMessage("late"));
+  REQUIRE(TextOf(Ask(*pair.a, pair.right_id, "next")) == "next");
+}
+
+TEST_CASE("a link that is not used closes and opens again when needed") {
+  PeerOptions left = test::OptionsOf("left");
+  left.idle_limit = milliseconds(50);
+  const Pair pair(left);
+  pair.b->SetHandler(test::Echo);
+  REQUIRE(TextOf(Ask(*pair.a, pair.right_id, "one")) == "one");
+  REQUIRE(WaitUntil([&] { return !pair.a->IsConnected(pair.right_id); }));
+  REQUIRE(TextOf(Ask(*pair.a, pair.right_id, "two")) == "two");
+  REQUIRE(pair.a->counters().links_opened == 2);
+}
+
+TEST_CASE("an unknown instance and a bad address are refused") {
+  const Pair pair;
+  const core::InstanceId nobody("nobody");
+  const auto reply = Ask(*pair.a, nobody, "hello");
+  REQUIRE(core::ErrorOf(*reply).code == core::ErrorCode::kNotFound);
+  REQUIRE_FALSE(core::IsOk(pair.a->Send(nobody, TextMessage("hello"))));
+  for (const char* address : {"127.0.0.1", "host:12", "127.0.0.1:99999", ""}) {
+    REQUIRE_FALSE(core::IsOk(pair.a->SetPeer(nobody, address)));
+  }
+}
+
+}  // namespace
+}  // namespace hawthorn::peer
