--- a/scheduling/combined_policy.cpp
+++ b/scheduling/combined_policy.cpp
@@ -9,7 +9,7 @@
 constexpr double kInteractiveHeadStart = 30;
 /// Seconds of delay for each token that the program attained, at a latency
 /// weight of 1.
-constexpr double kDelayPerAttainedToken = 1.0 / 500;
+constexpr double kDelayPerAttainedToken = 1.0 / 100000;
 constexpr double kMaxAttainedDelay = 120;
 /// Seconds of delay for each token by which a flow is ahead of its share.
 constexpr double kDelayPerShareToken = 1.0 / 4000;
--- a/scheduling/compare/comparison_run.cpp
+++ b/scheduling/compare/comparison_run.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 #include "scheduling/compare/simulation.h"
@@ -45,7 +46,7 @@
     return 0;
   }
   const double position = q * static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<size_t>(position + 0.5)];
+  return sorted[static_cast<size_t>(std::lround(position))];
 }
 
 }  // namespace hawthorn::scheduling::compare
--- a/scheduling/compare/fake_engine.cpp
+++ b/scheduling/compare/fake_engine.cpp
@@ -180,7 +180,7 @@
   if (settings_.cache_tokens > 0 && request.produced.hash != 0) {
     result.produced = request.produced;
   }
-  done.push_back(std::move(result));
+  done.push_back(result);
 }
 
 void FakeEngine::StoreShared(const Sequence& sequence, core::TimePoint now) {
--- a/scheduling/compare/simulation.cpp
+++ b/scheduling/compare/simulation.cpp
@@ -387,8 +387,8 @@
   if (options_.closed_loop > 0) {
     StartNextOfLoop();
   }
-  if (now_ >= start_ + options_.warm_up &&
-      now_ < start_ + options_.duration && success) {
+  if (now_ >= start_ + options_.warm_up && now_ < start_ + options_.duration &&
+      success) {
     result_.goodput += 1;
   }
   if (program.started < start_ + options_.warm_up) {
