--- a/control/configuration_patch.cpp
+++ b/control/configuration_patch.cpp
@@ -26,14 +26,22 @@
                    kIsPointedIdLess);
 }
 
+// Index of the element `id`, or -1.
 template <typename T>
-const T* FindIn(const List<T>& list, const std::string& id) {
+int IndexIn(const List<T>& list, const std::string& id) {
   const auto it =
       std::lower_bound(list.begin(), list.end(), id,
                        [](const T& element, const std::string& key) {
                          return element.id() < key;
                        });
-  return it != list.end() && it->id() == id ? &*it : nullptr;
+  const bool is_found = it != list.end() && it->id() == id;
+  return is_found ? static_cast<int>(it - list.begin()) : -1;
+}
+
+template <typename T>
+const T* FindIn(const List<T>& list, const std::string& id) {
+  const int index = IndexIn(list, id);
+  return index < 0 ? nullptr : &list.Get(index);
 }
 
 template <typename T>
@@ -121,9 +129,9 @@
   const int old_size = list->size();
   List<T> added;
   for (const T& it : put) {
-    const T* old = FindIn(*list, it.id());
-    if (old != nullptr) {
-      *list->Mutable(static_cast<int>(old - &*list->begin())) = it;
+    const int index = IndexIn(*list, it.id());
+    if (index >= 0) {
+      *list->Mutable(index) = it;
     } else {
       *added.Add() = it;
     }
--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -271,18 +271,7 @@
 }
 
 schema::ConfigurationUpdate ControlState::UpdateFrom(uint64_t revision) const {
-  schema::ConfigurationUpdate update;
-  update.set_from_revision(revision);
-  auto changes = history_.ChangesAfter(revision);
-  if (!changes.has_value()) {
-    *update.mutable_whole() = current_;
-    return update;
-  }
-  for (schema::RevisionRecord& it : *changes) {
-    it.clear_backward();
-    *update.add_changes() = std::move(it);
-  }
-  return update;
+  return history_.UpdateFrom(revision, current_);
 }
 
 std::string ControlState::Snapshot() const {
--- a/control/control_state.h
+++ b/control/control_state.h
@@ -51,7 +51,8 @@
       uint64_t revision) const;
 
   /// What an instance that knows `revision` needs to reach the one in force:
-  /// the changes in between or, where these are not kept, the whole.
+  /// the changes in between or, where these are not kept and for revision 0,
+  /// the whole.
   schema::ConfigurationUpdate UpdateFrom(uint64_t revision) const;
 
   const GroupTable& groups() const { return groups_; }
--- a/control/order_book.h
+++ b/control/order_book.h
@@ -42,6 +42,12 @@
   const std::map<uint64_t, schema::Order>& orders() const { return orders_; }
   /// Numbers of the orders that are not ended, oldest first.
   const std::set<uint64_t>& open_orders() const { return open_; }
+  /// Whether an attempt of some order may run at `upstream`.
+  bool IsBusy(const std::string& upstream) const {
+    return busy_upstreams_.count(upstream) > 0;
+  }
+  /// Loads from the weight store that may run.
+  size_t loads_under_way() const { return loading_.size(); }
   uint64_t last_order() const { return last_order_; }
   uint64_t last_fence() const { return last_fence_; }
   uint64_t last_fence_term() const { return last_fence_term_; }
--- a/control/revision_history.cpp
+++ b/control/revision_history.cpp
@@ -45,6 +45,25 @@
   return changes;
 }
 
+schema::ConfigurationUpdate RevisionHistory::UpdateFrom(
+    uint64_t revision, const schema::VersionedConfiguration& current) const {
+  schema::ConfigurationUpdate update;
+  update.set_from_revision(revision);
+  if (revision >= current.revision()) {
+    return update;
+  }
+  auto changes = ChangesAfter(revision);
+  if (revision == 0 || !changes.has_value() || changes->empty()) {
+    *update.mutable_whole() = current;
+    return update;
+  }
+  for (schema::RevisionRecord& it : *changes) {
+    it.clear_backward();
+    *update.add_changes() = std::move(it);
+  }
+  return update;
+}
+
 void RevisionHistory::Save(schema::ControlSnapshot* snapshot) const {
   for (const schema::RevisionRecord& it : records_) {
     *snapshot->add_history() = it;
--- a/control/revision_history.h
+++ b/control/revision_history.h
@@ -31,6 +31,12 @@
   std::optional<std::vector<schema::RevisionRecord>> ChangesAfter(
       uint64_t revision) const;
 
+  /// What an instance that knows `revision` needs to reach `current`, the
+  /// revision in force: the changes in between or, where these are not kept
+  /// and for revision 0, the whole.
+  schema::ConfigurationUpdate UpdateFrom(
+      uint64_t revision, const schema::VersionedConfiguration& current) const;
+
   void Save(schema::ControlSnapshot* snapshot) const;
   void Load(const schema::ControlSnapshot& snapshot);
 
