--- /dev/null
+++ b/main/answer_writer.cpp
@@ -0,0 +1,159 @@
+#include "main/answer_writer.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include "main/json.h"
+
+namespace hawthorn::main {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr char kDone[] = "data: [DONE]\n\n";
+
+QString Text(const std::string& text) { return QString::fromStdString(text); }
+
+QString OutcomeText(schema::Outcome outcome) {
+  switch (outcome) {
+    case schema::OUTCOME_RAN:
+      return "ran";
+    case schema::OUTCOME_NOT_RUN:
+      return "not run";
+    default:
+      return "unknown";
+  }
+}
+
+core::Execution ExecutionOf(schema::Outcome outcome) {
+  switch (outcome) {
+    case schema::OUTCOME_RAN:
+      return core::Execution::kRan;
+    case schema::OUTCOME_NOT_RUN:
+      return core::Execution::kNotRun;
+    default:
+      return core::Execution::kUnknown;
+  }
+}
+
+/// The recorded answer as JSON; a body that is no JSON stays a string.
+QJsonValue AnswerValue(const std::string& answer) {
+  const QJsonDocument document =
+      QJsonDocument::fromJson(QByteArray::fromStdString(answer));
+  if (document.isObject()) {
+    return document.object();
+  }
+  if (document.isArray()) {
+    return document.array();
+  }
+  return Text(answer);
+}
+
+QJsonObject NativeAnswer(const CallSubmission& call,
+                         const schema::FinishCall& outcome) {
+  QJsonObject object{{"program", Text(call.program.text())},
+                     {"number", qint64(call.number)},
+                     {"attempt", qint64(outcome.attempt())},
+                     {"outcome", OutcomeText(outcome.outcome())},
+                     {"tokens", qint64(outcome.used_tokens())},
+                     {"answer", AnswerValue(outcome.answer())}};
+  if (outcome.upstream_status() != 0) {
+    object["upstream_status"] = outcome.upstream_status();
+  }
+  return object;
+}
+
+QJsonObject ChatAnswer(const CallSubmission& call,
+                       const schema::FinishCall& outcome) {
+  const QJsonObject choice{{"index", 0},
+                           {"message", AnswerValue(outcome.answer())},
+                           {"finish_reason", "stop"}};
+  return {
+      {"id", Text(call.program.text() + "#" + std::to_string(call.number))},
+      {"object", "chat.completion"},
+      {"model", Text(call.service.text())},
+      {"choices", QJsonArray{choice}},
+      {"usage", QJsonObject{{"total_tokens", qint64(outcome.used_tokens())}}}};
+}
+
+std::string Event(const char* name, const QJsonObject& data) {
+  return std::string("event: ") + name + "\ndata: " + ToJson(data) + "\n\n";
+}
+
+}  // namespace
+
+core::Error ErrorOfOutcome(const schema::FinishCall& outcome) {
+  core::Error error;
+  error.execution = ExecutionOf(outcome.outcome());
+  error.code = core::ErrorCodeOf(outcome.error_code());
+  error.message = outcome.error_message();
+  return error;
+}
+
+void AnswerWriter::Begin(const Waiter& waiter) {
+  if (waiter.stream) {
+    http_.BeginStream(
+        waiter.exchange, kOk,
+        {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}});
+  }
+}
+
+void AnswerWriter::Token(const Waiter& waiter, size_t offset,
+                         const std::string& token) {
+  if (!waiter.stream) {
+    return;
+  }
+  if (waiter.format == AnswerFormat::kChatCompletion) {
+    const QJsonObject choice{{"index", 0},
+                             {"delta", QJsonObject{{"content", Text(token)}}}};
+    const QJsonObject chunk{{"object", "chat.completion.chunk"},
+                            {"choices", QJsonArray{choice}}};
+    http_.WritePiece(waiter.exchange, "data: " + ToJson(chunk) + "\n\n");
+    return;
+  }
+  http_.WritePiece(waiter.exchange, Event("token", {{"offset", qint64(offset)},
+                                                    {"text", Text(token)}}));
+}
+
+void AnswerWriter::Finish(const Waiter& waiter, const CallSubmission& call,
+                          const schema::FinishCall& outcome) {
+  if (waiter.stream) {
+    FinishStream(waiter, call, outcome);
+    return;
+  }
+  if (!outcome.error_code().empty()) {
+    Refuse(waiter, ErrorOfOutcome(outcome), false);
+    return;
+  }
+  const QJsonObject body = waiter.format == AnswerFormat::kNative
+                               ? NativeAnswer(call, outcome)
+                               : ChatAnswer(call, outcome);
+  http_.Respond(waiter.exchange, kOk, JsonHeaders(), ToJson(body) + "\n");
+}
+
+void AnswerWriter::FinishStream(const Waiter& waiter,
+                                const CallSubmission& call,
+                                const schema::FinishCall& outcome) {
+  if (!outcome.error_code().empty()) {
+    Refuse(waiter, ErrorOfOutcome(outcome), true);
+    return;
+  }
+  const bool chat = waiter.format == AnswerFormat::kChatCompletion;
+  http_.WritePiece(
+      waiter.exchange,
+      chat ? std::string(kDone) : Event("end", NativeAnswer(call, outcome)));
+  http_.EndStream(waiter.exchange);
+}
+
+void AnswerWriter::Refuse(const Waiter& waiter, const core::Error& error,
+                          bool streaming) {
+  if (!streaming) {
+    http_.Respond(waiter.exchange, StatusOf(error.code), ErrorHeaders(error),
+                  ToJson(ErrorObject(error)) + "\n");
+    return;
+  }
+  http_.WritePiece(waiter.exchange, Event("error", ErrorObject(error)));
+  http_.EndStream(waiter.exchange);
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/call.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/id.h"
+#include "ledger.pb.h"
+#include "main/event_stream_parser.h"
+#include "scheduling/call.h"
+#include "transport/http_server.h"
+
+namespace hawthorn::main {
+
+/// Shape in which a caller reads an answer.
+enum class AnswerFormat { kNative, kChatCompletion };
+
+/// A caller's exchange that waits for a call.
+struct Waiter {
+  transport::ExchangeId exchange = 0;
+  bool stream = false;
+  AnswerFormat format = AnswerFormat::kNative;
+
+  bool operator==(const Waiter&) const = default;
+};
+
+/// A call as a caller asks for it.
+struct CallSubmission {
+  core::OrganisationId organisation;
+  /// Empty for an idempotent call outside a program.
+  core::ProgramId program;
+  uint32_t number = 0;
+  std::string service_class;
+  core::ServiceId service;
+  schema::CallKind kind = schema::CALL_KIND_MODEL;
+  /// Path of a plain service's operation, with the leading slash.
+  std::string operation;
+  /// JSON array of new messages, or the body of a plain operation.
+  std::string messages;
+  int64_t max_tokens = 0;
+  std::chrono::milliseconds timeout{0};
+  Waiter waiter;
+
+  bool operator==(const CallSubmission&) const = default;
+};
+
+/// State of a call that this instance holds.
+struct OpenCall {
+  enum class State {
+    kBeginning,  ///< The intent is being committed.
+    kJoining,    ///< Another instance holds the call.
+    kReading,    ///< The history is being read.
+    kQueued,     ///< The scheduler holds it.
+    kRunning,    ///< An upstream holds the attempt.
+    kRetrying,   ///< The next attempt is being opened.
+    kFinishing,  ///< The outcome is being committed.
+  };
+
+  uint64_t id = 0;
+  CallSubmission submission;
+  std::string digest;
+  State state = State::kBeginning;
+  core::TimePoint started_at;
+  core::TimePoint deadline;
+  std::vector<Waiter> waiters;
+  /// Streams of the waiters were begun.
+  bool streaming = false;
+  /// Attempt of the ledger; 1 is the first.
+  uint32_t attempt = 0;
+  /// Names the attempt towards the scheduler and the upstream.
+  uint64_t attempt_id = 0;
+  /// Names the dispatch in the ledger.
+  uint64_t intent = 0;
+  core::Error last_error;
+  bool slice_granted = false;
+  scheduling::CallRequest request;
+  core::UpstreamId upstream;
+  uint64_t upstream_incarnation = 0;
+  std::string history;
+  /// Tokens of a model's answer, resumed by the next attempt.
+  std::vector<std::string> tokens;
+  EventStreamParser parser;
+  std::string body;
+  bool model_done = false;
+  int64_t prompt_tokens = 0;
+  int64_t cached_tokens = 0;
+  schema::FinishCall outcome;
+  /// What the callers are told where the call failed here.
+  std::optional<core::Error> failure;
+};
+
+/// Key of an open call: program and number, or the id outside programs.
+inline std::string CallKey(const CallSubmission& submission, uint64_t id) {
+  if (submission.program.empty()) {
+    return "#" + std::to_string(id);
+  }
+  return submission.program.text() + "#" + std::to_string(submission.number);
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/call_controller.cpp
@@ -0,0 +1,715 @@
+#include "main/call_controller.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <algorithm>
+
+#include "main/json.h"
+#include "main/ledger_messages.h"
+
+namespace hawthorn::main {
+
+namespace {
+
+constexpr std::chrono::milliseconds kJoinPollInterval{100};
+constexpr std::chrono::milliseconds kCommitRetryInterval{100};
+constexpr std::chrono::milliseconds kSilenceTimeout{10'000};
+constexpr int64_t kDefaultMaxTokens = 512;
+constexpr int kFirstFailureStatus = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr char kNotRunMark[] = "not run";
+
+}  // namespace
+
+std::string HomeZoneOf(const core::ProgramId& program) {
+  return program.text().substr(0, program.text().find('.'));
+}
+
+CallController::CallController(Parts parts, std::string owner, size_t zones,
+                               CatalogSource catalog, TargetSource target)
+    : parts_(std::move(parts)),
+      owner_(std::move(owner)),
+      zones_(zones),
+      catalog_(std::move(catalog)),
+      target_(std::move(target)),
+      answers_(parts_.http) {}
+
+bool CallController::IsModel(const OpenCall& call) const {
+  return call.submission.kind == schema::CALL_KIND_MODEL;
+}
+
+std::string CallController::GroupOf(const OpenCall& call) const {
+  return LedgerGroup(HomeZoneOf(call.submission.program));
+}
+
+void CallController::Submit(const CallSubmission& submission) {
+  const uint64_t id = ++last_id_;
+  const auto it = calls_.find(CallKey(submission, id));
+  if (it != calls_.end() && Join(it->second, submission)) {
+    return;
+  }
+  auto call = std::make_shared<OpenCall>();
+  call->id = id;
+  call->submission = submission;
+  call->digest = DigestOf(submission);
+  call->intent = parts_.random() | 1;
+  call->started_at = parts_.clock.Now();
+  call->deadline = call->started_at + submission.timeout;
+  call->waiters.push_back(submission.waiter);
+  calls_[CallKey(submission, id)] = call;
+  by_exchange_[submission.waiter.exchange] = call;
+  if (submission.program.empty()) {
+    Enqueue(call);
+    return;
+  }
+  Begin(call);
+}
+
+bool CallController::Join(const CallPtr& call,
+                          const CallSubmission& submission) {
+  if (call->submission.organisation != submission.organisation) {
+    answers_.Refuse(submission.waiter,
+                    NotRun(core::ErrorCode::kNotFound, "no such program"),
+                    false);
+    return true;
+  }
+  if (call->digest != DigestOf(submission)) {
+    answers_.Refuse(submission.waiter,
+                    NotRun(core::ErrorCode::kConflict,
+                           "the call number is in use with other content"),
+                    false);
+    return true;
+  }
+  call->waiters.push_back(submission.waiter);
+  by_exchange_[submission.waiter.exchange] = call;
+  if (call->state == OpenCall::State::kRunning) {
+    answers_.Begin(submission.waiter);
+    for (size_t n = 0; n < call->tokens.size(); ++n) {
+      answers_.Token(submission.waiter, n, call->tokens[n]);
+    }
+  }
+  return true;
+}
+
+void CallController::Propose(
+    const CallPtr& call, const schema::LedgerCommand& command,
+    void (CallController::*next)(const CallPtr&,
+                                 const core::Result<std::string>&)) {
+  parts_.groups.Propose(
+      GroupOf(*call), command.SerializeAsString(),
+      [this, call, next](const core::Result<std::string>& result) {
+        (this->*next)(call, result);
+      });
+}
+
+void CallController::Later(std::chrono::milliseconds delay, const CallPtr& call,
+                           void (CallController::*next)(const CallPtr&)) {
+  parts_.timers.At(parts_.clock.Now() + delay,
+                   [this, call, next] { (this->*next)(call); });
+}
+
+void CallController::Begin(const CallPtr& call) {
+  const auto catalog = catalog_();
+  Propose(
+      call,
+      MakeBegin(call->submission,
+                catalog->FindOrganisation(call->submission.organisation),
+                call->digest, {owner_, call->intent}, parts_.clock.WallNow()),
+      &CallController::OnBegun);
+}
+
+void CallController::OnBegun(const CallPtr& call,
+                             const core::Result<std::string>& result) {
+  const bool expired = parts_.clock.Now() >= call->deadline;
+  if (!core::IsOk(result)) {
+    const core::Error& error = core::ErrorOf(result);
+    if (error.execution == core::Execution::kUnknown && !expired) {
+      Later(kCommitRetryInterval, call, &CallController::Begin);
+      return;
+    }
+    // Nothing was dispatched, so the work did not happen whatever became of
+    // the intent. An intent that is committed after all is ended below.
+    core::Error refusal = error;
+    refusal.execution = core::Execution::kNotRun;
+    RefuseAll(call, refusal);
+    if (error.execution == core::Execution::kUnknown) {
+      Later(kCommitRetryInterval, call, &CallController::Begin);
+      return;
+    }
+    Close(call);
+    return;
+  }
+  schema::LedgerReply reply;
+  reply.ParseFromString(core::Value(result));
+  switch (reply.verdict()) {
+    case schema::VERDICT_ACCEPTED:
+      OnAccepted(call, reply);
+      return;
+    case schema::VERDICT_RECORDED:
+      call->outcome = reply.recorded();
+      call->failure.reset();
+      AnswerAll(call);
+      return;
+    case schema::VERDICT_JOIN:
+      call->state = OpenCall::State::kJoining;
+      if (expired || call->waiters.empty()) {
+        core::Error error = NotRun(core::ErrorCode::kDeadlineExceeded,
+                                   "the call is under way at another instance");
+        error.execution = core::Execution::kUnknown;
+        error.retry_after = kJoinPollInterval;
+        RefuseAll(call, error);
+        Close(call);
+        return;
+      }
+      Later(kJoinPollInterval, call, &CallController::Begin);
+      return;
+    default:
+      OnRefused(call, reply);
+  }
+}
+
+void CallController::OnRefused(const CallPtr& call,
+                               const schema::LedgerReply& reply) {
+  if (reply.verdict() == schema::VERDICT_ORGANISATION_LIMIT &&
+      !call->slice_granted) {
+    call->slice_granted = true;
+    GrantSlice(call);
+    return;
+  }
+  RefuseAll(call, ErrorOfVerdict(reply));
+  Close(call);
+}
+
+void CallController::GrantSlice(const CallPtr& call) {
+  const auto catalog = catalog_();
+  const auto* organisation =
+      catalog->FindOrganisation(call->submission.organisation);
+  if (organisation == nullptr) {
+    RefuseAll(call, NotRun(core::ErrorCode::kUnauthenticated,
+                           "the organisation was removed"));
+    Close(call);
+    return;
+  }
+  const auto command =
+      MakeGrant(*organisation, HomeZoneOf(call->submission.program), zones_,
+                parts_.clock.WallNow());
+  parts_.groups.Propose(
+      GroupOf(*call), command.SerializeAsString(),
+      [this, call](const core::Result<std::string>&) { Begin(call); });
+}
+
+void CallController::OnAccepted(const CallPtr& call,
+                                const schema::LedgerReply& reply) {
+  call->attempt = reply.attempt();
+  call->request.attained_tokens = reply.attained_tokens();
+  call->request.prompt_tokens = reply.history_tokens();
+  call->request.isolate = reply.isolate();
+  if (call->waiters.empty()) {
+    Fail(call, schema::OUTCOME_NOT_RUN,
+         NotRun(core::ErrorCode::kCancelled, "the caller left"));
+    return;
+  }
+  if (IsModel(*call) && call->submission.number > 1) {
+    ReadHistory(call);
+    return;
+  }
+  Enqueue(call);
+}
+
+void CallController::ReadHistory(const CallPtr& call) {
+  call->state = OpenCall::State::kReading;
+  parts_.groups.Query(
+      GroupOf(*call),
+      MakeHistoryQuery(call->submission.organisation, call->submission.program),
+      [this, call](const core::Result<std::string>& result) {
+        if (!core::IsOk(result)) {
+          Fail(call, schema::OUTCOME_NOT_RUN, core::ErrorOf(result));
+          return;
+        }
+        call->history = HistoryMessages(core::Value(result));
+        Enqueue(call);
+      });
+}
+
+scheduling::CallRequest CallController::MakeRequest(
+    const OpenCall& call) const {
+  const auto catalog = catalog_();
+  scheduling::CallRequest request = call.request;
+  const CallSubmission& submission = call.submission;
+  request.id = call.attempt_id;
+  request.program = submission.program;
+  request.organisation = submission.organisation;
+  request.service_class = submission.service_class;
+  request.service = submission.service;
+  request.max_output_tokens =
+      submission.max_tokens > 0 ? submission.max_tokens : kDefaultMaxTokens;
+  request.deadline = call.deadline;
+  if (const auto* it = catalog->FindOrganisation(submission.organisation)) {
+    request.organisation_weight = it->weight();
+  }
+  if (const auto* it = catalog->FindClass(submission.service_class)) {
+    request.class_weight = it->weight();
+    request.interactive = it->interactive();
+  }
+  if (IsModel(call) && submission.number > 1) {
+    request.prefix = {{PrefixHash(submission.program, submission.number - 1),
+                       request.prompt_tokens}};
+  }
+  request.prompt_tokens += EstimateTokens(submission.messages);
+  return request;
+}
+
+void CallController::Enqueue(const CallPtr& call) {
+  if (call->waiters.empty()) {
+    Fail(call, schema::OUTCOME_NOT_RUN,
+         NotRun(core::ErrorCode::kCancelled, "the caller left"));
+    return;
+  }
+  call->attempt_id = ++last_id_;
+  call->state = OpenCall::State::kQueued;
+  by_attempt_[call->attempt_id] = call;
+  const core::Status status =
+      parts_.scheduler.Enqueue(MakeRequest(*call), parts_.clock.Now());
+  if (!core::IsOk(status)) {
+    by_attempt_.erase(call->attempt_id);
+    Fail(call, schema::OUTCOME_NOT_RUN, core::ErrorOf(status));
+    return;
+  }
+  Pump();
+}
+
+void CallController::Pump() {
+  const core::TimePoint now = parts_.clock.Now();
+  for (const scheduling::Refusal& refusal : parts_.scheduler.TakeRefused(now)) {
+    const auto it = by_attempt_.find(refusal.call);
+    if (it == by_attempt_.end()) {
+      continue;
+    }
+    const CallPtr call = it->second;
+    by_attempt_.erase(it);
+    Fail(call, schema::OUTCOME_NOT_RUN, refusal.error);
+  }
+  for (const scheduling::Dispatch& dispatch : parts_.scheduler.Next(now)) {
+    Launch(dispatch);
+  }
+}
+
+void CallController::Launch(const scheduling::Dispatch& dispatch) {
+  const auto it = by_attempt_.find(dispatch.call);
+  const auto target = target_(dispatch.upstream);
+  if (it == by_attempt_.end() || !target) {
+    parts_.scheduler.OnFinished(
+        {dispatch.call, scheduling::CallOutcome::kUnreachable, 0, 0, 0, {}},
+        parts_.clock.Now());
+    if (it != by_attempt_.end()) {
+      const CallPtr call = it->second;
+      by_attempt_.erase(it);
+      Enqueue(call);
+    }
+    return;
+  }
+  const CallPtr call = it->second;
+  call->state = OpenCall::State::kRunning;
+  call->upstream = dispatch.upstream;
+  call->upstream_incarnation = target->incarnation;
+  call->parser = EventStreamParser();
+  call->body.clear();
+  call->model_done = false;
+  if (dispatch.crosses_zone) {
+    parts_.metrics.Count("calls_across_zones");
+  }
+  if (!call->streaming) {
+    call->streaming = true;
+    for (const Waiter& waiter : call->waiters) {
+      answers_.Begin(waiter);
+    }
+  }
+  parts_.metrics.Count("dispatches");
+  parts_.upstreams.Start(MakeUpstreamRequest(*call, *target));
+}
+
+transport::ClientRequest CallController::MakeUpstreamRequest(
+    const OpenCall& call, const UpstreamTarget& to) const {
+  const CallSubmission& submission = call.submission;
+  transport::ClientRequest request;
+  request.id = call.attempt_id;
+  request.address = to.address;
+  request.target = IsModel(call) ? "/v1/generate" : submission.operation;
+  request.body = IsModel(call) ? ModelBody(call) : submission.messages;
+  request.headers = {{"Content-Type", "application/json"},
+                     {"Hawthorn-Program", submission.program.text()},
+                     {"Hawthorn-Call", std::to_string(submission.number)},
+                     {"Hawthorn-Attempt", std::to_string(call.attempt)},
+                     {"Hawthorn-Organisation", submission.organisation.text()}};
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - parts_.clock.Now());
+  request.timeout = std::max(left, std::chrono::milliseconds(1));
+  request.silence_timeout = std::min(request.timeout, kSilenceTimeout);
+  return request;
+}
+
+std::string CallController::ModelBody(const OpenCall& call) const {
+  QJsonArray messages =
+      QJsonDocument::fromJson(QByteArray::fromStdString(call.history)).array();
+  const QJsonArray added =
+      QJsonDocument::fromJson(
+          QByteArray::fromStdString(call.submission.messages))
+          .array();
+  for (const auto& it : added) {
+    messages.append(it);
+  }
+  const int64_t max_tokens = call.submission.max_tokens > 0
+                                 ? call.submission.max_tokens
+                                 : kDefaultMaxTokens;
+  return ToJson(QJsonObject{
+      {"program", QString::fromStdString(call.submission.program.text())},
+      {"call", qint64(call.submission.number)},
+      {"attempt", qint64(call.attempt)},
+      {"messages", messages},
+      {"max_tokens", qint64(max_tokens)},
+      {"offset", qint64(call.tokens.size())}});
+}
+
+void CallController::OnUpstreamPiece(uint64_t attempt,
+                                     const std::string& bytes) {
+  const auto it = by_attempt_.find(attempt);
+  if (it == by_attempt_.end()) {
+    parts_.metrics.Count("late_answers");
+    return;
+  }
+  const CallPtr call = it->second;
+  if (!IsModel(*call)) {
+    call->body += bytes;
+    return;
+  }
+  for (const QJsonObject& event : call->parser.Feed(bytes)) {
+    OnModelEvent(call, event);
+  }
+}
+
+void CallController::OnModelEvent(const CallPtr& call,
+                                  const QJsonObject& event) {
+  if (event["done"].toBool()) {
+    call->model_done = true;
+    call->prompt_tokens = event["prompt_tokens"].toInteger();
+    call->cached_tokens = event["cached_tokens"].toInteger();
+    return;
+  }
+  const auto offset = static_cast<size_t>(event["offset"].toInteger());
+  if (offset != call->tokens.size()) {
+    parts_.metrics.Count("tokens_out_of_order");
+    return;
+  }
+  call->tokens.push_back(event["token"].toString().toStdString());
+  for (const Waiter& waiter : call->waiters) {
+    answers_.Token(waiter, offset, call->tokens.back());
+  }
+}
+
+void CallController::OnUpstreamEnded(uint64_t attempt,
+                                     const transport::ClientAnswer& answer) {
+  const auto it = by_attempt_.find(attempt);
+  if (it == by_attempt_.end()) {
+    parts_.metrics.Count("late_answers");
+    return;
+  }
+  const CallPtr call = it->second;
+  by_attempt_.erase(it);
+  OnAttemptEnded(call, answer);
+  Pump();
+}
+
+void CallController::OnAttemptEnded(const CallPtr& call,
+                                    const transport::ClientAnswer& answer) {
+  const bool refused = answer.execution == kNotRunMark;
+  const bool ok = answer.complete && answer.status < kFirstFailureStatus;
+  if (ok && (!IsModel(*call) || call->model_done)) {
+    ReportResult(*call, scheduling::CallOutcome::kSucceeded);
+    Succeed(call, answer.status);
+    return;
+  }
+  core::Error error = answer.error;
+  if (answer.complete) {
+    error = core::Error{
+        core::ErrorCode::kUnavailable,
+        ok ? "the engine ended its stream before the answer"
+           : "the upstream answered with status " +
+                 std::to_string(answer.status),
+        refused ? core::Execution::kNotRun : core::Execution::kUnknown,
+        {}};
+  }
+  const bool unreachable = error.execution == core::Execution::kNotRun;
+  ReportResult(*call, unreachable && !refused
+                          ? scheduling::CallOutcome::kUnreachable
+                          : scheduling::CallOutcome::kFailed);
+  const bool answered = answer.complete && !refused &&
+                        answer.status != kTooManyRequests &&
+                        answer.status != kServiceUnavailable &&
+                        answer.status >= kFirstFailureStatus;
+  if (answered && !IsModel(*call)) {
+    Succeed(call, answer.status);
+    return;
+  }
+  if (!answer.complete && !unreachable) {
+    ReportCrash(*call);
+  }
+  if (call->submission.kind == schema::CALL_KIND_NON_IDEMPOTENT) {
+    Fail(call, unreachable ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN,
+         error);
+    return;
+  }
+  Retry(call, error);
+}
+
+void CallController::ReportResult(const OpenCall& call,
+                                  scheduling::CallOutcome outcome) {
+  scheduling::CallResult result;
+  result.call = call.attempt_id;
+  result.outcome = outcome;
+  result.prompt_tokens = call.prompt_tokens;
+  result.cached_tokens = call.cached_tokens;
+  result.output_tokens = static_cast<int64_t>(call.tokens.size());
+  if (outcome == scheduling::CallOutcome::kSucceeded && IsModel(call)) {
+    result.produced = {
+        PrefixHash(call.submission.program, call.submission.number),
+        call.prompt_tokens + result.output_tokens};
+  }
+  parts_.scheduler.OnFinished(result, parts_.clock.Now());
+}
+
+void CallController::ReportCrash(const OpenCall& call) {
+  if (call.submission.program.empty()) {
+    return;
+  }
+  uint32_t together = 1;
+  for (const auto& [id, other] : by_attempt_) {
+    const bool same = other->upstream == call.upstream;
+    together += same && other->state == OpenCall::State::kRunning ? 1 : 0;
+  }
+  const auto command =
+      MakeCrashReport(call.submission, call.upstream, call.upstream_incarnation,
+                      together, parts_.clock.WallNow());
+  parts_.groups.Propose(GroupOf(call), command.SerializeAsString(),
+                        [](const core::Result<std::string>&) {});
+}
+
+void CallController::Retry(const CallPtr& call, const core::Error& error) {
+  const auto delay = parts_.scheduler.RetryDelay(
+      {call->submission.organisation, call->submission.service,
+       std::max<uint32_t>(1, call->attempt)},
+      parts_.clock.Now());
+  const bool late = parts_.clock.Now() >= call->deadline;
+  if (!core::IsOk(delay) || late || call->waiters.empty()) {
+    const bool ran = error.execution != core::Execution::kNotRun;
+    Fail(call, ran ? schema::OUTCOME_UNKNOWN : schema::OUTCOME_NOT_RUN, error);
+    return;
+  }
+  parts_.metrics.Count("retries");
+  call->state = OpenCall::State::kRetrying;
+  call->request.excluded = {call->upstream};
+  if (call->submission.program.empty()) {
+    ++call->attempt;
+    Later(core::Value(delay), call, &CallController::Enqueue);
+    return;
+  }
+  call->last_error = error;
+  call->intent = parts_.random() | 1;
+  Later(core::Value(delay), call, &CallController::OpenNextAttempt);
+}
+
+void CallController::OpenNextAttempt(const CallPtr& call) {
+  FailedAttempt failed;
+  failed.attempt = call->attempt;
+  failed.outcome = call->last_error.execution == core::Execution::kNotRun
+                       ? schema::OUTCOME_NOT_RUN
+                       : schema::OUTCOME_UNKNOWN;
+  failed.used_tokens = static_cast<int64_t>(call->tokens.size());
+  Propose(call,
+          MakeRetry(call->submission, failed, {owner_, call->intent},
+                    parts_.clock.WallNow()),
+          &CallController::OnRetryOpened);
+}
+
+void CallController::OnRetryOpened(const CallPtr& call,
+                                   const core::Result<std::string>& result) {
+  schema::LedgerReply reply;
+  if (core::IsOk(result)) {
+    reply.ParseFromString(core::Value(result));
+  }
+  if (reply.verdict() == schema::VERDICT_ACCEPTED) {
+    call->attempt = reply.attempt();
+    call->request.isolate = reply.isolate();
+    Enqueue(call);
+    return;
+  }
+  if (reply.has_recorded()) {
+    call->outcome = reply.recorded();
+    AnswerAll(call);
+    return;
+  }
+  if (!core::IsOk(result) && parts_.clock.Now() < call->deadline) {
+    Later(kCommitRetryInterval, call, &CallController::OpenNextAttempt);
+    return;
+  }
+  Fail(call, schema::OUTCOME_UNKNOWN, call->last_error);
+}
+
+void CallController::Succeed(const CallPtr& call, int upstream_status) {
+  call->outcome.set_outcome(schema::OUTCOME_RAN);
+  call->outcome.set_upstream_status(upstream_status);
+  if (IsModel(*call)) {
+    call->outcome.set_answer(AssistantMessage(call->tokens));
+    call->outcome.set_used_tokens(call->prompt_tokens +
+                                  static_cast<int64_t>(call->tokens.size()));
+  } else {
+    call->outcome.set_answer(call->body);
+  }
+  CommitOutcome(call);
+}
+
+void CallController::Fail(const CallPtr& call, schema::Outcome outcome,
+                          const core::Error& error) {
+  call->outcome.set_outcome(outcome);
+  call->outcome.set_error_code(std::string(ToString(error.code)));
+  call->outcome.set_error_message(error.message);
+  call->failure = error;
+  call->failure->execution = ErrorOfOutcome(call->outcome).execution;
+  CommitOutcome(call);
+}
+
+void CallController::CommitOutcome(const CallPtr& call) {
+  call->state = OpenCall::State::kFinishing;
+  call->outcome.set_program(call->submission.program.text());
+  call->outcome.set_organisation(call->submission.organisation.text());
+  call->outcome.set_number(call->submission.number);
+  call->outcome.set_attempt(call->attempt);
+  if (call->submission.program.empty()) {
+    AnswerAll(call);
+    return;
+  }
+  schema::LedgerCommand command = CommandAt(parts_.clock.WallNow());
+  *command.mutable_finish() = call->outcome;
+  Propose(call, command, &CallController::OnOutcomeCommitted);
+}
+
+void CallController::OnOutcomeCommitted(
+    const CallPtr& call, const core::Result<std::string>& result) {
+  if (!core::IsOk(result)) {
+    // The outcome must reach the ledger before the caller hears the end; a
+    // caller whose time is over is told what happened and may ask again.
+    if (parts_.clock.Now() >= call->deadline) {
+      core::Error error = core::ErrorOf(result);
+      error.execution = ErrorOfOutcome(call->outcome).execution;
+      error.message = "the outcome is not yet recorded: " + error.message;
+      error.retry_after = kCommitRetryInterval;
+      RefuseAll(call, error);
+    }
+    Later(kCommitRetryInterval, call, &CallController::CommitOutcome);
+    return;
+  }
+  schema::LedgerReply reply;
+  reply.ParseFromString(core::Value(result));
+  if (reply.verdict() == schema::VERDICT_STALE) {
+    // Another instance took the call over; its record is the truth.
+    parts_.metrics.Count("stale_outcomes");
+    call->failure.reset();
+    if (!reply.has_recorded()) {
+      call->state = OpenCall::State::kBeginning;
+      Begin(call);
+      return;
+    }
+  }
+  if (reply.has_recorded()) {
+    call->outcome = reply.recorded();
+  }
+  AnswerAll(call);
+}
+
+void CallController::AnswerAll(const CallPtr& call) {
+  for (const Waiter& waiter : call->waiters) {
+    if (call->failure) {
+      answers_.Refuse(waiter, *call->failure, waiter.stream && call->streaming);
+      continue;
+    }
+    if (waiter.stream && !call->streaming) {
+      answers_.Begin(waiter);
+    }
+    answers_.Finish(waiter, call->submission, call->outcome);
+  }
+  parts_.metrics.Observe(
+      {call->submission.organisation, call->submission.service_class},
+      parts_.clock.Now() - call->started_at);
+  Close(call);
+}
+
+void CallController::RefuseAll(const CallPtr& call, const core::Error& error) {
+  parts_.metrics.Count("refusals");
+  for (const Waiter& waiter : call->waiters) {
+    by_exchange_.erase(waiter.exchange);
+    answers_.Refuse(waiter, error, waiter.stream && call->streaming);
+  }
+  call->waiters.clear();
+}
+
+void CallController::Close(const CallPtr& call) {
+  for (const Waiter& waiter : call->waiters) {
+    by_exchange_.erase(waiter.exchange);
+  }
+  call->waiters.clear();
+  calls_.erase(CallKey(call->submission, call->id));
+}
+
+void CallController::ReleaseAttempt(const CallPtr& call) {
+  const bool queued = call->state == OpenCall::State::kQueued;
+  by_attempt_.erase(call->attempt_id);
+  if (queued) {
+    parts_.scheduler.Cancel(call->attempt_id, parts_.clock.Now());
+    return;
+  }
+  parts_.upstreams.Cancel(call->attempt_id);
+  ReportResult(*call, scheduling::CallOutcome::kCancelled);
+}
+
+void CallController::OnClientLeft(transport::ExchangeId exchange) {
+  const auto it = by_exchange_.find(exchange);
+  if (it == by_exchange_.end()) {
+    return;
+  }
+  const CallPtr call = it->second;
+  by_exchange_.erase(it);
+  std::erase_if(call->waiters, [exchange](const Waiter& waiter) {
+    return waiter.exchange == exchange;
+  });
+  const bool queued = call->state == OpenCall::State::kQueued;
+  const bool running = call->state == OpenCall::State::kRunning;
+  if (!call->waiters.empty() || !(queued || (running && IsModel(*call)))) {
+    return;
+  }
+  parts_.metrics.Count("calls_cancelled");
+  ReleaseAttempt(call);
+  Fail(call, queued ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN,
+       NotRun(core::ErrorCode::kCancelled, "the caller left"));
+  Pump();
+}
+
+void CallController::OnProgramEnded(const core::ProgramId& program) {
+  const std::string prefix = program.text() + "#";
+  std::vector<CallPtr> ended;
+  for (auto it = calls_.lower_bound(prefix);
+       it != calls_.end() && it->first.starts_with(prefix); ++it) {
+    ended.push_back(it->second);
+  }
+  for (const CallPtr& call : ended) {
+    const bool queued = call->state == OpenCall::State::kQueued;
+    const bool running = call->state == OpenCall::State::kRunning;
+    if (!queued && !(running && IsModel(*call))) {
+      continue;
+    }
+    ReleaseAttempt(call);
+    Fail(call, queued ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN,
+         NotRun(core::ErrorCode::kProgramEnded, "the program ended"));
+  }
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/call_controller.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "main/answer_writer.h"
+#include "main/call.h"
+#include "main/catalog.h"
+#include "main/group_client.h"
+#include "main/sinks.h"
+#include "main/timers.h"
+#include "scheduling/scheduler.h"
+
+namespace hawthorn::main {
+
+/// What the controller needs to know of an upstream to send it a call.
+struct UpstreamTarget {
+  std::string address;
+  uint64_t incarnation = 0;
+
+  bool operator==(const UpstreamTarget&) const = default;
+};
+
+/// Leads each call of this instance through its life: intent committed,
+/// queued, dispatched, outcome committed, answered. Runs in the thread of
+/// decisions.
+class CallController {
+ public:
+  /// Everything the controller works with; all outlive it.
+  struct Parts {
+    const core::Clock& clock;
+    core::Metrics& metrics;
+    GroupClient& groups;
+    scheduling::Scheduler& scheduler;
+    HttpSink& http;
+    UpstreamSink& upstreams;
+    Timers& timers;
+    /// Draws the names of dispatches.
+    std::function<uint64_t()> random;
+  };
+  using CatalogSource = std::function<std::shared_ptr<const Catalog>()>;
+  using TargetSource =
+      std::function<std::optional<UpstreamTarget>(const core::UpstreamId&)>;
+
+  /// `owner` names this run of the instance in the ledger; `zones` is the
+  /// number of zones that share the limits of organisations.
+  CallController(Parts parts, std::string owner, size_t zones,
+                 CatalogSource catalog, TargetSource target);
+
+  /// Takes a call or joins its exchange to the same call under way.
+  void Submit(const CallSubmission& submission);
+
+  /// Takes an exchange away; the last one to leave a model call cancels it.
+  void OnClientLeft(transport::ExchangeId exchange);
+  void OnUpstreamPiece(uint64_t attempt, const std::string& bytes);
+  void OnUpstreamEnded(uint64_t attempt, const transport::ClientAnswer& answer);
+
+  /// Sends what the scheduler decides and refuses what it gave up on.
+  void Pump();
+
+  /// Ends the open calls of programs that ended.
+  void OnProgramEnded(const core::ProgramId& program);
+
+  size_t open_calls() const { return calls_.size(); }
+  /// Calls that are with an upstream.
+  size_t running_calls() const { return by_attempt_.size(); }
+
+ private:
+  using CallPtr = std::shared_ptr<OpenCall>;
+
+  bool Join(const CallPtr& call, const CallSubmission& submission);
+  void Begin(const CallPtr& call);
+  void OnBegun(const CallPtr& call, const core::Result<std::string>& result);
+  void OnRefused(const CallPtr& call, const schema::LedgerReply& reply);
+  void GrantSlice(const CallPtr& call);
+  void OnAccepted(const CallPtr& call, const schema::LedgerReply& reply);
+  void ReadHistory(const CallPtr& call);
+  void OpenNextAttempt(const CallPtr& call);
+  void Enqueue(const CallPtr& call);
+  scheduling::CallRequest MakeRequest(const OpenCall& call) const;
+  void Launch(const scheduling::Dispatch& dispatch);
+  transport::ClientRequest MakeUpstreamRequest(const OpenCall& call,
+                                               const UpstreamTarget& to) const;
+  std::string ModelBody(const OpenCall& call) const;
+  void OnModelEvent(const CallPtr& call, const QJsonObject& event);
+  void OnAttemptEnded(const CallPtr& call,
+                      const transport::ClientAnswer& answer);
+  void ReportResult(const OpenCall& call, scheduling::CallOutcome outcome);
+  void ReportCrash(const OpenCall& call);
+  void Retry(const CallPtr& call, const core::Error& error);
+  void OnRetryOpened(const CallPtr& call,
+                     const core::Result<std::string>& result);
+  void Succeed(const CallPtr& call, int upstream_status);
+  void Fail(const CallPtr& call, schema::Outcome outcome,
+            const core::Error& error);
+  void CommitOutcome(const CallPtr& call);
+  void OnOutcomeCommitted(const CallPtr& call,
+                          const core::Result<std::string>& result);
+  void AnswerAll(const CallPtr& call);
+  void RefuseAll(const CallPtr& call, const core::Error& error);
+  void Close(const CallPtr& call);
+  void ReleaseAttempt(const CallPtr& call);
+  void Propose(const CallPtr& call, const schema::LedgerCommand& command,
+               void (CallController::*next)(const CallPtr&,
+                                            const core::Result<std::string>&));
+  void Later(std::chrono::milliseconds delay, const CallPtr& call,
+             void (CallController::*next)(const CallPtr&));
+  std::string GroupOf(const OpenCall& call) const;
+  bool IsModel(const OpenCall& call) const;
+
+  Parts parts_;
+  std::string owner_;
+  size_t zones_;
+  CatalogSource catalog_;
+  TargetSource target_;
+  AnswerWriter answers_;
+  uint64_t last_id_ = 0;
+  std::map<std::string, CallPtr> calls_;
+  std::unordered_map<uint64_t, CallPtr> by_attempt_;
+  std::unordered_map<transport::ExchangeId, CallPtr> by_exchange_;
+};
+
+/// Zone that a program id carries as its home.
+std::string HomeZoneOf(const core::ProgramId& program);
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/caller_api.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "main/call_controller.h"
+#include "main/catalog.h"
+#include "main/group_client.h"
+#include "main/sinks.h"
+#include "transport/http_server.h"
+
+namespace hawthorn::main {
+
+/// The HTTP interface of callers: programs, their calls, pauses and ends, and
+/// idempotent calls outside programs. Runs in the thread of decisions.
+class CallerApi {
+ public:
+  struct Parts {
+    const core::Clock& clock;
+    GroupClient& groups;
+    CallController& calls;
+    HttpSink& http;
+  };
+  using CatalogSource = std::function<std::shared_ptr<const Catalog>()>;
+  using RandomSource = std::function<uint64_t()>;
+
+  /// `zone` becomes the home of programs created here.
+  CallerApi(Parts parts, std::string zone, CatalogSource catalog,
+            RandomSource random);
+
+  /// Answers `request` if its path belongs to this interface.
+  bool OnRequest(const transport::HttpRequest& request);
+
+ private:
+  using Handler = std::function<void(const schema::LedgerReply&)>;
+
+  std::optional<core::OrganisationId> Authenticate(
+      const transport::HttpRequest& request);
+  void RouteProgram(const transport::HttpRequest& request,
+                    const core::OrganisationId& organisation);
+  void CreateProgram(const transport::HttpRequest& request,
+                     const core::OrganisationId& organisation);
+  void ReadProgram(const transport::HttpRequest& request,
+                   const core::OrganisationId& organisation,
+                   const core::ProgramId& program);
+  void SubmitCall(const transport::HttpRequest& request,
+                  const core::OrganisationId& organisation,
+                  const core::ProgramId& program);
+  void SubmitPlainCall(const transport::HttpRequest& request,
+                       const core::OrganisationId& organisation);
+  void SubmitChat(const transport::HttpRequest& request,
+                  const core::OrganisationId& organisation);
+  void ContinueChat(const transport::HttpRequest& request,
+                    const core::OrganisationId& organisation,
+                    const core::ProgramId& program, const QJsonObject& body);
+  void ChangeProgram(const transport::HttpRequest& request,
+                     const core::OrganisationId& organisation,
+                     const core::ProgramId& program, const std::string& action);
+  core::Result<CallSubmission> ParseCall(
+      const transport::HttpRequest& request, const QJsonObject& body,
+      const core::OrganisationId& organisation) const;
+  core::Status FillService(CallSubmission* submission) const;
+  void Propose(const transport::HttpRequest& request,
+               const core::ProgramId& program,
+               const schema::LedgerCommand& command, Handler on_accepted);
+  void Refuse(const transport::HttpRequest& request, const core::Error& error);
+  void Reply(const transport::HttpRequest& request, int status,
+             const QJsonObject& body);
+
+  Parts parts_;
+  std::string zone_;
+  CatalogSource catalog_;
+  RandomSource random_;
+};
+
+/// Reads the new messages of a chat request against what a program's history
+/// holds already. A request whose messages are all recorded repeats a call.
+struct ChatDelta {
+  uint32_t number = 1;
+  std::string messages;
+
+  bool operator==(const ChatDelta&) const = default;
+};
+
+/// Error kConflict where the messages contradict the history.
+core::Result<ChatDelta> ChatDeltaOf(const std::string& history_reply,
+                                    const QJsonArray& messages);
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/configuration_keeper.cpp
@@ -0,0 +1,94 @@
+#include "main/configuration_keeper.h"
+
+#include "control/operation_id.h"
+
+namespace hawthorn::main {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPullTimeout{1000};
+constexpr char kFirstAuthor[] = "first-configuration";
+
+}  // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(
+    Parts parts, const HostedGroupOf<control::ControlState>* control,
+    schema::Configuration first)
+    : parts_(parts), control_(control), first_(std::move(first)) {}
+
+void ConfigurationKeeper::Tick() {
+  if (control_ != nullptr) {
+    TakeOwn();
+    ProposeFirst();
+  }
+  parts_.instances.SetRevision(current_.revision());
+  parts_.node.SetReady(current_.revision() > 0 &&
+                       parts_.instances.MayServe(parts_.clock.Now()));
+}
+
+void ConfigurationKeeper::TakeOwn() {
+  const control::ControlState& state = control_->machine();
+  if (state.revision() <= current_.revision()) {
+    return;
+  }
+  current_ = state.current();
+  parts_.node.SetConfiguration(current_);
+}
+
+void ConfigurationKeeper::ProposeFirst() {
+  const bool needed = control_->is_leader() && control_->applied_index() > 0 &&
+                      control_->machine().revision() == 0;
+  if (!needed || proposing_) {
+    return;
+  }
+  proposing_ = true;
+  schema::ControlCommand command;
+  const core::WallTime now = parts_.clock.WallNow();
+  command.set_wall_ms(now.time_since_epoch().count());
+  schema::ApplyConfiguration& apply = *command.mutable_apply();
+  *apply.mutable_configuration() = first_;
+  apply.set_author(kFirstAuthor);
+  apply.set_operation(control::MakeOperationId(now, parts_.random()));
+  parts_.groups.Propose(
+      kControlGroup, command.SerializeAsString(),
+      [this](const core::Result<std::string>&) { proposing_ = false; });
+}
+
+void ConfigurationKeeper::OnPeerRevision(const core::InstanceId& from,
+                                         uint64_t revision) {
+  parts_.instances.HearRevision(revision);
+  if (revision <= current_.revision() || pulling_) {
+    return;
+  }
+  pulling_ = true;
+  schema::PeerMessage message;
+  message.mutable_pull();
+  parts_.peers.Request(
+      from, std::move(message), kPullTimeout,
+      [this](const core::Result<schema::PeerMessage>& it) { OnPulled(it); });
+}
+
+void ConfigurationKeeper::OnPulled(
+    const core::Result<schema::PeerMessage>& result) {
+  pulling_ = false;
+  if (!core::IsOk(result)) {
+    return;
+  }
+  schema::VersionedConfiguration pulled;
+  const bool parsed =
+      pulled.ParseFromString(core::Value(result).configuration());
+  if (!parsed || pulled.revision() <= current_.revision()) {
+    return;
+  }
+  current_ = pulled;
+  parts_.node.SetConfiguration(current_);
+  parts_.instances.SetRevision(current_.revision());
+}
+
+schema::PeerMessage ConfigurationKeeper::AnswerPull() const {
+  schema::PeerMessage message;
+  current_.SerializeToString(message.mutable_configuration());
+  return message;
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/ctl/operator_client.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <string>
+
+#include "core/error.h"
+
+namespace hawthorn::ctl {
+
+/// Blocking requests to the operators' interface of one instance.
+class OperatorClient {
+ public:
+  /// `address` is "IP:port"; `key` the operators' key.
+  OperatorClient(std::string address, std::string key)
+      : address_(std::move(address)), key_(std::move(key)) {}
+
+  /// Reads the JSON object at `path`. An error of the instance keeps its
+  /// code, message and execution.
+  core::Result<QJsonObject> Get(const std::string& path);
+  /// Sends `body` to `path`. It is not repeated when the answer is lost.
+  core::Result<QJsonObject> Post(const std::string& path,
+                                 const QJsonObject& body);
+  /// Reads the text at `path`.
+  core::Result<std::string> GetText(const std::string& path);
+
+ private:
+  core::Result<std::string> Run(const std::string& path,
+                                const QJsonObject* body);
+
+  std::string address_;
+  std::string key_;
+  QNetworkAccessManager manager_;
+};
+
+}  // namespace hawthorn::ctl
--- /dev/null
+++ b/main/daemon.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "control.pb.h"
+#include "core/bounded_ring.h"
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "main/events.h"
+#include "main/http_thread.h"
+#include "main/instance.h"
+#include "main/journal_thread.h"
+#include "main/peer_thread.h"
+#include "main/upstream_thread.h"
+#include "settings.pb.h"
+#include "storage/file_system.h"
+
+namespace hawthorn::main {
+
+/// One process of the system: a thread for each duty, joined by bounded
+/// rings. Made and run in the process's first thread, which serves HTTP.
+class Daemon {
+ public:
+  Daemon(const schema::Settings& settings, const Secrets& secrets,
+         const core::Clock& clock);
+  ~Daemon();
+
+  /// Opens stores, links and the HTTP address.
+  core::Status Start(const schema::Configuration& first_configuration);
+
+  /// Takes no new work, ends what is in flight and then quits the process's
+  /// event loop.
+  void Drain();
+
+  uint16_t http_port() const { return http_port_; }
+  uint16_t peer_port() const { return peer_port_; }
+
+ private:
+  static constexpr size_t kEventCapacity = 65536;
+
+  void PushOrWait(Event event);
+  void RunDecisions();
+  core::Result<std::unique_ptr<storage::LogStore>> OpenStore(
+      const std::string& group);
+
+  schema::Settings settings_;
+  Secrets secrets_;
+  const core::Clock& clock_;
+  core::Metrics metrics_;
+  storage::PosixFileSystem files_;
+  core::BoundedRing<Event> events_{kEventCapacity};
+  std::atomic<bool> stopping_{false};
+  std::unique_ptr<HttpThread> http_;
+  std::unique_ptr<UpstreamThread> upstreams_;
+  std::unique_ptr<PeerThread> peers_;
+  std::unique_ptr<JournalThread> journal_;
+  std::unique_ptr<Instance> instance_;
+  std::thread decisions_;
+  uint16_t http_port_ = 0;
+  uint16_t peer_port_ = 0;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/event_stream_parser.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <QJsonObject>
+#include <string>
+#include <vector>
+
+namespace hawthorn::main {
+
+/// Splits a stream of server-sent events into the JSON objects of its data
+/// fields (HTML Standard, section 9.2). Events without such an object are
+/// passed over.
+class EventStreamParser {
+ public:
+  /// Bytes of one event; a longer one makes the stream malformed.
+  static constexpr size_t kMaxEventBytes = 1024 * 1024;
+
+  /// Takes bytes and returns the events that became complete.
+  std::vector<QJsonObject> Feed(const std::string& bytes);
+
+  /// Whether an event was too long or its data no JSON object.
+  bool malformed() const { return malformed_; }
+
+ private:
+  void TakeEvent(const std::string& event, std::vector<QJsonObject>* events);
+
+  std::string pending_;
+  bool malformed_ = false;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/http_thread.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "main/events.h"
+#include "main/mailbox.h"
+#include "main/sinks.h"
+#include "transport/http_server.h"
+
+namespace hawthorn::main {
+
+/// The HTTP server in the process's first thread, reached from the thread of
+/// decisions. A full ring of events is answered with 503 here.
+class HttpThread final : public HttpSink {
+ public:
+  /// Returns false if the ring of events is full.
+  using EventSink = std::function<bool(Event)>;
+
+  HttpThread(transport::ListenerLimits limits, const core::Clock& clock,
+             EventSink events);
+
+  core::Result<uint16_t> Listen(const std::string& address);
+
+  void Respond(transport::ExchangeId exchange, int status,
+               transport::HeaderFields headers, std::string body) override;
+  void BeginStream(transport::ExchangeId exchange, int status,
+                   transport::HeaderFields headers) override;
+  void WritePiece(transport::ExchangeId exchange, std::string piece) override;
+  void EndStream(transport::ExchangeId exchange) override;
+
+  /// Stops listening and quits the event loop once every answer was sent.
+  void FinishAndQuit();
+
+  /// Tasks from other threads go through this mailbox.
+  Mailbox& mailbox() { return mailbox_; }
+  transport::HttpServer& server() { return server_; }
+
+ private:
+  void OnRequest(transport::HttpRequest request);
+
+  Mailbox mailbox_;
+  EventSink events_;
+  transport::HttpServer server_;
+  QTimer quit_timer_;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/instance.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/control_state.h"
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "main/configuration_keeper.h"
+#include "main/events.h"
+#include "main/hosted_group.h"
+#include "main/ledger_keeper.h"
+#include "main/node.h"
+#include "main/replicated_groups.h"
+#include "main/sinks.h"
+#include "main/timers.h"
+#include "membership/membership.h"
+#include "programs/ledger.h"
+#include "settings.pb.h"
+
+namespace hawthorn::main {
+
+/// Opens the store of a group's replica, given the group's name.
+using StoreFactory =
+    std::function<core::Result<std::unique_ptr<storage::LogStore>>(
+        const std::string&)>;
+
+/// Everything that the thread of decisions owns: membership, the replicas of
+/// groups, the configuration and the node.
+class Instance {
+ public:
+  struct Parts {
+    const core::Clock& clock;
+    core::Metrics& metrics;
+    HttpSink& http;
+    UpstreamSink& upstreams;
+    PeerSink& peers;
+    JournalSink& journal;
+    /// Draws identifiers and seeds.
+    std::function<uint64_t()> random;
+  };
+
+  /// Opens the stores and replicas. `first_configuration` is proposed where
+  /// the control group holds none.
+  static core::Result<std::unique_ptr<Instance>> Open(
+      Parts parts, const schema::Settings& settings, const Secrets& secrets,
+      const schema::Configuration& first_configuration,
+      const StoreFactory& open_store);
+
+  void Handle(Event event);
+  void Tick();
+
+  /// Lets operators cut links to other instances, for tests of partitions.
+  void AllowLinkCuts(
+      const std::function<void(std::set<core::InstanceId>)>& cut);
+
+  /// Whether a graceful shutdown has nothing left to wait for.
+  bool Finished() const { return finished_; }
+  Node& node() { return *node_; }
+
+ private:
+  Instance(Parts parts, const schema::Settings& settings);
+
+  core::Status OpenGroups(const StoreFactory& open_store);
+  core::Status OpenGroup(const std::string& name,
+                         const std::vector<std::string>& voters,
+                         const StoreFactory& open_store);
+  consensus::GroupOptions OptionsFor(
+      const std::string& name, const std::vector<std::string>& voters) const;
+  void OnPeer(PeerArrived& arrived);
+  void SendGossip(std::vector<membership::OutgoingGossip> messages);
+  void TickDrain();
+  void RegisterReadouts();
+  std::vector<std::string> VotersOf(const std::string& group) const;
+
+  Parts parts_;
+  schema::Settings settings_;
+  Timers timers_;
+  std::unique_ptr<membership::Membership> membership_;
+  std::unique_ptr<PeerSink> stamped_peers_;
+  std::unique_ptr<ReplicatedGroups> groups_;
+  std::vector<std::unique_ptr<HostedGroup>> hosted_;
+  const HostedGroupOf<control::ControlState>* control_ = nullptr;
+  std::unique_ptr<Node> node_;
+  std::unique_ptr<ConfigurationKeeper> configuration_;
+  std::unique_ptr<LedgerKeeper> ledgers_;
+  bool finished_ = false;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/ledger_keeper.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "main/group_client.h"
+#include "main/hosted_group.h"
+#include "membership/instance_directory.h"
+#include "programs/ledger.h"
+
+namespace hawthorn::main {
+
+/// Duties of a ledger's leader: it lets time pass in the ledger and takes
+/// over the open calls of instances that are gone. Runs in the thread of
+/// decisions.
+class LedgerKeeper {
+ public:
+  struct Parts {
+    const core::Clock& clock;
+    core::Metrics& metrics;
+    GroupClient& groups;
+    membership::InstanceDirectory& instances;
+    /// This run of the instance, "INSTANCE/INCARNATION".
+    std::string run;
+  };
+
+  explicit LedgerKeeper(Parts parts) : parts_(std::move(parts)) {}
+
+  /// Adds the own replica of the ledger group `name`.
+  void Add(const std::string& name,
+           const HostedGroupOf<programs::Ledger>* replica);
+
+  void Tick();
+
+ private:
+  struct Kept {
+    std::string name;
+    const HostedGroupOf<programs::Ledger>* replica = nullptr;
+    bool proposing = false;
+  };
+
+  void PassTime(Kept& kept);
+  void TakeOverLost(Kept& kept);
+  bool IsLost(const std::string& owner) const;
+  void Propose(Kept& kept, const schema::LedgerCommand& command);
+
+  Parts parts_;
+  std::vector<Kept> kept_;
+  core::TimePoint next_;
+};
+
+/// Name of the run of `instance` that started at `incarnation`.
+std::string RunName(const std::string& instance, uint32_t incarnation);
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/log.cpp
@@ -0,0 +1,70 @@
+#include "main/log.h"
+
+#include <log4cxx/asyncappender.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/mdc.h>
+
+#include <memory>
+#include <vector>
+
+namespace hawthorn::main {
+
+namespace {
+
+log4cxx::LoggerPtr Logger() {
+  static const log4cxx::LoggerPtr logger =
+      log4cxx::Logger::getLogger("hawthorn");
+  return logger;
+}
+
+log4cxx::LevelPtr ToLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::kInfo:
+      return log4cxx::Level::getInfo();
+    case LogLevel::kWarn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::kError:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+}  // namespace
+
+void StartLog(const schema::Settings& settings) {
+  auto layout = std::make_shared<log4cxx::JSONLayout>();
+  layout->setLocationInfo(false);
+  log4cxx::AppenderPtr target;
+  if (settings.log_file().empty()) {
+    target = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+  } else {
+    target = std::make_shared<log4cxx::FileAppender>(layout,
+                                                     settings.log_file(), true);
+  }
+  auto async = std::make_shared<log4cxx::AsyncAppender>();
+  async->addAppender(target);
+  Logger()->addAppender(async);
+  Logger()->setAdditivity(false);
+  Logger()->setLevel(log4cxx::Level::toLevel(settings.log_level()));
+  log4cxx::MDC::put("instance", settings.instance());
+}
+
+void Log(LogLevel level, const std::string& message, LogFields fields) {
+  const log4cxx::LevelPtr severity = ToLevel(level);
+  if (!Logger()->isEnabledFor(severity)) {
+    return;
+  }
+  std::vector<std::unique_ptr<log4cxx::MDC>> context;
+  for (const auto& [name, value] : fields) {
+    context.push_back(std::make_unique<log4cxx::MDC>(name, value));
+  }
+  Logger()->forcedLog(severity, message);
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/node.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "main/call_controller.h"
+#include "main/caller_api.h"
+#include "main/catalog.h"
+#include "main/events.h"
+#include "main/group_client.h"
+#include "main/operator_api.h"
+#include "main/sinks.h"
+#include "main/timers.h"
+#include "main/upstream_api.h"
+#include "main/upstream_registry.h"
+#include "membership/upstream_directory.h"
+#include "scheduling/scheduler.h"
+#include "settings.pb.h"
+
+namespace hawthorn::main {
+
+/// Secrets that an instance reads from files.
+struct Secrets {
+  std::string peer_key;
+  std::string operator_key;
+  std::string upstream_key;
+};
+
+/// The decisions of one instance: it takes the events of all other threads
+/// and tells them what to do. Owned by the thread of decisions.
+class Node {
+ public:
+  struct Parts {
+    const core::Clock& clock;
+    core::Metrics& metrics;
+    GroupClient& groups;
+    HttpSink& http;
+    UpstreamSink& upstreams;
+    Timers& timers;
+    membership::UpstreamDirectory& directory;
+    /// Draws identifiers.
+    std::function<uint64_t()> random;
+  };
+
+  /// `run` names this run of the instance: it differs after each start.
+  Node(Parts parts, const schema::Settings& settings, const Secrets& secrets,
+       std::string run);
+
+  void Handle(Event event);
+
+  /// Lets time pass; call at least every few milliseconds.
+  void Tick();
+
+  /// Puts a configuration in force; an older revision is ignored.
+  void SetConfiguration(const schema::VersionedConfiguration& configuration);
+
+  /// Opens the instance for traffic.
+  void SetReady(bool ready) { ready_ = ready; }
+
+  /// The instances of the own zone that share its upstreams.
+  void SetInstanceCount(size_t instances);
+
+  /// Registers a read-out or command for operators.
+  void RegisterReadout(const std::string& name, OperatorApi::Readout readout);
+
+  std::shared_ptr<const Catalog> catalog() const { return catalog_; }
+  bool draining() const { return draining_; }
+  /// A draining node with nothing left to do.
+  bool Drained() const { return draining_ && calls_->open_calls() == 0; }
+  std::string health() const;
+  const std::string& run() const { return run_; }
+
+ private:
+  void OnRequest(const transport::HttpRequest& request);
+  void RegisterOwnReadouts();
+  QJsonObject Status() const;
+  QJsonObject Upstreams() const;
+  QJsonObject MetricsObject() const;
+
+  Parts parts_;
+  schema::Settings settings_;
+  std::string run_;
+  std::shared_ptr<const Catalog> catalog_;
+  std::unique_ptr<scheduling::Scheduler> scheduler_;
+  std::unique_ptr<UpstreamRegistry> registry_;
+  std::unique_ptr<CallController> calls_;
+  std::unique_ptr<CallerApi> callers_;
+  std::unique_ptr<UpstreamApi> upstream_api_;
+  std::unique_ptr<OperatorApi> operators_;
+  core::TimePoint next_sync_;
+  bool ready_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/operator_readouts.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "core/clock.h"
+#include "main/node.h"
+#include "main/replicated_groups.h"
+#include "membership/membership.h"
+#include "settings.pb.h"
+
+namespace hawthorn::main {
+
+/// Registers what operators see and change of members, programs and the
+/// configuration. All arguments outlive the node.
+void RegisterGroupReadouts(Node& node, ReplicatedGroups& groups,
+                           membership::Membership& membership,
+                           const schema::Settings& settings,
+                           const core::Clock& clock,
+                           const std::function<uint64_t()>& random);
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/peer_thread.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <QThread>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/clock.h"
+#include "main/events.h"
+#include "main/mailbox.h"
+#include "main/sinks.h"
+#include "peer/peer_transport.h"
+#include "settings.pb.h"
+
+namespace hawthorn::main {
+
+/// The thread that holds the links to other instances.
+class PeerThread final : public PeerSink {
+ public:
+  using EventSink = std::function<void(Event)>;
+
+  PeerThread(peer::PeerOptions options, EventSink events);
+  ~PeerThread() override;
+
+  /// Starts to listen and to know the instances of `settings`. Returns the
+  /// port.
+  core::Result<uint16_t> Listen(const schema::Settings& settings);
+
+  void Send(const core::InstanceId& to, schema::PeerMessage message) override;
+  void Request(const core::InstanceId& to, schema::PeerMessage message,
+               std::chrono::milliseconds timeout,
+               ReplyHandler on_reply) override;
+
+  /// Cuts this instance off from `peers`, for tests of partitions.
+  void CutLinks(std::set<core::InstanceId> peers);
+
+  /// Closes all links and ends the thread.
+  void Stop();
+
+ private:
+  EventSink events_;
+  QThread thread_;
+  Mailbox* mailbox_;
+  peer::PeerTransport* transport_ = nullptr;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/sinks.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "core/error.h"
+#include "core/id.h"
+#include "peer.pb.h"
+#include "storage/log_store.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+// What the thread of decisions tells the other threads to do. Tests put fakes
+// in their place.
+namespace hawthorn::main {
+
+/// Answers to HTTP exchanges. Unknown exchanges are ignored.
+class HttpSink {
+ public:
+  virtual ~HttpSink() = default;
+  virtual void Respond(transport::ExchangeId exchange, int status,
+                       transport::HeaderFields headers, std::string body) = 0;
+  virtual void BeginStream(transport::ExchangeId exchange, int status,
+                           transport::HeaderFields headers) = 0;
+  virtual void WritePiece(transport::ExchangeId exchange,
+                          std::string piece) = 0;
+  virtual void EndStream(transport::ExchangeId exchange) = 0;
+};
+
+/// Calls to upstreams.
+class UpstreamSink {
+ public:
+  virtual ~UpstreamSink() = default;
+  virtual void Start(transport::ClientRequest request) = 0;
+  /// Cuts the call; no end is reported for it.
+  virtual void Cancel(transport::ClientCallId attempt) = 0;
+};
+
+/// Messages to other instances.
+class PeerSink {
+ public:
+  using ReplyHandler =
+      std::function<void(const core::Result<schema::PeerMessage>&)>;
+
+  virtual ~PeerSink() = default;
+  /// Sends a message without a reply; it may be lost.
+  virtual void Send(const core::InstanceId& to,
+                    schema::PeerMessage message) = 0;
+  /// Sends a request. The handler runs once in the thread of decisions; an
+  /// error says whether the request can have arrived.
+  virtual void Request(const core::InstanceId& to, schema::PeerMessage message,
+                       std::chrono::milliseconds timeout,
+                       ReplyHandler on_reply) = 0;
+};
+
+/// Durable writes of replicated groups.
+class JournalSink {
+ public:
+  virtual ~JournalSink() = default;
+  /// Writes and syncs `batch`; the outcome comes back as an event. `store`
+  /// outlives the journal.
+  virtual void Write(const std::string& group, storage::LogStore& store,
+                     storage::LogBatch batch) = 0;
+};
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/upstream_thread.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <QThread>
+#include <functional>
+#include <memory>
+
+#include "main/events.h"
+#include "main/mailbox.h"
+#include "main/sinks.h"
+
+namespace hawthorn::main {
+
+/// The thread that holds the connections to upstreams.
+class UpstreamThread final : public UpstreamSink {
+ public:
+  using EventSink = std::function<void(Event)>;
+
+  explicit UpstreamThread(EventSink events);
+  ~UpstreamThread() override;
+
+  void Start(transport::ClientRequest request) override;
+  void Cancel(transport::ClientCallId attempt) override;
+
+  /// Cuts all calls and ends the thread.
+  void Stop();
+
+ private:
+  EventSink events_;
+  QThread thread_;
+  Mailbox* mailbox_;
+  transport::HttpClient* client_;
+};
+
+}  // namespace hawthorn::main
--- a/programs/ledger.h
+++ b/programs/ledger.h
@@ -103,6 +103,15 @@
   /// Slices of an organisation in this zone.
   schema::SnapshotOrganisation SlicesOf(const std::string& organisation) const;
 
+  /// Owners of open calls, in no order.
+  std::vector<std::string> Owners() const { return state_.programs.Owners(); }
+
+  /// Wall time in milliseconds at which a pause or program is next due to
+  /// end; nothing if none is.
+  std::optional<int64_t> NextDeadline() const {
+    return state_.timers.Earliest();
+  }
+
   /// Counts; costs a pass over all programs.
   LedgerStats Stats() const;
 
--- a/programs/program_table.cpp
+++ b/programs/program_table.cpp
@@ -67,6 +67,16 @@
   program->Append(std::move(record));
 }
 
+std::vector<std::string> ProgramTable::Owners() const {
+  std::vector<std::string> owners;
+  for (const auto& [owner, serials] : by_owner_) {
+    if (!owner.empty() && !serials.empty()) {
+      owners.push_back(owner);
+    }
+  }
+  return owners;
+}
+
 std::vector<uint64_t> ProgramTable::OwnedBy(const std::string& owner) const {
   const auto it = by_owner_.find(owner);
   if (it == by_owner_.end()) {
--- a/programs/program_table.h
+++ b/programs/program_table.h
@@ -41,6 +41,9 @@
   /// Serial numbers of the programs whose pending call has this owner.
   std::vector<uint64_t> OwnedBy(const std::string& owner) const;
 
+  /// Owners of pending calls, without the empty one of lost calls.
+  std::vector<std::string> Owners() const;
+
   /// Programs of an organisation, the newest first, at most `limit`.
   std::vector<const Program*> List(const std::string& organisation,
                                    size_t limit) const;
--- a/programs/timer_index.h
+++ b/programs/timer_index.h
@@ -23,6 +23,14 @@
   /// earliest first.
   std::optional<uint64_t> PopDue(int64_t now_ms);
 
+  /// Earliest deadline; nothing if there is none.
+  std::optional<int64_t> Earliest() const {
+    if (order_.empty()) {
+      return std::nullopt;
+    }
+    return order_.begin()->first;
+  }
+
   size_t size() const { return due_.size(); }
 
  private:
