--- a/membership/gossip_build.cpp
+++ b/membership/gossip_build.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int64_t kTokensPerKilotoken = 1024;
+/// Age from which a heartbeat helps nobody: the instance is held for dead.
+constexpr milliseconds kNewsAge{4000};
 
 void SortByAge(std::vector<Heartbeat>& heartbeats) {
   std::ranges::sort(heartbeats, [](const Heartbeat& a, const Heartbeat& b) {
@@ -26,6 +28,7 @@
   schema::Gossip gossip;
   schema::Heartbeats& batch = *gossip.mutable_heartbeats();
   batch.set_base_revision(beat_.revision);
+  batch.set_highest_offset(instances_.HighestRevision() - beat_.revision);
   Heartbeat own = beat_;
   own.age = duration_cast<milliseconds>(now - beat_at_);
   detail::AppendHeartbeat(own, batch);
@@ -46,24 +49,16 @@
 std::vector<Heartbeat> Membership::ZoneHeartbeats(const core::InstanceId& to,
                                                   core::TimePoint now) const {
   std::vector<Heartbeat> heartbeats;
-  for (const auto& [instance, zone] : zone_of_) {
-    if (zone != instances_.self().zone) {
-      continue;
-    }
+  for (const core::InstanceId& instance : InstancesOf(instances_.self().zone)) {
     // An instance that is not heard learns under which start it is known.
-    const InstanceState state = instances_.StateOf(instance);
-    if (instance == to && state == InstanceState::kAlive) {
-      continue;
-    }
-    if (const auto last = instances_.LastHeartbeat(instance, now)) {
+    const bool alive = instances_.StateOf(instance) == InstanceState::kAlive;
+    const auto last = instances_.LastHeartbeat(instance, now);
+    const bool is_news = last && last->age < kNewsAge && instance != to;
+    if (is_news || (last && instance == to && !alive)) {
       heartbeats.push_back(*last);
     }
   }
-  const auto is_receiver = [&](const Heartbeat& it) {
-    return it.instance == to;
-  };
   SortByAge(heartbeats);
-  std::stable_partition(heartbeats.begin(), heartbeats.end(), is_receiver);
   if (heartbeats.size() > options_.max_heartbeats) {
     heartbeats.resize(options_.max_heartbeats);
   }
--- a/membership/gossip_codec.h
+++ b/membership/gossip_codec.h
@@ -17,6 +17,9 @@
 /// Appends `heartbeat`; the batch's base revision must be set.
 void AppendHeartbeat(const Heartbeat& heartbeat, schema::Heartbeats& batch);
 
+/// Leaves out the arrays whose elements are all 0.
+void DropZeros(schema::Heartbeats& batch);
+
 /// Heartbeat with the short name of its instance.
 struct HashedHeartbeat {
   uint32_t hash = 0;
--- a/membership/gossip_receive.cpp
+++ b/membership/gossip_receive.cpp
@@ -40,6 +40,7 @@
   Answer(gossip, now, answer);
   std::vector<OutgoingGossip> out;
   if (!IsEmpty(answer)) {
+    detail::DropZeros(*answer.mutable_heartbeats());
     out.push_back({from, std::move(answer)});
   }
   return out;
@@ -58,6 +59,8 @@
 
 void Membership::TakeHeartbeats(const schema::Heartbeats& heartbeats,
                                 core::TimePoint now, schema::Gossip& answer) {
+  instances_.HearRevision(heartbeats.base_revision() +
+                          heartbeats.highest_offset());
   for (auto& [hash, heartbeat] : detail::ReadHeartbeats(heartbeats)) {
     const core::InstanceId* instance = ByHash(hash);
     if (instance == nullptr) {
--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -1,6 +1,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "membership/gossip_codec.h"
 
@@ -13,8 +14,9 @@
       upstreams_(settings.self.instance, settings.self.zone,
                  settings.incarnation, settings.upstreams),
       random_(settings.gossip.seed),
-      next_round_(now),
-      next_cross_(now) {
+      next_round_(now + FirstDelay(settings.gossip.interval)),
+      next_cross_(now + FirstDelay(settings.gossip.cross_interval)),
+      ring_step_(random_()) {
   for (const InstanceSeed& seed : settings.seeds) {
     by_hash_[detail::HashOf(seed.instance)] = seed.instance;
     zone_of_[seed.instance] = seed.zone;
@@ -23,11 +25,17 @@
   zone_of_[settings.self.instance] = settings.self.zone;
   upstreams_.SetAliveCheck([this](const core::InstanceId& reporter) {
     const auto view = instances_.Find(reporter);
-    return view && view->state == InstanceState::kAlive && !view->draining;
+    return view && view->state != InstanceState::kDead && !view->draining;
   });
   Beat(now);
 }
 
+std::chrono::milliseconds Membership::FirstDelay(
+    std::chrono::milliseconds interval) {
+  std::uniform_int_distribution<int64_t> delay(0, interval.count());
+  return std::chrono::milliseconds(delay(random_));
+}
+
 std::vector<OutgoingGossip> Membership::Tick(core::TimePoint now) {
   std::vector<OutgoingGossip> out;
   upstreams_.Expire(now);
@@ -46,6 +54,9 @@
     SendAcross(now, out);
     ++cross_rounds_;
   }
+  for (OutgoingGossip& it : out) {
+    detail::DropZeros(*it.gossip.mutable_heartbeats());
+  }
   return out;
 }
 
@@ -182,34 +193,53 @@
 }
 
 std::vector<core::InstanceId> Membership::NextTargets() {
-  const core::ZoneId& zone = instances_.self().zone;
+  const std::vector<core::InstanceId> ring =
+      InstancesOf(instances_.self().zone);
   std::vector<core::InstanceId> targets;
-  const std::vector<core::InstanceId> peers = instances_.PeersIn(zone);
-  const size_t wanted = std::min(options_.fan_out, peers.size());
-  while (targets.size() < wanted) {
-    if (order_.empty()) {
-      order_ = peers;
-      std::ranges::shuffle(order_, random_);
-    }
-    const core::InstanceId next = order_.back();
-    order_.pop_back();
-    if (std::ranges::find(peers, next) != peers.end() &&
-        std::ranges::find(targets, next) == targets.end()) {
-      targets.push_back(next);
+  const size_t wanted =
+      ring.size() <= options_.small_zone ? options_.small_zone_fan_out : 1;
+  for (size_t n = 0; n < wanted; ++n) {
+    const auto target = TargetAt(ring, ring_step_++);
+    if (target && std::ranges::find(targets, *target) == targets.end()) {
+      targets.push_back(*target);
     }
   }
   if (rounds_ % options_.dead_probe_rounds == 0) {
-    std::vector<core::InstanceId> dead;
-    for (const core::InstanceId& it : InstancesOf(zone)) {
-      if (instances_.StateOf(it) == InstanceState::kDead) {
-        dead.push_back(it);
-      }
+    AddDeadTarget(ring, targets);
+  }
+  return targets;
+}
+
+std::optional<core::InstanceId> Membership::TargetAt(
+    const std::vector<core::InstanceId>& ring, size_t step) const {
+  const auto own = std::ranges::find(ring, instances_.self().instance);
+  const size_t position = own - ring.begin();
+  const size_t distances = std::bit_width(ring.size() - 1);
+  if (distances == 0) {
+    return std::nullopt;
+  }
+  const size_t distance = size_t{1} << (step % distances);
+  for (size_t n = 0; n + 1 < ring.size(); ++n) {
+    const core::InstanceId& it = ring[(position + distance + n) % ring.size()];
+    if (it != instances_.self().instance &&
+        instances_.StateOf(it) != InstanceState::kDead) {
+      return it;
     }
-    if (!dead.empty()) {
-      targets.push_back(dead[random_() % dead.size()]);
+  }
+  return std::nullopt;
+}
+
+void Membership::AddDeadTarget(const std::vector<core::InstanceId>& ring,
+                               std::vector<core::InstanceId>& targets) {
+  std::vector<core::InstanceId> dead;
+  for (const core::InstanceId& it : ring) {
+    if (instances_.StateOf(it) == InstanceState::kDead) {
+      dead.push_back(it);
     }
   }
-  return targets;
+  if (!dead.empty()) {
+    targets.push_back(dead[random_() % dead.size()]);
+  }
 }
 
 void Membership::Beat(core::TimePoint now) {
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -23,26 +24,29 @@
 /// Rhythm and bounds of gossip.
 struct GossipOptions {
   /// Time between rounds within the zone.
-  std::chrono::milliseconds interval{250};
+  std::chrono::milliseconds interval{200};
   /// Time between messages of a relay to another zone.
   std::chrono::milliseconds cross_interval{1000};
-  /// Instances of the zone to which each round goes.
-  size_t fan_out = 2;
+  /// Instances of a zone up to which it counts as small.
+  size_t small_zone = 10;
+  /// Targets of each round in a small zone; in a larger one it is one.
+  size_t small_zone_fan_out = 2;
   /// Rounds in which an instance repeats news that it learned.
   uint32_t news_repeats = 3;
   /// Heartbeats of other instances in one message.
-  size_t max_heartbeats = 8;
+  size_t max_heartbeats = 32;
   /// Heartbeats of relays of other zones in one message.
-  size_t max_foreign_heartbeats = 4;
+  size_t max_foreign_heartbeats = 3;
   /// Load reports in one message.
   size_t max_loads = 32;
   /// Every how many rounds a message carries a summary of another zone.
-  uint32_t summary_rounds = 2;
+  uint32_t summary_rounds = 3;
   /// Upstream records in one message, but for a set sent in full.
   size_t max_records = 32;
   /// Rounds after which instances that are held for dead are tried again.
   uint32_t dead_probe_rounds = 8;
-  /// Seed of the random choice of targets.
+  /// Seed of the random choices: phase of the rounds, first target, and which
+  /// dead instance is tried.
   uint64_t seed = 1;
 };
 
@@ -106,7 +110,12 @@
   void SendNews(core::TimePoint now, std::vector<OutgoingGossip>& out);
   void SendPending(std::vector<OutgoingGossip>& out);
   void SendAcross(core::TimePoint now, std::vector<OutgoingGossip>& out);
+  std::chrono::milliseconds FirstDelay(std::chrono::milliseconds interval);
   std::vector<core::InstanceId> NextTargets();
+  std::optional<core::InstanceId> TargetAt(
+      const std::vector<core::InstanceId>& ring, size_t step) const;
+  void AddDeadTarget(const std::vector<core::InstanceId>& ring,
+                     std::vector<core::InstanceId>& targets);
   std::vector<core::InstanceId> InstancesOf(const core::ZoneId& zone) const;
 
   /// A message that carries the last heartbeat of this instance.
@@ -147,7 +156,6 @@
   std::map<core::InstanceId, core::ZoneId> zone_of_;
   std::vector<News> fresh_;
   std::vector<News> repeated_;
-  std::vector<core::InstanceId> order_;
   std::map<core::ZoneId, schema::ZoneSummary> summaries_;
   // Start and heartbeat of the last summary of each relay.
   std::map<uint32_t, std::pair<uint32_t, uint64_t>> summary_marks_;
@@ -156,6 +164,7 @@
   core::TimePoint beat_at_;
   core::TimePoint next_round_;
   core::TimePoint next_cross_;
+  size_t ring_step_ = 0;
   uint64_t rounds_ = 0;
   uint64_t cross_rounds_ = 0;
   uint32_t last_load_slot_ = 0;
--- a/membership/upstream_directory.cpp
+++ b/membership/upstream_directory.cpp
@@ -236,7 +236,8 @@
 bool UpstreamDirectory::IsReporterAlive(const core::InstanceId& reporter,
                                         core::TimePoint now) const {
   const auto it = sets_.find({reporter, false});
-  if (it == sets_.end() || !IsConfirmed(it->first, it->second, now)) {
+  if (it == sets_.end() ||
+      now - it->second.set.confirmed_at() >= timings_.takeover_after) {
     return false;
   }
   return is_alive_ == nullptr || is_alive_(reporter);
--- a/membership/upstream_directory.h
+++ b/membership/upstream_directory.h
@@ -27,7 +27,11 @@
   /// Time without a confirmation after which the upstreams of a reporter in
   /// the own zone take no new work.
   std::chrono::milliseconds reporter_lease{1800};
-  /// The same for upstreams known through a relay of another zone.
+  /// Time without a confirmation after which another instance of the zone
+  /// that receives a renewal becomes the reporter.
+  std::chrono::milliseconds takeover_after{1000};
+  /// Time without a confirmation after which upstreams known through a relay
+  /// of another zone take no new work.
   std::chrono::milliseconds export_lease{5000};
 };
 
@@ -179,8 +183,8 @@
   /// Returns the set of `key`, or null. The own sets are always there.
   const KnownSet* FindSet(const SetKey& key) const;
 
-  /// Tells whether an instance is held for alive; decides who may take over
-  /// its upstreams. Without it a reporter counts as alive within its lease.
+  /// Sets a further condition under which a reporter keeps its upstreams;
+  /// without one it keeps them while it confirms its set.
   void SetAliveCheck(std::function<bool(const core::InstanceId&)> is_alive);
 
   /// Remaining lease of an own upstream; zero for one of another reporter.
