--- a/programs/poison_register.cpp
+++ b/programs/poison_register.cpp
@@ -20,6 +20,9 @@
   const auto known = static_cast<uint32_t>(crash.fingerprints.size());
   crash.running_together =
       std::max({crash.running_together, report.running_together(), known});
+  if (StandingOf(report.fingerprint()) == Standing::kCondemned) {
+    AbsolveNeighbours(report.fingerprint());
+  }
   if (crashes_.size() > kMaxCrashes) {
     Drop(crashes_.begin()->first);
   }
@@ -145,6 +148,20 @@
                      });
 }
 
+void PoisonRegister::AbsolveNeighbours(uint64_t fingerprint) {
+  const absl::btree_set<uint64_t>& orders = by_fingerprint_[fingerprint];
+  for (const uint64_t order : orders) {
+    Crash& crash = crashes_[order];
+    const absl::btree_set<uint64_t> suspects = crash.fingerprints;
+    for (const uint64_t it : suspects) {
+      if (it != fingerprint && StandingOf(it) == Standing::kSuspected) {
+        Unlink(it, order);
+        crash.fingerprints.erase(it);
+      }
+    }
+  }
+}
+
 void PoisonRegister::Unlink(uint64_t fingerprint, uint64_t order) {
   const auto it = by_fingerprint_.find(fingerprint);
   it->second.erase(order);
--- a/programs/poison_register.h
+++ b/programs/poison_register.h
@@ -16,8 +16,9 @@
 /// Requests that crash upstreams, by fingerprint. A request that ran alone on
 /// an upstream that died is evidence; requests that ran together are only
 /// suspected, and are to run alone from then on. A request is condemned when it
-/// crashed an upstream alone after it had been part of another death. A success
-/// clears a suspected request.
+/// crashed an upstream alone after it had been part of another death; it then
+/// explains the deaths that it was part of, and the others are no longer
+/// suspected of them. A success clears a suspected request.
 class PoisonRegister {
  public:
   /// What may be done with a request.
@@ -65,6 +66,7 @@
   };
 
   bool IsCondemned(const absl::btree_set<uint64_t>& orders) const;
+  void AbsolveNeighbours(uint64_t fingerprint);
   void Unlink(uint64_t fingerprint, uint64_t order);
   void Drop(uint64_t order);
 
