--- a/scheduling/combined_policy.cpp
+++ b/scheduling/combined_policy.cpp
@@ -16,7 +16,8 @@
 constexpr double kMaxShareDelay = 60;
 constexpr double kMinImbalanceBound = 0.3;
 constexpr double kMaxImbalanceBound = 0.8;
-constexpr double kHomeRankSlackSeconds = 10;
+constexpr double kMinHomeRankSlack = 30;
+constexpr double kMaxHomeRankSlack = 130;
 
 }  // namespace
 
@@ -47,7 +48,9 @@
   rules.imbalance_bound =
       kMaxImbalanceBound -
       latency_weight_ * (kMaxImbalanceBound - kMinImbalanceBound);
-  rules.home_rank_slack = kHomeRankSlackSeconds;
+  rules.home_rank_slack =
+      kMaxHomeRankSlack -
+      latency_weight_ * (kMaxHomeRankSlack - kMinHomeRankSlack);
   rules.manages_cache = true;
   return rules;
 }
--- a/scheduling/scheduler.h
+++ b/scheduling/scheduler.h
@@ -26,7 +26,7 @@
   /// Calls queued for one organisation and service.
   size_t max_queued_per_organisation = 10000;
   /// Expected wait beyond which calls of new programs are refused.
-  std::chrono::milliseconds max_expected_wait{30000};
+  std::chrono::milliseconds max_expected_wait{1000};
   /// Seed of the jitter in retry delays.
   uint64_t seed = 1;
 
