--- a/settings/scalar.cpp
+++ b/settings/scalar.cpp
@@ -6,9 +6,12 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 #include <cstdint>
 #include <limits>
+#include <system_error>
 #include <variant>
 
 #include "settings/field_rule.h"
@@ -129,6 +132,14 @@
   return FormatQuantity(value, RuleOf(field).unit());
 }
 
+// Shortest text that is read back as the same number.
+std::string ShortestText(double value) {
+  std::array<char, 32> buf{};
+  const auto [end, ec] =
+      std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  return ec == std::errc() ? std::string(buf.data(), end) : "0";
+}
+
 std::string StringText(const Message& message, const FieldDescriptor& field,
                        int index) {
   const Reflection& reflection = *message.GetReflection();
@@ -171,7 +182,7 @@
     case FieldDescriptor::CPPTYPE_UINT32:
       return IntegerText(message, field);
     case FieldDescriptor::CPPTYPE_DOUBLE:
-      return absl::StrCat(reflection.GetDouble(message, &field));
+      return ShortestText(reflection.GetDouble(message, &field));
     case FieldDescriptor::CPPTYPE_BOOL:
       return reflection.GetBool(message, &field) ? "true" : "false";
     case FieldDescriptor::CPPTYPE_ENUM:
--- a/settings/settings_check.cpp
+++ b/settings/settings_check.cpp
@@ -90,7 +90,8 @@
       CheckOwnZone();
       return;
     }
-    if (!settings_.zone().empty() && self->zone() != settings_.zone()) {
+    if (!settings_.zone().empty() && !self->zone().empty() &&
+        self->zone() != settings_.zone()) {
       Add("zone",
           absl::StrCat("zone '", settings_.zone(),
                        "' differs from the one in the list of instances"),
