main: Test the whole path with real processes

Cause: the path had only been run by hand. Change: tests/main starts instances and stand-ins on loopback and checks the whole path, failures, a cut-off zone and racing operators.

--- a/main/ctl/configuration_commands.cpp
+++ b/main/ctl/configuration_commands.cpp
@@ -1,12 +1,12 @@
 #include "main/ctl/configuration_commands.h"
 
 #include <QJsonArray>
-#include <QThread>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include "main/ctl/operator_client.h"
 #include "main/ctl/report.h"
@@ -136,7 +136,7 @@
   }
   const auto result =
       client.Post("/v1/admin/config/apply",
-                  {{"expected", qint64(expected)},
+                  {{"expected", static_cast<qint64>(expected)},
                    {"author", QString::fromStdString(options.author)},
                    {"operation", QString::fromStdString(options.operation)},
                    {"yaml", QString::fromStdString(*wanted)}});
@@ -180,7 +180,7 @@
       return kExitOk;
     }
     std::cerr << "\rwaiting for" << behind << std::flush;
-    QThread::msleep(static_cast<unsigned long>(kPollInterval.count()));
+    std::this_thread::sleep_for(kPollInterval);
   }
   std::cerr << "\nnot in force at" << behind << "\n";
   return kExitTimeout;
--- a/main/ctl/hawthornctl.cpp
+++ b/main/ctl/hawthornctl.cpp
@@ -36,7 +36,7 @@
 }
 
 std::string Author() {
-  const std::string author = absl::GetFlag(FLAGS_author);
+  std::string author = absl::GetFlag(FLAGS_author);
   const char* user = std::getenv("USER");
   if (!author.empty()) {
     return author;
--- /dev/null
+++ b/tests/main/failure_test.cpp
@@ -0,0 +1,181 @@
+#include <QJsonArray>
+#include <catch2/catch.hpp>
+
+#include "tests/main/deployment.h"
+#include "tests/support/event_loop.h"
+
+namespace hawthorn::test {
+namespace {
+
+std::string Calls(const std::string& program) {
+  return "/v1/programs/" + program + "/calls";
+}
+
+/// A question whose answer has about `words` tokens.
+std::string LongQuestion(int words) {
+  std::string text;
+  for (int n = 0; n < words; ++n) {
+    text += "word" + std::to_string(n) + " ";
+  }
+  return text;
+}
+
+TEST_CASE("a booking whose upstream dies after running it is never repeated") {
+  Deployment it({{"one", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("first", "service", "reservas", "zone-a");
+  it.WaitUpstreams("one", 1);
+  const std::string program = it.CreateProgram("one");
+  const QJsonObject call = PlainCall(1, "run-then-die");
+  const Answer lost = it.Call("one", Calls(program), call);
+  REQUIRE_FALSE(it.IsRunning("first"));
+  REQUIRE(lost.error("execution") == "unknown");
+  it.StartUpstream("second", "service", "reservas", "zone-a");
+  for (int n = 0; n < 3; ++n) {
+    REQUIRE(it.Call("one", Calls(program), call).error("execution") ==
+            "unknown");
+  }
+  REQUIRE(it.CountOf("second", "runs") == 0);
+}
+
+TEST_CASE("a stream goes on when its engine is killed") {
+  Deployment it({{"one", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("first", "engine", "asistente", "zone-a", 20);
+  it.WaitUpstreams("one", 1);
+  const std::string program = it.CreateProgram("one");
+  const auto answer =
+      it.Begin("one", Calls(program), ModelCall(1, LongQuestion(60), true));
+  REQUIRE(WaitFor([&] {
+    return answer->body.find("\"offset\":10,") != std::string::npos;
+  }));
+  it.StartUpstream("second", "engine", "asistente", "zone-a", 2);
+  it.Kill("first");
+  REQUIRE(WaitFor([&] { return answer->complete; }));
+  INFO(answer->body);
+  REQUIRE(answer->body.find("event: end") != std::string::npos);
+  for (int n = 0; n < 60; ++n) {
+    const std::string offset = "\"offset\":" + std::to_string(n) + ",";
+    const size_t at = answer->body.find(offset);
+    REQUIRE(at != std::string::npos);
+    REQUIRE(answer->body.find(offset, at + 1) == std::string::npos);
+  }
+  REQUIRE(it.CountOf("second", "runs") == 1);
+}
+
+TEST_CASE("a caller that leaves in mid stream cancels its call upstream") {
+  Deployment it({{"one", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("engine", "engine", "asistente", "zone-a", 20);
+  it.WaitUpstreams("one", 1);
+  const std::string program = it.CreateProgram("one");
+  const auto answer =
+      it.Begin("one", Calls(program), ModelCall(1, LongQuestion(60), true));
+  REQUIRE(WaitFor(
+      [&] { return answer->body.find("\"offset\":5,") != std::string::npos; }));
+  it.Leave(answer);
+  REQUIRE(WaitFor([&] { return it.CountOf("engine", "cancelled") == 1; }));
+  const Answer again =
+      it.Call("one", Calls(program), ModelCall(1, LongQuestion(60)));
+  REQUIRE(again.error("code") == "cancelled");
+  REQUIRE(it.Call("one", Calls(program), ModelCall(2, "next")).status == 200);
+}
+
+TEST_CASE("a graceful shutdown cuts no stream and the zone serves on") {
+  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("engine", "engine", "asistente", "zone-a", 20);
+  for (const char* name : {"a1", "a2", "a3"}) {
+    it.WaitUpstreams(name, 1);
+  }
+  const std::string program = it.CreateProgram("a1");
+  const auto answer =
+      it.Begin("a1", Calls(program), ModelCall(1, LongQuestion(60), true));
+  REQUIRE(WaitFor(
+      [&] { return answer->body.find("\"offset\":5,") != std::string::npos; }));
+  it.SendTerm("a1");
+  REQUIRE(WaitFor([&] {
+    return it.Call("a1", "/health", {}, "GET").body.find("draining") !=
+           std::string::npos;
+  }));
+  REQUIRE(
+      it.Call("a1", Calls(program), ModelCall(2, "late")).error("execution") ==
+      "not run");
+  REQUIRE(WaitFor([&] { return answer->complete; }));
+  REQUIRE(answer->body.find("event: end") != std::string::npos);
+  REQUIRE(it.WaitExit("a1") == 0);
+  it.WaitUpstreams("a2", 1);
+  REQUIRE(it.Call("a2", Calls(program), ModelCall(2, "next")).status == 200);
+}
+
+TEST_CASE("programs survive the death of their leader and a restart of all") {
+  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("engine", "engine", "asistente", "zone-a");
+  it.StartUpstream("booking", "service", "reservas", "zone-a");
+  for (const char* name : {"a1", "a2", "a3"}) {
+    it.WaitUpstreams(name, 2);
+  }
+  const std::string program = it.CreateProgram("a1");
+  REQUIRE(it.Call("a1", Calls(program), PlainCall(1, "book")).status == 200);
+  const std::string leader = it.LeaderOf("a1", "ledger/zone-a");
+  const std::string other = leader == "a1" ? "a2" : "a1";
+  it.Kill(leader);
+  Answer answer;
+  REQUIRE(WaitFor([&] {
+    answer = it.Call(other, Calls(program), PlainCall(1, "book"));
+    return answer.status == 200;
+  }));
+  REQUIRE(answer.json()["answer"].toObject()["run"].toInt() == 1);
+  for (const char* name : {"a1", "a2", "a3"}) {
+    it.Kill(name);
+  }
+  it.StartAll();
+  const Answer read = it.Call("a3", "/v1/programs/" + program, {}, "GET");
+  INFO(read.body);
+  REQUIRE(read.json()["history"].toArray().size() == 1);
+  REQUIRE(it.CountOf("booking", "runs") == 1);
+}
+
+TEST_CASE("a zone that is cut off serves its own programs and refuses others") {
+  Deployment it({{"a1", "zone-a"}, {"b1", "zone-b"}, {"c1", "zone-c"}});
+  it.StartAll();
+  it.StartUpstream("booking-a", "service", "reservas", "zone-a");
+  it.StartUpstream("booking-b", "service", "reservas", "zone-b");
+  it.WaitUpstreams("a1", 2);
+  it.WaitUpstreams("b1", 2);
+  const std::string own = it.CreateProgram("a1");
+  const std::string foreign = it.CreateProgram("b1");
+  REQUIRE(it.Call("a1", Calls(foreign), PlainCall(1, "book")).status == 200);
+  REQUIRE(it.Operate("a1", "/v1/admin/links/cut",
+                     {{"peers", QJsonArray{"b1", "c1"}}})
+              .status == 200);
+  REQUIRE(WaitFor([&] {
+    return it.Operate("a1", "/v1/admin/upstreams", {}, "GET")
+               .body.find("booking-b\",\"waiting") == std::string::npos;
+  }));
+  const Answer refused = it.Call("a1", Calls(foreign), PlainCall(2, "book"));
+  REQUIRE(refused.error("code") == "unavailable");
+  REQUIRE(refused.error("execution") == "not run");
+  Answer served;
+  REQUIRE(WaitFor([&] {
+    served = it.Call("a1", Calls(own), PlainCall(1, "book"));
+    return served.status == 200;
+  }));
+  REQUIRE(it.CreateProgram("a1").starts_with("zone-a."));
+  const Answer change = it.Operate(
+      "a1", "/v1/admin/config/apply",
+      {{"expected", 1}, {"author", "ana"}, {"yaml", "services: []\n"}});
+  REQUIRE(change.status != 200);
+  REQUIRE(it.Call("b1", Calls(foreign), PlainCall(2, "book")).status == 200);
+  REQUIRE(it.Operate("a1", "/v1/admin/links/cut", {{"peers", QJsonArray{}}})
+              .status == 200);
+  REQUIRE(WaitFor([&] {
+    return it.Call("a1", Calls(foreign), PlainCall(2, "book")).status == 200;
+  }));
+  REQUIRE(it.CountOf("booking-a", "doubled") == 0);
+  REQUIRE(it.CountOf("booking-b", "doubled") == 0);
+}
+
+}  // namespace
+}  // namespace hawthorn::test
