main: Name the list of instances in the tests

Cause: a braced list was ambiguous for the compiler. Change: the alias Plans. Conclusion: the tests compile.

--- a/tests/main/deployment.h
+++ b/tests/main/deployment.h
@@ -31,6 +31,8 @@
   bool disk = true;
 };
 
+using Plans = std::vector<InstancePlan>;
+
 /// Real processes on loopback with a data folder each: instances, and
 /// stand-in upstreams that announce themselves.
 class Deployment {
--- a/tests/main/failure_test.cpp
+++ b/tests/main/failure_test.cpp
@@ -21,7 +21,7 @@
 }
 
 TEST_CASE("a booking whose upstream dies after running it is never repeated") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   it.StartUpstream("first", "service", "reservas", "zone-a");
   it.WaitUpstreams("one", 1);
@@ -39,7 +39,7 @@
 }
 
 TEST_CASE("a stream goes on when its engine is killed") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   it.StartUpstream("first", "engine", "asistente", "zone-a", 20);
   it.WaitUpstreams("one", 1);
@@ -64,7 +64,7 @@
 }
 
 TEST_CASE("a caller that leaves in mid stream cancels its call upstream") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   it.StartUpstream("engine", "engine", "asistente", "zone-a", 20);
   it.WaitUpstreams("one", 1);
@@ -82,7 +82,7 @@
 }
 
 TEST_CASE("a graceful shutdown cuts no stream and the zone serves on") {
-  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  Deployment it(Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
   it.StartAll();
   it.StartUpstream("engine", "engine", "asistente", "zone-a", 20);
   for (const char* name : {"a1", "a2", "a3"}) {
@@ -109,7 +109,7 @@
 }
 
 TEST_CASE("programs survive the death of their leader and a restart of all") {
-  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  Deployment it(Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
   it.StartAll();
   it.StartUpstream("engine", "engine", "asistente", "zone-a");
   it.StartUpstream("booking", "service", "reservas", "zone-a");
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("a zone that is cut off serves its own programs and refuses others") {
-  Deployment it({{"a1", "zone-a"}, {"b1", "zone-b"}, {"c1", "zone-c"}});
+  Deployment it(Plans{{"a1", "zone-a"}, {"b1", "zone-b"}, {"c1", "zone-c"}});
   it.StartAll();
   it.StartUpstream("booking-a", "service", "reservas", "zone-a");
   it.StartUpstream("booking-b", "service", "reservas", "zone-b");
--- a/tests/main/whole_path_test.cpp
+++ b/tests/main/whole_path_test.cpp
@@ -12,7 +12,7 @@
 }
 
 TEST_CASE("a program runs from creation to its end on one instance") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   it.StartUpstream("engine", "engine", "asistente", "zone-a");
   it.StartUpstream("booking", "service", "reservas", "zone-a");
@@ -57,7 +57,7 @@
 }
 
 TEST_CASE("requests without a valid key are refused") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   const Answer unknown = it.Operate("one", "/v1/programs", {});
   REQUIRE(unknown.status == 401);
@@ -67,7 +67,7 @@
 }
 
 TEST_CASE("faulty requests are refused with everything that is wrong") {
-  Deployment it({{"one", "zone-a"}});
+  Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
   const Answer answer =
       it.Call("one", "/v1/programs",
@@ -78,7 +78,8 @@
 }
 
 TEST_CASE("a program is served through every instance of its zone") {
-  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a", false}});
+  Deployment it(
+      Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a", false}});
   it.StartAll();
   it.StartUpstream("engine", "engine", "asistente", "zone-a");
   it.StartUpstream("booking", "service", "reservas", "zone-a");
@@ -95,7 +96,7 @@
 }
 
 TEST_CASE("of two operators under one revision exactly one wins") {
-  Deployment it({{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  Deployment it(Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
   it.StartAll();
   const QJsonObject current =
       it.Operate("a1", "/v1/admin/config", {}, "GET").json();
