--- a/settings/configuration_check.cpp
+++ b/settings/configuration_check.cpp
@@ -29,22 +29,25 @@
   }
 }
 
-void CheckKey(const schema::KeyDigest& key, const std::string& path,
-              IdSet* seen, std::vector<Problem>* problems) {
+// Adds what is wrong with one key; `path` is called only for a fault, since
+// most keys have none and a deployment has many.
+template <typename Path>
+void CheckKey(const schema::KeyDigest& key, const Path& path, IdSet* seen,
+              std::vector<Problem>* problems) {
   if (!key.id().empty() && !seen->insert(key.id()).second) {
-    problems->push_back({absl::StrCat(path, ".id"),
+    problems->push_back({path() + ".id",
                          absl::StrCat("key id '", key.id(), "' stands twice"),
                          "ids that are unique in the deployment"});
   }
   if (!key.salt().empty() && key.salt().size() != kSaltBytes) {
     problems->push_back(
-        {absl::StrCat(path, ".salt"),
+        {path() + ".salt",
          absl::StrCat("the salt has ", key.salt().size(), " bytes"),
          "16 bytes as 32 hexadecimal digits"});
   }
   if (!key.digest().empty() && key.digest().size() != kDigestBytes) {
     problems->push_back(
-        {absl::StrCat(path, ".digest"),
+        {path() + ".digest",
          absl::StrCat("the digest has ", key.digest().size(), " bytes"),
          "32 bytes as 64 hexadecimal digits"});
   }
@@ -57,8 +60,10 @@
   for (int i = 0; i < value.organisations_size(); ++i) {
     const auto& keys = value.organisations(i).keys();
     for (int j = 0; j < keys.size(); ++j) {
-      CheckKey(keys[j], absl::StrCat("organisations[", i, "].keys[", j, "]"),
-               &seen, problems);
+      const auto path = [i, j] {
+        return absl::StrCat("organisations[", i, "].keys[", j, "]");
+      };
+      CheckKey(keys[j], path, &seen, problems);
     }
   }
 }
