questionnaire: Compare the examples without a way to renew them in the test

Cause: an environment variable let the test write the files that it compares.

Conclusion: the test cannot approve its own result.

--- a/tests/questionnaire/questionnaire_test.cpp
+++ b/tests/questionnaire/questionnaire_test.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -62,16 +61,9 @@
   return n;
 }
 
-// With HAWTHORN_RENEW_EXAMPLES set, the files are written instead.
 void CheckExampleInStep(const std::string& name) {
   const GeneratedFiles files = GenerateExample(name);
   const fs::path folder = ExampleFolder(name) / "generated";
-  if (std::getenv("HAWTHORN_RENEW_EXAMPLES") != nullptr) {
-    for (const auto& [path, content] : files) {
-      fs::create_directories((folder / path).parent_path());
-      std::ofstream(folder / path, std::ios::binary) << content;
-    }
-  }
   for (const auto& [path, content] : files) {
     INFO(path);
     CHECK(Read(folder / path) == content);
