programs: Keep property assertions from reading past a map's end

Cause: RC_ASSERT evaluates both sides of ||, so the count of doubled bookings read the end of a map when a booking had not run. Change: the conditions are computed before the assertion, as strictly as before. Conclusion: the check of at-most-once reads defined values only.

--- a/tests/programs/hold_test.cpp
+++ b/tests/programs/hold_test.cpp
@@ -171,7 +171,8 @@
     for (int n = 0; n < 4; ++n) {
       const auto own = f.ledger.HoldsOf("quetzal", F::Id(n));
       const bool runs = f.At(F::Id(n)).state() == schema::PROGRAM_STATE_RUNNING;
-      RC_ASSERT(own.empty() || runs);
+      const bool allowed = own.empty() || runs;
+      RC_ASSERT(allowed);
       living += own.size();
     }
     RC_ASSERT(f.ledger.Stats().held.holds == living);
--- a/tests/programs/ledger_model_test.cpp
+++ b/tests/programs/ledger_model_test.cpp
@@ -90,12 +90,14 @@
       RC_ASSERT(history[i].recorded().outcome() == want.done[i].outcome);
       const auto ran = system.runs.find({id, history[i].number()});
       const bool happened = ran != system.runs.end();
-      RC_ASSERT(!happened || want.done[i].outcome != schema::OUTCOME_NOT_RUN);
+      const bool refused = want.done[i].outcome == schema::OUTCOME_NOT_RUN;
+      RC_ASSERT(!(happened && refused));
     }
   }
   for (const auto& booking : system.bookings) {
     const auto it = system.runs.find(booking);
-    RC_ASSERT(it == system.runs.end() || it->second <= 1);
+    const int count = it == system.runs.end() ? 0 : it->second;
+    RC_ASSERT(count <= 1);
   }
 }
 
