programs: Keep shrunk model runs free of retries without a program

Cause: shrinking a failed run could drop the creation of a program and keep its retry, which then failed for another reason. Change: the retry step names its precondition, as the generator already did. Conclusion: a shrunk failure shows the first fault.

--- a/tests/programs/ledger_model_test.cpp
+++ b/tests/programs/ledger_model_test.cpp
@@ -283,6 +283,9 @@
     next.intent = model.next_intent;
   }
 
+  void checkPreconditions(const Model& model) const override {
+    RC_PRE(model.reference.programs.contains(id));
+  }
   schema::Verdict Play(Model* model) const {
     ++model->next_intent;
     const auto verdict =
