--- a/bench/scheduling/decision_bench.cpp
+++ b/bench/scheduling/decision_bench.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <fstream>
 #include <memory>
 #include <random>
 #include <string>
@@ -68,6 +69,30 @@
   return scheduler;
 }
 
+/// Resident memory of this process in bytes.
+double ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * 4096;
+}
+
+/// Fills a queue and returns it, so that the next one reuses no memory.
+std::unique_ptr<Scheduler> MeasureMemory(size_t queued) {
+  const auto parsed = hawthorn::scheduling::ParsePolicy("combined");
+  auto scheduler = MakePool(1, hawthorn::core::Value(parsed));
+  std::mt19937_64 random(1);
+  const double before = ResidentBytes();
+  for (uint64_t id = 1; id <= queued; ++id) {
+    scheduler->Enqueue(MakeCall(id, random), Start());
+  }
+  const double bytes = ResidentBytes() - before;
+  std::printf("memory: %zu queued, %.0f bytes a call\n", queued,
+              bytes / static_cast<double>(queued));
+  return scheduler;
+}
+
 void Measure(const char* name, size_t upstreams, size_t queued) {
   const auto parsed = hawthorn::scheduling::ParsePolicy(name);
   const auto scheduler = MakePool(upstreams, hawthorn::core::Value(parsed));
@@ -118,6 +143,11 @@
 }  // namespace
 
 int main() {
+  std::vector<std::unique_ptr<Scheduler>> filled;
+  for (const size_t queued : {10000, 50000, 200000}) {
+    filled.push_back(MeasureMemory(queued));
+  }
+  filled.clear();
   std::printf("%-10s %9s %8s %10s %10s %10s\n", "policy", "upstreams", "queued",
               "mean us", "p50 us", "p99 us");
   for (const char* name : {"fcfs", "fair", "combined"}) {
--- a/scheduling/compare/event_queue.h
+++ b/scheduling/compare/event_queue.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <queue>
+#include <tuple>
 #include <utility>
 #include <vector>
 
