--- a/tests/peer/link_test.cpp
+++ b/tests/peer/link_test.cpp
@@ -244,6 +244,31 @@
   REQUIRE(pair.a->counters().links_opened == 2);
 }
 
+TEST_CASE("framing of a small message stays within 40 bytes") {
+  constexpr uint64_t kMessages = 200;
+  const Pair pair;
+  uint64_t received = 0;
+  pair.b->SetHandler([&](const auto&, const Replier&) { ++received; });
+  const auto send = [&] {
+    const uint64_t wanted = received + 1;
+    (void)pair.a->Send(pair.right_id, TextMessage("gossip"));
+    REQUIRE(WaitUntil([&] { return received == wanted; }));
+  };
+  send();
+  const PeerCounters before = pair.b->counters();
+  for (uint64_t n = 0; n < kMessages; ++n) {
+    send();
+  }
+  const PeerCounters after = pair.b->counters();
+  const uint64_t bytes =
+      after.bytes_in - before.bytes_in + after.bytes_out - before.bytes_out;
+  const uint64_t framing =
+      bytes / kMessages - TextMessage("gossip").ByteSizeLong();
+  CAPTURE(framing);
+  REQUIRE(framing > 0);
+  REQUIRE(framing <= 40);
+}
+
 TEST_CASE("an unknown instance and a bad address are refused") {
   const Pair pair;
   const core::InstanceId nobody("nobody");
