--- /dev/null
+++ b/bench/consensus/fault_run.cpp
@@ -0,0 +1,109 @@
+// Runs random plans of faults over many seeds and prints what was counted.
+// Usage: consensus_fault_run RUNS [FIRST_SEED [SECONDS]]
+// No run is begun after SECONDS of real time.
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+#include "tests/consensus/simulation.h"
+
+namespace {
+
+using hawthorn::consensus::Counts;
+using hawthorn::consensus::Fault;
+using hawthorn::consensus::FaultKind;
+using hawthorn::consensus::kFaultKinds;
+using hawthorn::consensus::Simulation;
+using hawthorn::consensus::SimulationOptions;
+
+constexpr int kFaultsInPlan = 15;
+
+SimulationOptions OptionsOf(uint64_t seed) {
+  switch (seed % 4) {
+    case 0:
+      return {3, 3, false, seed};
+    case 1:
+      return {5, 5, false, seed};
+    case 2:
+      return {3, 1, true, seed};
+    default:
+      return {5, 2, true, seed};
+  }
+}
+
+bool RunSeed(uint64_t seed, Counts* sum) {
+  Simulation simulation(OptionsOf(seed));
+  std::mt19937_64 random(seed);
+  const auto draw = [&](int below) {
+    return static_cast<int>(random() % static_cast<uint64_t>(below));
+  };
+  simulation.WaitUntilWhole(30000);
+  for (int i = 0; i < kFaultsInPlan; ++i) {
+    simulation.Apply(
+        Fault{static_cast<FaultKind>(draw(static_cast<int>(kFaultKinds))),
+              draw(8), 300 + draw(2200)});
+  }
+  simulation.Finish();
+  const Counts& counts = simulation.counts();
+  for (size_t kind = 0; kind < kFaultKinds; ++kind) {
+    sum->faults[kind] += counts.faults[kind];
+  }
+  sum->lost += counts.lost;
+  sum->doubled += counts.doubled;
+  sum->late += counts.late;
+  sum->cut += counts.cut;
+  sum->failed_writes += counts.failed_writes;
+  sum->unsynced_batches_lost += counts.unsynced_batches_lost;
+  sum->synced_without_report += counts.synced_without_report;
+  sum->snapshots_installed += counts.snapshots_installed;
+  sum->acknowledged += counts.acknowledged;
+  sum->reads += counts.reads;
+  sum->unknown += counts.unknown;
+  if (!simulation.breach().empty()) {
+    std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed),
+                simulation.breach().c_str());
+  }
+  return simulation.breach().empty();
+}
+
+void Print(const char* name, uint64_t count) {
+  std::printf("%-28s %llu\n", name, static_cast<unsigned long long>(count));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const uint64_t runs = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 100;
+  const uint64_t first = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+  const std::chrono::seconds limit(argc > 3 ? std::atoi(argv[3]) : 3600);
+  const auto start = std::chrono::steady_clock::now();
+  Counts sum;
+  uint64_t done = 0;
+  uint64_t breaches = 0;
+  while (done < runs && std::chrono::steady_clock::now() - start < limit) {
+    breaches += RunSeed(first + done, &sum) ? 0 : 1;
+    ++done;
+  }
+  Print("first seed", first);
+  Print("runs", done);
+  Print("breaches", breaches);
+  static constexpr const char* kNames[kFaultKinds] = {
+      "crashes",    "losses of state", "outgoing cuts", "incoming cuts",
+      "isolations", "failing disks",   "hand-overs"};
+  for (size_t kind = 0; kind < kFaultKinds; ++kind) {
+    Print(kNames[kind], sum.faults[kind]);
+  }
+  Print("messages lost", sum.lost);
+  Print("messages doubled", sum.doubled);
+  Print("messages late", sum.late);
+  Print("messages cut", sum.cut);
+  Print("writes failed", sum.failed_writes);
+  Print("unsynced batches lost", sum.unsynced_batches_lost);
+  Print("synced but not reported", sum.synced_without_report);
+  Print("snapshots installed", sum.snapshots_installed);
+  Print("writes acknowledged", sum.acknowledged);
+  Print("reads", sum.reads);
+  Print("outcomes unknown", sum.unknown);
+  return breaches == 0 ? 0 : 1;
+}
