main: Commit nothing before a majority of the voters has joined

Cause: a group forms with one voter and admits the others one by one. A test that killed the first instance right after the start left a group that only it had formed; entries acknowledged until then had a single copy. Change: a leader takes commands only once a majority of the instances that are to vote are voters. Conclusion: ruled out: lost announcements; the trace showed formation under way. Right after the first start a group may refuse for a moment.

--- a/main/replicated_groups.cpp
+++ b/main/replicated_groups.cpp
@@ -49,6 +49,17 @@
   return it == replicas_.end() ? nullptr : it->second;
 }
 
+HostedGroup* ReplicatedGroups::FindLeading(const std::string& group) const {
+  HostedGroup* replica = Find(group);
+  const auto hosts = hosts_.find(group);
+  if (replica == nullptr || !replica->is_leader() || hosts == hosts_.end()) {
+    return nullptr;
+  }
+  const size_t majority = hosts->second.size() / 2 + 1;
+  const size_t voters = replica->replica().membership().voter_count();
+  return voters >= majority ? replica : nullptr;
+}
+
 void ReplicatedGroups::Propose(const std::string& group, std::string command,
                                ReplyHandler on_reply) {
   auto operation = std::make_shared<Operation>();
@@ -77,8 +88,8 @@
         NotRun(core::ErrorCode::kNotFound, "no such zone or program"));
     return;
   }
-  if (replica != nullptr && replica->is_leader()) {
-    RunHere(operation, *replica);
+  if (HostedGroup* leading = FindLeading(operation->group)) {
+    RunHere(operation, *leading);
     return;
   }
   const std::string host = ChooseHost(*operation);
@@ -228,8 +239,9 @@
 
 void ReplicatedGroups::AnswerPropose(const schema::PeerMessage& message,
                                      const PeerReply& reply) {
-  HostedGroup* replica = Find(message.propose().group());
-  if (replica == nullptr || !replica->is_leader()) {
+  HostedGroup* replica = FindLeading(message.propose().group());
+  if (replica == nullptr) {
+    replica = Find(message.propose().group());
     schema::PeerMessage answer;
     schema::ProposeReply& body = *answer.mutable_propose_reply();
     body.set_status(schema::ProposeReply::STATUS_NOT_LEADER);
@@ -265,8 +277,9 @@
 
 void ReplicatedGroups::AnswerQuery(const schema::PeerMessage& message,
                                    const PeerReply& reply) {
-  HostedGroup* replica = Find(message.query().group());
-  if (replica == nullptr || !replica->is_leader()) {
+  HostedGroup* replica = FindLeading(message.query().group());
+  if (replica == nullptr) {
+    replica = Find(message.query().group());
     schema::PeerMessage answer;
     answer.mutable_query_reply()->set_leader(
         replica == nullptr ? "" : replica->leader());
--- a/main/replicated_groups.h
+++ b/main/replicated_groups.h
@@ -92,6 +92,10 @@
                const core::Result<schema::PeerMessage>& result);
   void TryLater(const OperationPtr& operation, const core::Error& error);
   std::string ChooseHost(Operation& operation) const;
+  /// The own replica if it leads and a majority of the instances that are to
+  /// vote have joined it; null otherwise. While a group forms or repairs
+  /// itself, no entry is committed on fewer copies.
+  HostedGroup* FindLeading(const std::string& group) const;
   void AnswerPropose(const schema::PeerMessage& message,
                      const PeerReply& reply);
   void AnswerQuery(const schema::PeerMessage& message, const PeerReply& reply);
--- a/tests/main/deployment.cpp
+++ b/tests/main/deployment.cpp
@@ -189,6 +189,26 @@
   REQUIRE(ready);
 }
 
+void Deployment::WaitVoters(const std::string& instance,
+                            const std::string& group, int count) {
+  std::string last;
+  const bool formed = WaitFor([&] {
+    const Answer answer = Operate(instance, "/v1/admin/members", {}, "GET");
+    last = answer.body;
+    const QJsonArray groups = answer.json()["groups"].toArray();
+    return std::any_of(groups.begin(), groups.end(), [&](const auto& it) {
+      const QJsonArray members = it.toObject()["members"].toArray();
+      const auto voters = std::count_if(
+          members.begin(), members.end(),
+          [](const auto& m) { return m.toObject()["voter"].toBool(); });
+      return it.toObject()["group"].toString().toStdString() == group &&
+             voters == count;
+    });
+  });
+  INFO(last);
+  REQUIRE(formed);
+}
+
 void Deployment::Kill(const std::string& name) {
   processes_[name].process->kill();
   processes_[name].process->waitForFinished();
--- a/tests/main/deployment.h
+++ b/tests/main/deployment.h
@@ -45,6 +45,9 @@
   void StartAll();
   /// Waits until the instance takes traffic.
   void WaitReady(const std::string& instance);
+  /// Waits until `count` instances vote in `group` as `instance` sees it.
+  void WaitVoters(const std::string& instance, const std::string& group,
+                  int count);
   /// Ends an instance or upstream at once.
   void Kill(const std::string& name);
   /// Asks an instance or upstream to shut down; returns its exit code.
--- a/tests/main/failure_test.cpp
+++ b/tests/main/failure_test.cpp
@@ -118,6 +118,9 @@
   }
   const std::string program = it.CreateProgram("a1");
   REQUIRE(it.Call("a1", Calls(program), PlainCall(1, "book")).status == 200);
+  for (const char* name : {"a1", "a2", "a3"}) {
+    it.WaitVoters(name, "ledger/zone-a", 3);
+  }
   const std::string leader = it.LeaderOf("a1", "ledger/zone-a");
   const std::string other = leader == "a1" ? "a2" : "a1";
   it.Kill(leader);
