--- a/main/answer_writer.cpp
+++ b/main/answer_writer.cpp
@@ -86,6 +86,10 @@
   core::Error error;
   error.execution = ExecutionOf(outcome.outcome());
   error.code = core::ErrorCodeOf(outcome.error_code());
+  if (error.code == core::ErrorCode::kInternal) {
+    // The ledger's own reasons: the owner was lost, or no attempt is left.
+    error.code = core::ErrorCode::kUnavailable;
+  }
   error.message = outcome.error_message();
   return error;
 }
--- a/main/call_controller.cpp
+++ b/main/call_controller.cpp
@@ -83,7 +83,7 @@
   }
   call->waiters.push_back(submission.waiter);
   by_exchange_[submission.waiter.exchange] = call;
-  if (call->state == OpenCall::State::kRunning) {
+  if (call->streaming) {
     answers_.Begin(submission.waiter);
     for (size_t n = 0; n < call->tokens.size(); ++n) {
       answers_.Token(submission.waiter, n, call->tokens[n]);
@@ -202,6 +202,9 @@
 void CallController::OnAccepted(const CallPtr& call,
                                 const schema::LedgerReply& reply) {
   call->attempt = reply.attempt();
+  if (call->submission.service_class.empty()) {
+    call->submission.service_class = reply.service_class();
+  }
   call->request.attained_tokens = reply.attained_tokens();
   call->request.prompt_tokens = reply.history_tokens();
   call->request.isolate = reply.isolate();
@@ -451,7 +454,8 @@
     Succeed(call, answer.status);
     return;
   }
-  if (!answer.complete && !unreachable) {
+  const bool broke = error.code != core::ErrorCode::kDeadlineExceeded;
+  if (!answer.complete && !unreachable && broke) {
     ReportCrash(*call);
   }
   if (call->submission.kind == schema::CALL_KIND_NON_IDEMPOTENT) {
@@ -634,6 +638,7 @@
     }
     if (waiter.stream && !call->streaming) {
       answers_.Begin(waiter);
+      answers_.Token(waiter, 0, ContentOf(call->outcome.answer()));
     }
     answers_.Finish(waiter, call->submission, call->outcome);
   }
--- a/main/chat_delta.cpp
+++ b/main/chat_delta.cpp
@@ -1,5 +1,6 @@
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 
 #include "main/caller_api.h"
 #include "main/json.h"
@@ -10,9 +11,9 @@
 
 namespace {
 
-QJsonArray Slice(const QJsonArray& messages, qsizetype from) {
+QJsonArray Slice(const QJsonArray& messages, qsizetype from, qsizetype to) {
   QJsonArray slice;
-  for (qsizetype n = from; n < messages.size(); ++n) {
+  for (qsizetype n = from; n < std::min(to, messages.size()); ++n) {
     slice.append(messages[n]);
   }
   return slice;
@@ -42,16 +43,18 @@
         QJsonDocument::fromJson(QByteArray::fromStdString(call.messages()))
             .array();
     if (messages.size() == known + added.size() &&
-        Slice(messages, known) == added) {
+        Slice(messages, known, messages.size()) == added) {
       return ChatDelta{call.number(), ToJson(QJsonValue(added))};
     }
+    const bool same = Slice(messages, known, known + added.size()) == added;
     known += added.size() + 1;
-    if (messages.size() < known) {
+    if (!same || messages.size() < known) {
       return NotRun(core::ErrorCode::kConflict,
                     "the messages contradict the program's history");
     }
   }
-  return ChatDelta{last + 1, ToJson(QJsonValue(Slice(messages, known)))};
+  return ChatDelta{last + 1,
+                   ToJson(QJsonValue(Slice(messages, known, messages.size())))};
 }
 
 }  // namespace hawthorn::main
--- a/main/ctl/commands.cpp
+++ b/main/ctl/commands.cpp
@@ -15,6 +15,7 @@
 #include "main/ctl/table.h"
 #include "main/json.h"
 #include "questionnaire/questionnaire.h"
+#include "settings/reference.h"
 #include "settings/settings.h"
 
 namespace hawthorn::ctl {
@@ -92,6 +93,11 @@
   return kExitOk;
 }
 
+int ShowReference(const Options&, const Arguments&) {
+  std::cout << settings::SettingsReference();
+  return kExitOk;
+}
+
 int NewQuestionnaire(const Options&, const Arguments&) {
   std::cout << questionnaire::QuestionnaireForm();
   return kExitOk;
@@ -196,6 +202,10 @@
        "FILE",
        "find everything wrong with settings",
        CheckSettings},
+      {{"settings", "reference"},
+       "",
+       "every setting as Markdown",
+       ShowReference},
       {{"questionnaire", "new"}, "", "an empty form", NewQuestionnaire},
       {{"questionnaire", "generate"},
        "ANSWERS",
--- a/main/ctl/configuration_commands.cpp
+++ b/main/ctl/configuration_commands.cpp
@@ -1,6 +1,7 @@
 #include "main/ctl/configuration_commands.h"
 
 #include <QJsonArray>
+#include <QRandomGenerator>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -8,6 +9,8 @@
 #include <sstream>
 #include <thread>
 
+#include "control/operation_id.h"
+#include "core/clock.h"
 #include "main/ctl/operator_client.h"
 #include "main/ctl/report.h"
 #include "main/ctl/table.h"
@@ -134,11 +137,17 @@
     }
     expected = core::Value(current)["revision"].toInteger();
   }
+  // The id makes a request that is sent again return the first answer.
+  const std::string operation =
+      options.operation.empty()
+          ? control::MakeOperationId(core::SystemClock().WallNow(),
+                                     QRandomGenerator::system()->generate64())
+          : options.operation;
   const auto result =
       client.Post("/v1/admin/config/apply",
                   {{"expected", static_cast<qint64>(expected)},
                    {"author", QString::fromStdString(options.author)},
-                   {"operation", QString::fromStdString(options.operation)},
+                   {"operation", QString::fromStdString(operation)},
                    {"yaml", QString::fromStdString(*wanted)}});
   if (!core::IsOk(result)) {
     return Report(core::ErrorOf(result));
--- a/main/ctl/operator_client.h
+++ b/main/ctl/operator_client.h
@@ -18,7 +18,8 @@
   /// Reads the JSON object at `path`. An error of the instance keeps its
   /// code, message and execution.
   core::Result<QJsonObject> Get(const std::string& path);
-  /// Sends `body` to `path`. It is not repeated when the answer is lost.
+  /// Sends `body` to `path`. The library may send it again when the connection
+  /// is lost, so that a change must carry an operation id.
   core::Result<QJsonObject> Post(const std::string& path,
                                  const QJsonObject& body);
   /// Reads the text at `path`.
--- a/main/instance.cpp
+++ b/main/instance.cpp
@@ -7,6 +7,7 @@
 #include "main/json.h"
 #include "main/ledger_query.h"
 #include "main/operator_readouts.h"
+#include "programs/program_id.h"
 
 namespace hawthorn::main {
 
@@ -82,6 +83,15 @@
     const schema::Configuration& first_configuration,
     const StoreFactory& open_store) {
   std::unique_ptr<Instance> self(new Instance(parts, settings));
+  for (const std::string& zone : LedgerZones(settings)) {
+    // Program ids carry their home zone.
+    const auto id = programs::ParseProgramId(zone + ".1.00000000");
+    if (!core::IsOk(id)) {
+      return NotRun(
+          core::ErrorCode::kInvalidArgument,
+          "zone \"" + zone + "\": only letters, digits and \"-\" are allowed");
+    }
+  }
   const core::TimePoint now = parts.clock.Now();
   self->membership_ = std::make_unique<membership::Membership>(
       MembershipSettingsOf(settings, parts.clock.WallNow(), parts.random()),
--- a/main/ledger_messages.cpp
+++ b/main/ledger_messages.cpp
@@ -8,6 +8,7 @@
 #include <array>
 
 #include "main/json.h"
+#include "programs/fingerprint.h"
 #include "query.pb.h"
 
 namespace hawthorn::main {
@@ -18,10 +19,8 @@
 constexpr int64_t kDefaultReservedOutput = 512;
 
 uint64_t FingerprintOf(const CallSubmission& submission) {
-  return XXH3_64bits_withSeed(submission.messages.data(),
-                              submission.messages.size(),
-                              XXH3_64bits(submission.service.text().data(),
-                                          submission.service.text().size()));
+  return programs::RequestFingerprint(
+      submission.messages, submission.service.text() + submission.operation);
 }
 
 }  // namespace
@@ -149,6 +148,7 @@
   core::Error error = NotRun(core::ErrorCode::kInternal, reply.message());
   switch (reply.verdict()) {
     case schema::VERDICT_CONFLICT:
+    case schema::VERDICT_STALE:
       error.code = core::ErrorCode::kConflict;
       break;
     case schema::VERDICT_OUT_OF_ORDER:
@@ -211,6 +211,13 @@
   return static_cast<int64_t>(text.size()) / kBytesPerToken + 1;
 }
 
+std::string ContentOf(const std::string& answer) {
+  return QJsonDocument::fromJson(QByteArray::fromStdString(answer))
+      .object()["content"]
+      .toString()
+      .toStdString();
+}
+
 std::string AssistantMessage(const std::vector<std::string>& tokens) {
   std::string content;
   for (const std::string& token : tokens) {
--- a/main/ledger_messages.h
+++ b/main/ledger_messages.h
@@ -81,6 +81,9 @@
 /// Estimate of the tokens in a JSON text.
 int64_t EstimateTokens(const std::string& text);
 
+/// Text of an assistant's message; empty for other answers.
+std::string ContentOf(const std::string& answer);
+
 /// JSON object of an assistant's message made of `tokens`.
 std::string AssistantMessage(const std::vector<std::string>& tokens);
 
--- a/programs/call_rules.cpp
+++ b/programs/call_rules.cpp
@@ -260,6 +260,7 @@
   schema::LedgerReply reply = MakeReply(schema::VERDICT_ACCEPTED);
   reply.set_attempt(call.attempt);
   reply.set_history_tokens(program->history_tokens);
+  reply.set_service_class(program->service_class);
   reply.set_attained_tokens(RootOf(state_, program)->attained_tokens);
   reply.set_isolate(state_.poison.StandingOf(call.fingerprint) !=
                     Standing::kClear);
--- a/programs/ledger.h
+++ b/programs/ledger.h
@@ -82,7 +82,7 @@
   /// Open calls of an owner; those of lost owners for an empty name.
   std::vector<schema::OpenCall> OpenCallsOf(const std::string& owner) const;
 
-  /// Programs of an organisation, the newest first.
+  /// Programs of an organisation, the newest first; of all for an empty name.
   std::vector<schema::ProgramSummary> List(const std::string& organisation,
                                            size_t limit) const;
 
--- a/programs/program_table.cpp
+++ b/programs/program_table.cpp
@@ -88,6 +88,15 @@
 std::vector<const Program*> ProgramTable::List(const std::string& organisation,
                                                size_t limit) const {
   std::vector<const Program*> result;
+  if (organisation.empty()) {
+    for (auto it = programs_.rbegin(); it != programs_.rend(); ++it) {
+      if (result.size() == limit) {
+        break;
+      }
+      result.push_back(it->second.get());
+    }
+    return result;
+  }
   const auto found = by_organisation_.find(organisation);
   if (found == by_organisation_.end()) {
     return result;
--- a/tests/main/failure_test.cpp
+++ b/tests/main/failure_test.cpp
@@ -38,6 +38,25 @@
   REQUIRE(it.CountOf("second", "runs") == 0);
 }
 
+TEST_CASE("a slow request is not taken for one that crashes upstreams") {
+  Deployment it(Plans{{"one", "zone-a"}});
+  it.StartAll();
+  it.StartUpstream("engine", "engine", "asistente", "zone-a", 400);
+  it.WaitUpstreams("one", 1);
+  for (int n = 0; n < 3; ++n) {
+    const std::string program = it.CreateProgram("one");
+    QJsonObject call = ModelCall(1, LongQuestion(30));
+    call["timeout_ms"] = 700;
+    const Answer late = it.Call("one", Calls(program), call);
+    REQUIRE(late.error("code") == "deadline_exceeded");
+  }
+  const std::string program = it.CreateProgram("one");
+  const Answer whole =
+      it.Call("one", Calls(program), ModelCall(1, LongQuestion(30)));
+  INFO(whole.body);
+  REQUIRE(whole.status == 200);
+}
+
 TEST_CASE("a stream goes on when its engine is killed") {
   Deployment it(Plans{{"one", "zone-a"}});
   it.StartAll();
--- a/tests/main/whole_path_test.cpp
+++ b/tests/main/whole_path_test.cpp
@@ -25,6 +25,12 @@
   REQUIRE(streamed.body.find("event: token") != std::string::npos);
   REQUIRE(streamed.body.find("event: end") != std::string::npos);
 
+  const Answer repeated = it.Call("one", Calls(program),
+                                  ModelCall(1, "Which dates are free?", true));
+  REQUIRE(repeated.body.find("Answer to: Which dates are free?") !=
+          std::string::npos);
+  REQUIRE(it.CountOf("engine", "runs") == 1);
+
   for (int n = 0; n < 3; ++n) {
     const Answer booked = it.Call("one", Calls(program), PlainCall(2, "book"));
     REQUIRE(booked.status == 200);
@@ -45,6 +51,9 @@
           "out_of_order");
   REQUIRE(it.Call("one", "/v1/programs/" + program + "/resume", {}).status ==
           200);
+  const Answer resumed =
+      it.Call("one", "/v1/programs/" + program + "/resume", {});
+  REQUIRE(resumed.status == 409);
   const Answer third = it.Call("one", Calls(program), ModelCall(3, "Thanks"));
   REQUIRE(third.json()["answer"].toObject()["content"].toString() ==
           "Answer to: Thanks");
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -24,6 +24,10 @@
   cat KNOWN-RED.txt
   ctest --test-dir build -R 'known-red' 2>&1 | tail -n 15 || true
 fi
+if ! JOBS="$(nproc)" examples/embedding/check.sh build; then
+  echo "the coordination library does not build when installed"
+  verdict=1
+fi
 total=$(sed -nE 's/.* tests failed out of ([0-9]+).*/\1/p' "$log" | tail -n 1)
 failed=$(sed -nE 's/.*, ([0-9]+) tests failed out of.*/\1/p' "$log" | tail -n 1)
 [ -n "$total" ] && [ "$total" -gt 0 ] || {
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -73,9 +73,9 @@
     QObject::connect(&socket_, &QTcpSocket::errorOccurred,
                      [this] { OnError(); });
     QObject::connect(&whole_timer_, &QTimer::timeout,
-                     [this] { Fail("the call exceeded its time"); });
+                     [this] { FailLate("the call exceeded its time"); });
     QObject::connect(&silence_timer_, &QTimer::timeout,
-                     [this] { Fail("the upstream fell silent"); });
+                     [this] { FailLate("the upstream fell silent"); });
     whole_timer_.setSingleShot(true);
     silence_timer_.setSingleShot(true);
     whole_timer_.start(request_.timeout);
@@ -161,12 +161,20 @@
   }
 
   void Fail(std::string message) {
+    Fail(core::ErrorCode::kUnavailable, std::move(message));
+  }
+
+  void FailLate(std::string message) {
+    Fail(core::ErrorCode::kDeadlineExceeded, std::move(message));
+  }
+
+  void Fail(core::ErrorCode code, std::string message) {
     ClientAnswer answer;
     if (parser_.is_header_done()) {
       answer.status = static_cast<int>(parser_.get().result_int());
     }
     answer.error = core::Error{
-        core::ErrorCode::kUnavailable,
+        code,
         std::move(message),
         sent_ ? core::Execution::kUnknown : core::Execution::kNotRun,
         {}};
