consensus: Answer each challenge of a leader once

Cause: a replica answered every announcement that carried a nonce, also an answer that met a former leader.

--- a/bench/consensus/fault_run.cpp
+++ b/bench/consensus/fault_run.cpp
@@ -1,6 +1,7 @@
 // Runs random plans of faults over many seeds and prints what was counted.
 // Usage: consensus_fault_run RUNS [FIRST_SEED [SECONDS]]
 // No run is begun after SECONDS of real time.
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -18,9 +19,13 @@
 using hawthorn::consensus::SimulationOptions;
 
 constexpr int kFaultsInPlan = 15;
+constexpr size_t kSetups = 4;
+constexpr const char* kSetupNames[kSetups] = {
+    "  3 with disks", "  5 with disks", "  3 with one disk, durable copy",
+    "  5 with two disks, durable copy"};
 
 SimulationOptions OptionsOf(uint64_t seed) {
-  switch (seed % 4) {
+  switch (seed % kSetups) {
     case 0:
       return {3, 3, false, seed};
     case 1:
@@ -63,12 +68,13 @@
   if (!simulation.breach().empty()) {
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed),
                 simulation.breach().c_str());
+    std::fflush(stdout);
   }
   return simulation.breach().empty();
 }
 
 void Print(const char* name, uint64_t count) {
-  std::printf("%-28s %llu\n", name, static_cast<unsigned long long>(count));
+  std::printf("%-34s %llu\n", name, static_cast<unsigned long long>(count));
 }
 
 }  // namespace
@@ -81,13 +87,20 @@
   Counts sum;
   uint64_t done = 0;
   uint64_t breaches = 0;
+  std::array<uint64_t, kSetups> by_setup{};
   while (done < runs && std::chrono::steady_clock::now() - start < limit) {
-    breaches += RunSeed(first + done, &sum) ? 0 : 1;
+    if (!RunSeed(first + done, &sum)) {
+      ++breaches;
+      ++by_setup[(first + done) % kSetups];
+    }
     ++done;
   }
   Print("first seed", first);
   Print("runs", done);
   Print("breaches", breaches);
+  for (size_t i = 0; i < kSetups; ++i) {
+    Print(kSetupNames[i], by_setup[i]);
+  }
   static constexpr const char* kNames[kFaultKinds] = {
       "crashes",    "losses of state", "outgoing cuts", "incoming cuts",
       "isolations", "failing disks",   "hand-overs"};
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "consensus/leader_state.h"
@@ -229,6 +230,8 @@
   std::optional<Transfer> transfer_;
   std::vector<uint64_t> failed_reads_;
   std::map<std::string, Announced> announced_;
+  /// Term and nonce of the last challenge of a leader that was answered.
+  std::pair<uint64_t, uint64_t> answered_challenge_;
   core::TimePoint next_announce_;
 };
 
--- a/consensus/replica_admission.cpp
+++ b/consensus/replica_admission.cpp
@@ -60,7 +60,13 @@
   }
   const uint64_t nonce = message.announce().nonce();
   if (nonce != 0 && exact) {
-    SendAnnounce(from, message.term(), nonce);
+    // An answer may meet a former leader. Answering each challenge once keeps
+    // the two from answering each other without end.
+    const std::pair<uint64_t, uint64_t> challenge(message.term(), nonce);
+    if (challenge > answered_challenge_) {
+      answered_challenge_ = challenge;
+      SendAnnounce(from, message.term(), nonce);
+    }
     return;
   }
   // Freshness counts only if it was said to this very life of this replica.
--- a/tests/consensus/group_test.cpp
+++ b/tests/consensus/group_test.cpp
@@ -163,5 +163,29 @@
   REQUIRE(next != leader);
 }
 
+TEST_CASE("a replica answers each challenge of a leader once") {
+  ReplicaOptions options;
+  options.id = ReplicaId{"b", 2};
+  options.instances = {"a", "b", "c"};
+  Replica replica(options, {}, core::TimePoint());
+  const auto answers = [&](uint64_t nonce) {
+    schema::ConsensusMessage challenge;
+    *challenge.mutable_from() = ToProto(ReplicaId{"a", 1});
+    *challenge.mutable_to() = ToProto(options.id);
+    challenge.set_term(3);
+    challenge.mutable_announce()->set_nonce(nonce);
+    replica.Step(challenge, core::TimePoint());
+    size_t n = 0;
+    for (const auto& message :
+         replica.TakeActions(core::TimePoint()).messages) {
+      n += message.announce().nonce() == nonce ? 1 : 0;
+    }
+    return n;
+  };
+  REQUIRE(answers(5) == 1);
+  REQUIRE(answers(5) == 0);
+  REQUIRE(answers(6) == 1);
+}
+
 }  // namespace
 }  // namespace hawthorn::consensus
