main: Satisfy the linter and wait for room in rings without spinning

Cause: the lint of the whole tree had not run over the newest files. Change: casts, moves and a deduction guide; BoundedRing::Push waits on a condition in place of a loop of yields.

--- a/core/bounded_ring.h
+++ b/core/bounded_ring.h
@@ -38,6 +38,21 @@
     return true;
   }
 
+  /// Appends `value`, waiting for room. Returns false if the ring is closed.
+  bool Push(T&& value) {
+    {
+      std::unique_lock lock(mutex_);
+      room_.wait(lock, [this] { return closed_ || size_ < slots_.size(); });
+      if (closed_) {
+        return false;
+      }
+      slots_[(head_ + size_) % slots_.size()] = std::move(value);
+      ++size_;
+    }
+    ready_.notify_one();
+    return true;
+  }
+
   /// Removes the oldest element, or returns nothing if the ring is empty.
   std::optional<T> TryPop() {
     const std::lock_guard lock(mutex_);
@@ -60,6 +75,7 @@
       closed_ = true;
     }
     ready_.notify_all();
+    room_.notify_all();
   }
 
   bool closed() const {
@@ -83,11 +99,13 @@
     slots_[head_] = T();
     head_ = (head_ + 1) % slots_.size();
     --size_;
+    room_.notify_one();
     return value;
   }
 
   mutable std::mutex mutex_;
   std::condition_variable ready_;
+  std::condition_variable room_;
   std::vector<T> slots_;
   size_t head_ = 0;
   size_t size_ = 0;
--- a/main/answer_writer.cpp
+++ b/main/answer_writer.cpp
@@ -52,10 +52,10 @@
 QJsonObject NativeAnswer(const CallSubmission& call,
                          const schema::FinishCall& outcome) {
   QJsonObject object{{"program", Text(call.program.text())},
-                     {"number", qint64(call.number)},
-                     {"attempt", qint64(outcome.attempt())},
+                     {"number", static_cast<qint64>(call.number)},
+                     {"attempt", static_cast<qint64>(outcome.attempt())},
                      {"outcome", OutcomeText(outcome.outcome())},
-                     {"tokens", qint64(outcome.used_tokens())},
+                     {"tokens", static_cast<qint64>(outcome.used_tokens())},
                      {"answer", AnswerValue(outcome.answer())}};
   if (outcome.upstream_status() != 0) {
     object["upstream_status"] = outcome.upstream_status();
@@ -68,12 +68,12 @@
   const QJsonObject choice{{"index", 0},
                            {"message", AnswerValue(outcome.answer())},
                            {"finish_reason", "stop"}};
-  return {
-      {"id", Text(call.program.text() + "#" + std::to_string(call.number))},
-      {"object", "chat.completion"},
-      {"model", Text(call.service.text())},
-      {"choices", QJsonArray{choice}},
-      {"usage", QJsonObject{{"total_tokens", qint64(outcome.used_tokens())}}}};
+  return {{"id", Text(call.program.text() + "#" + std::to_string(call.number))},
+          {"object", "chat.completion"},
+          {"model", Text(call.service.text())},
+          {"choices", QJsonArray{choice}},
+          {"usage", QJsonObject{{"total_tokens",
+                                 static_cast<qint64>(outcome.used_tokens())}}}};
 }
 
 std::string Event(const char* name, const QJsonObject& data) {
@@ -115,8 +115,9 @@
     http_.WritePiece(waiter.exchange, "data: " + ToJson(chunk) + "\n\n");
     return;
   }
-  http_.WritePiece(waiter.exchange, Event("token", {{"offset", qint64(offset)},
-                                                    {"text", Text(token)}}));
+  http_.WritePiece(waiter.exchange,
+                   Event("token", {{"offset", static_cast<qint64>(offset)},
+                                   {"text", Text(token)}}));
 }
 
 void AnswerWriter::Finish(const Waiter& waiter, const CallSubmission& call,
--- a/main/call_attempts.cpp
+++ b/main/call_attempts.cpp
@@ -153,11 +153,11 @@
                                  : kDefaultMaxTokens;
   return ToJson(QJsonObject{
       {"program", QString::fromStdString(call.submission.program.text())},
-      {"call", qint64(call.submission.number)},
-      {"attempt", qint64(call.attempt)},
+      {"call", static_cast<qint64>(call.submission.number)},
+      {"attempt", static_cast<qint64>(call.attempt)},
       {"messages", messages},
-      {"max_tokens", qint64(max_tokens)},
-      {"offset", qint64(call.tokens.size())}});
+      {"max_tokens", static_cast<qint64>(max_tokens)},
+      {"offset", static_cast<qint64>(call.tokens.size())}});
 }
 
 void CallController::OnUpstreamPiece(uint64_t attempt,
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -110,7 +110,7 @@
 void CallerApi::Propose(const transport::HttpRequest& request,
                         const core::ProgramId& program,
                         const schema::LedgerCommand& command,
-                        Handler on_accepted) {
+                        const Handler& on_accepted) {
   parts_.groups.Propose(
       LedgerGroup(HomeZoneOf(program)), command.SerializeAsString(),
       [this, request, on_accepted](const core::Result<std::string>& result) {
--- a/main/caller_api.h
+++ b/main/caller_api.h
@@ -65,7 +65,8 @@
   core::Status FillService(CallSubmission* submission) const;
   void Propose(const transport::HttpRequest& request,
                const core::ProgramId& program,
-               const schema::LedgerCommand& command, Handler on_accepted);
+               const schema::LedgerCommand& command,
+               const Handler& on_accepted);
   void Refuse(const transport::HttpRequest& request, const core::Error& error);
   void Reply(const transport::HttpRequest& request, int status,
              const QJsonObject& body);
--- a/main/configuration_keeper.cpp
+++ b/main/configuration_keeper.cpp
@@ -1,5 +1,7 @@
 #include "main/configuration_keeper.h"
 
+#include <utility>
+
 #include "control/operation_id.h"
 
 namespace hawthorn::main {
@@ -14,7 +16,7 @@
 ConfigurationKeeper::ConfigurationKeeper(
     Parts parts, const HostedGroupOf<control::ControlState>* control,
     schema::Configuration first)
-    : parts_(parts), control_(control), first_(std::move(first)) {}
+    : parts_(std::move(parts)), control_(control), first_(std::move(first)) {}
 
 void ConfigurationKeeper::Tick() {
   if (control_ != nullptr) {
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -53,14 +53,7 @@
   }
 }
 
-void Daemon::PushOrWait(Event event) {
-  while (!events_.TryPush(std::move(event))) {
-    if (stopping_) {
-      return;
-    }
-    std::this_thread::yield();
-  }
-}
+void Daemon::PushOrWait(Event event) { events_.Push(std::move(event)); }
 
 core::Result<std::unique_ptr<storage::LogStore>> Daemon::OpenStore(
     const std::string& group) {
--- a/main/http_thread.cpp
+++ b/main/http_thread.cpp
@@ -2,6 +2,7 @@
 
 #include <QCoreApplication>
 #include <cstdlib>
+#include <thread>
 #include <utility>
 
 #include "main/json.h"
--- a/main/instance.cpp
+++ b/main/instance.cpp
@@ -76,7 +76,7 @@
 }  // namespace
 
 Instance::Instance(Parts parts, const schema::Settings& settings)
-    : parts_(parts), settings_(settings) {}
+    : parts_(std::move(parts)), settings_(settings) {}
 
 core::Result<std::unique_ptr<Instance>> Instance::Open(
     Parts parts, const schema::Settings& settings, const Secrets& secrets,
@@ -156,7 +156,7 @@
     if (!mine) {
       continue;
     }
-    const core::Status status = OpenGroup(name, voters, open_store);
+    core::Status status = OpenGroup(name, voters, open_store);
     if (!core::IsOk(status)) {
       return status;
     }
--- a/main/json.cpp
+++ b/main/json.cpp
@@ -49,7 +49,7 @@
                      {"message", Text(error.message)},
                      {"execution", Text(core::ToString(error.execution))}};
   if (error.retry_after) {
-    object["retry_after_ms"] = qint64(error.retry_after->count());
+    object["retry_after_ms"] = static_cast<qint64>(error.retry_after->count());
   }
   return {{"error", object}};
 }
--- a/main/json_fields.cpp
+++ b/main/json_fields.cpp
@@ -44,11 +44,11 @@
 
 QJsonObject EntryObject(const schema::HistoryEntry& entry) {
   if (!entry.ledger_message().empty()) {
-    return {{"number", qint64(entry.number())},
+    return {{"number", static_cast<qint64>(entry.number())},
             {"message", Text(entry.ledger_message())}};
   }
   const schema::FinishCall& recorded = entry.recorded();
-  QJsonObject item{{"number", qint64(entry.number())},
+  QJsonObject item{{"number", static_cast<qint64>(entry.number())},
                    {"messages", Parse(entry.messages())},
                    {"outcome", OutcomeName(recorded.outcome())},
                    {"answer", Parse(recorded.answer())}};
@@ -155,11 +155,11 @@
           {"class", Text(summary.service_class())},
           {"state", StateText(summary.state())},
           {"reason", Text(summary.reason())},
-          {"next_number", qint64(summary.next_number())},
+          {"next_number", static_cast<qint64>(summary.next_number())},
           {"call_under_way", summary.has_open()},
-          {"used_tokens", qint64(summary.used().tokens())},
-          {"budget_tokens", qint64(summary.budget().tokens())},
-          {"history_tokens", qint64(summary.history_tokens())}};
+          {"used_tokens", static_cast<qint64>(summary.used().tokens())},
+          {"budget_tokens", static_cast<qint64>(summary.budget().tokens())},
+          {"history_tokens", static_cast<qint64>(summary.history_tokens())}};
 }
 
 QJsonObject ProgramObject(const schema::LedgerQueryReply& reply) {
--- a/main/mailbox.h
+++ b/main/mailbox.h
@@ -3,7 +3,6 @@
 #include <QObject>
 #include <atomic>
 #include <functional>
-#include <thread>
 #include <utility>
 
 #include "core/bounded_ring.h"
@@ -22,11 +21,8 @@
   /// Runs `task` in the consumer's thread, in the order of posting. Callable
   /// from any thread but the consumer's own.
   void Post(Task task) {
-    while (!ring_.TryPush(std::move(task))) {
-      if (ring_.closed()) {
-        return;
-      }
-      std::this_thread::yield();
+    if (!ring_.Push(std::move(task))) {
+      return;
     }
     if (!scheduled_.exchange(true)) {
       QMetaObject::invokeMethod(
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -17,6 +17,8 @@
 struct Overload : Visitors... {
   using Visitors::operator()...;
 };
+template <typename... Visitors>
+Overload(Visitors...) -> Overload<Visitors...>;
 
 QString Text(const std::string& text) { return QString::fromStdString(text); }
 
@@ -198,11 +200,11 @@
   return {{"instance", Text(settings_.instance())},
           {"zone", Text(settings_.zone())},
           {"state", Text(health())},
-          {"revision", qint64(catalog_->revision())},
-          {"open_calls", qint64(calls_->open_calls())},
-          {"running_calls", qint64(calls_->running_calls())},
-          {"queued_calls", qint64(scheduler_->queued())},
-          {"upstreams", qint64(parts_.directory.All().size())}};
+          {"revision", static_cast<qint64>(catalog_->revision())},
+          {"open_calls", static_cast<qint64>(calls_->open_calls())},
+          {"running_calls", static_cast<qint64>(calls_->running_calls())},
+          {"queued_calls", static_cast<qint64>(scheduler_->queued())},
+          {"upstreams", static_cast<qint64>(parts_.directory.All().size())}};
 }
 
 QJsonObject Node::Upstreams() const {
@@ -216,10 +218,10 @@
         {"address", Text(it.address)},
         {"phase", PhaseName(it.phase)},
         {"takes_work", parts_.directory.IsRoutable(it.upstream, now)},
-        {"running", qint64(it.load.running)},
-        {"waiting", qint64(it.load.waiting)},
-        {"max_running", qint64(it.max_running)},
-        {"cached_tokens", qint64(it.load.cached_tokens)}});
+        {"running", static_cast<qint64>(it.load.running)},
+        {"waiting", static_cast<qint64>(it.load.waiting)},
+        {"max_running", static_cast<qint64>(it.max_running)},
+        {"cached_tokens", static_cast<qint64>(it.load.cached_tokens)}});
   }
   return {{"upstreams", list}};
 }
@@ -229,11 +231,11 @@
   for (const auto& [key, histogram] : parts_.metrics.Histograms()) {
     QJsonArray buckets;
     for (const uint64_t n : histogram.buckets()) {
-      buckets.append(qint64(n));
+      buckets.append(static_cast<qint64>(n));
     }
     list.append(QJsonObject{{"organisation", Text(key.organisation.text())},
                             {"class", Text(key.service_class)},
-                            {"count", qint64(histogram.count())},
+                            {"count", static_cast<qint64>(histogram.count())},
                             {"mean_ms", histogram.mean_ms()},
                             {"p50_ms", histogram.QuantileMs(0.5)},
                             {"p95_ms", histogram.QuantileMs(0.95)},
--- a/main/operator_readouts.cpp
+++ b/main/operator_readouts.cpp
@@ -42,8 +42,8 @@
   return {{"group", Text(name)},
           {"leader", Text(group.leader())},
           {"leads_here", group.is_leader()},
-          {"term", qint64(group.replica().term())},
-          {"applied", qint64(group.applied_index())},
+          {"term", static_cast<qint64>(group.replica().term())},
+          {"applied", static_cast<qint64>(group.applied_index())},
           {"members", voters}};
 }
 
@@ -58,16 +58,16 @@
                     {"zone", Text(it.zone.text())},
                     {"state", is_self ? "alive" : StateName(it.state)},
                     {"draining", it.draining},
-                    {"revision", qint64(it.revision)}});
+                    {"revision", static_cast<qint64>(it.revision)}});
   }
   QJsonArray list;
   for (const auto& [name, replica] : groups.replicas()) {
     list.append(GroupObject(name, *replica));
   }
-  return {
-      {"instances", instances},
-      {"groups", list},
-      {"highest_revision", qint64(membership.instances().HighestRevision())}};
+  return {{"instances", instances},
+          {"groups", list},
+          {"highest_revision",
+           static_cast<qint64>(membership.instances().HighestRevision())}};
 }
 
 void ListPrograms(GroupClient& groups, const std::string& zone,
@@ -112,19 +112,20 @@
 
 void ReadConfiguration(GroupClient& groups,
                        const OperatorApi::ReadoutReply& reply) {
-  QueryControl(groups, schema::ControlQuery::KIND_CURRENT,
-               [reply](const core::Result<schema::ControlQueryReply>& result) {
-                 if (!core::IsOk(result)) {
-                   reply(core::ErrorOf(result));
-                   return;
-                 }
-                 const auto& current = core::Value(result).current();
-                 reply(QJsonObject{{"revision", qint64(current.revision())},
-                                   {"author", Text(current.author())},
-                                   {"operation", Text(current.operation())},
-                                   {"yaml", Text(settings::ConfigurationToYaml(
-                                                current.configuration()))}});
-               });
+  QueryControl(
+      groups, schema::ControlQuery::KIND_CURRENT,
+      [reply](const core::Result<schema::ControlQueryReply>& result) {
+        if (!core::IsOk(result)) {
+          reply(core::ErrorOf(result));
+          return;
+        }
+        const auto& current = core::Value(result).current();
+        reply(QJsonObject{{"revision", static_cast<qint64>(current.revision())},
+                          {"author", Text(current.author())},
+                          {"operation", Text(current.operation())},
+                          {"yaml", Text(settings::ConfigurationToYaml(
+                                       current.configuration()))}});
+      });
 }
 
 void ReadHistory(GroupClient& groups, const OperatorApi::ReadoutReply& reply) {
@@ -136,10 +137,11 @@
                  }
                  QJsonArray list;
                  for (const auto& it : core::Value(result).history()) {
-                   list.append(QJsonObject{{"revision", qint64(it.revision())},
-                                           {"author", Text(it.author())},
-                                           {"operation", Text(it.operation())},
-                                           {"wall_ms", qint64(it.wall_ms())}});
+                   list.append(QJsonObject{
+                       {"revision", static_cast<qint64>(it.revision())},
+                       {"author", Text(it.author())},
+                       {"operation", Text(it.operation())},
+                       {"wall_ms", static_cast<qint64>(it.wall_ms())}});
                  }
                  reply(QJsonObject{{"history", list}});
                });
@@ -149,7 +151,7 @@
   schema::ControlReply reply;
   reply.ParseFromString(bytes);
   if (reply.verdict() == schema::CONTROL_VERDICT_ACCEPTED) {
-    return QJsonObject{{"revision", qint64(reply.revision())},
+    return QJsonObject{{"revision", static_cast<qint64>(reply.revision())},
                        {"repeated_answer", reply.repeated_answer()}};
   }
   core::Error error =
--- a/main/upstream_api.cpp
+++ b/main/upstream_api.cpp
@@ -50,22 +50,21 @@
                            "the key of upstreams is missing or wrong"));
     return true;
   }
-  std::string rest = request.path.substr(sizeof kPath - 1);
+  const std::string rest = request.path.substr(sizeof kPath - 1);
   const size_t slash = rest.rfind('/');
   const std::string action =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
   const core::UpstreamId upstream(slash == std::string::npos || slash == 0
                                       ? ""
                                       : rest.substr(1, slash - 1));
-  if (request.method != "POST") {
-    Refuse(request, NotRun(core::ErrorCode::kNotFound, "no such route"));
-  } else if (rest.empty()) {
+  const bool post = request.method == "POST";
+  if (post && rest.empty()) {
     Announce(request);
-  } else if (action == "renew") {
+  } else if (post && action == "renew") {
     Renew(request, upstream);
-  } else if (action == "leave") {
+  } else if (post && action == "leave") {
     Leave(request, upstream);
-  } else if (action == "events") {
+  } else if (post && action == "events") {
     TakeEvents(request, upstream);
   } else {
     Refuse(request, NotRun(core::ErrorCode::kNotFound, "no such route"));
@@ -103,9 +102,10 @@
   }
   on_change_();
   Reply(request,
-        {{"incarnation", qint64(core::Value(incarnation))},
-         {"lease_ms", qint64(lease_.count())},
-         {"renew_every_ms", qint64(lease_.count() / kRenewalsPerLease)}});
+        {{"incarnation", static_cast<qint64>(core::Value(incarnation))},
+         {"lease_ms", static_cast<qint64>(lease_.count())},
+         {"renew_every_ms",
+          static_cast<qint64>(lease_.count() / kRenewalsPerLease)}});
 }
 
 void UpstreamApi::Renew(const transport::HttpRequest& request,
@@ -132,7 +132,7 @@
     return;
   }
   on_change_();
-  Reply(request, {{"lease_ms", qint64(lease_.count())}});
+  Reply(request, {{"lease_ms", static_cast<qint64>(lease_.count())}});
 }
 
 void UpstreamApi::Leave(const transport::HttpRequest& request,
