main: Dispatch waiting calls when an upstream becomes known

Cause: a call that was queued before its instance had taken an upstream into the scheduler waited until another event came, since only events made the scheduler decide. Change: the periodic sync of upstreams is followed by a decision. Conclusion: ruled out: peer links and the ledger, which had answered.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -138,6 +138,8 @@
     next_sync_ = now + kSyncInterval;
     parts_.directory.Expire(now);
     registry_->Sync(now);
+    // An upstream that became known may take calls that wait already.
+    calls_->Pump();
     parts_.metrics.Gauge("queued_calls",
                          static_cast<double>(scheduler_->queued()));
     parts_.metrics.Gauge("open_calls",
