tools: End the demonstration in order and keep the report short

Cause: the demonstration hung at its end: the instance went first, and the stand-ins waited for its answer to their leaving. Change: processes end in reverse order; an empty list of known-red cases is not printed as 'No tests were found'.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,8 +8,11 @@
 work=$(mktemp -d)
 pids=()
 cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait
+  # The upstreams go first, since each tells the instance that it leaves.
+  for ((n = ${#pids[@]} - 1; n >= 0; --n)); do
+    kill "${pids[n]}" 2>/dev/null || true
+    wait "${pids[n]}" || true
+  done
   rm -rf "$work"
 }
 trap cleanup EXIT
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -22,7 +22,8 @@
 if [ -s KNOWN-RED.txt ]; then
   echo "Known failures, reported but not gating:"
   cat KNOWN-RED.txt
-  ctest --test-dir build -R 'known-red' 2>&1 | tail -n 15 || true
+  ctest --test-dir build -R 'known-red' 2>&1 | tail -n 15 |
+    grep -v 'No tests were found' || true
 fi
 if ! JOBS="$(nproc)" examples/embedding/check.sh build; then
   echo "the coordination library does not build when installed"
