main: Keep one default of answer tokens and one name of outcomes

Cause: the tokens that a call reserves and those that the engine is allowed came from two constants that had to stay equal; the text of an outcome stood in two files. Change: MaxTokensOf serves both uses, OutcomeName both files. Conclusion: behaviour is unchanged, and the two can no longer part.

--- a/main/answer_writer.cpp
+++ b/main/answer_writer.cpp
@@ -4,6 +4,7 @@
 #include <QJsonDocument>
 
 #include "main/json.h"
+#include "main/json_fields.h"
 
 namespace hawthorn::main {
 
@@ -14,17 +15,6 @@
 
 QString Text(const std::string& text) { return QString::fromStdString(text); }
 
-QString OutcomeText(schema::Outcome outcome) {
-  switch (outcome) {
-    case schema::OUTCOME_RAN:
-      return "ran";
-    case schema::OUTCOME_NOT_RUN:
-      return "not run";
-    default:
-      return "unknown";
-  }
-}
-
 core::Execution ExecutionOf(schema::Outcome outcome) {
   switch (outcome) {
     case schema::OUTCOME_RAN:
@@ -54,7 +44,7 @@
   QJsonObject object{{"program", Text(call.program.text())},
                      {"number", static_cast<qint64>(call.number)},
                      {"attempt", static_cast<qint64>(outcome.attempt())},
-                     {"outcome", OutcomeText(outcome.outcome())},
+                     {"outcome", OutcomeName(outcome.outcome())},
                      {"tokens", static_cast<qint64>(outcome.used_tokens())},
                      {"answer", AnswerValue(outcome.answer())}};
   if (outcome.upstream_status() != 0) {
--- a/main/call_attempts.cpp
+++ b/main/call_attempts.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::chrono::milliseconds kCommitRetryInterval{100};
 constexpr std::chrono::milliseconds kSilenceTimeout{10'000};
-constexpr int64_t kDefaultMaxTokens = 512;
 constexpr int kFirstFailureStatus = 400;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
@@ -31,8 +30,7 @@
   request.organisation = submission.organisation;
   request.service_class = submission.service_class;
   request.service = submission.service;
-  request.max_output_tokens =
-      submission.max_tokens > 0 ? submission.max_tokens : kDefaultMaxTokens;
+  request.max_output_tokens = MaxTokensOf(submission);
   request.deadline = call.deadline;
   if (const auto* it = catalog->FindOrganisation(submission.organisation)) {
     request.organisation_weight = it->weight();
@@ -148,9 +146,7 @@
   for (const auto& it : added) {
     messages.append(it);
   }
-  const int64_t max_tokens = call.submission.max_tokens > 0
-                                 ? call.submission.max_tokens
-                                 : kDefaultMaxTokens;
+  const int64_t max_tokens = MaxTokensOf(call.submission);
   return ToJson(QJsonObject{
       {"program", QString::fromStdString(call.submission.program.text())},
       {"call", static_cast<qint64>(call.submission.number)},
--- a/main/json_fields.cpp
+++ b/main/json_fields.cpp
@@ -20,17 +20,6 @@
                              : QJsonValue(Text(text));
 }
 
-QString OutcomeName(schema::Outcome outcome) {
-  switch (outcome) {
-    case schema::OUTCOME_RAN:
-      return "ran";
-    case schema::OUTCOME_NOT_RUN:
-      return "not run";
-    default:
-      return "unknown";
-  }
-}
-
 const char* StateText(schema::ProgramState state) {
   switch (state) {
     case schema::PROGRAM_STATE_RUNNING:
@@ -60,6 +49,17 @@
 
 }  // namespace
 
+QString OutcomeName(schema::Outcome outcome) {
+  switch (outcome) {
+    case schema::OUTCOME_RAN:
+      return "ran";
+    case schema::OUTCOME_NOT_RUN:
+      return "not run";
+    default:
+      return "unknown";
+  }
+}
+
 QJsonValue JsonFields::Get(const std::string& name) {
   known_.insert(name);
   return object_.value(QString::fromStdString(name));
--- a/main/json_fields.h
+++ b/main/json_fields.h
@@ -46,6 +46,9 @@
   std::vector<std::string> faults_;
 };
 
+/// Text form of `outcome`: "ran", "not run" or "unknown".
+QString OutcomeName(schema::Outcome outcome);
+
 /// JSON form of a program without its history.
 QJsonObject SummaryObject(const schema::ProgramSummary& summary);
 
--- a/main/ledger_messages.cpp
+++ b/main/ledger_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr int64_t kBytesPerToken = 4;
-constexpr int64_t kDefaultReservedOutput = 512;
+constexpr int64_t kDefaultMaxTokens = 512;
 
 uint64_t FingerprintOf(const CallSubmission& submission) {
   return programs::RequestFingerprint(
@@ -51,9 +51,8 @@
   begin.set_limited_tokens(limits != nullptr && limits->daily_tokens() > 0);
   begin.set_limited_cost(limits != nullptr && limits->daily_cost() > 0);
   if (submission.kind == schema::CALL_KIND_MODEL) {
-    const int64_t output = submission.max_tokens > 0 ? submission.max_tokens
-                                                     : kDefaultReservedOutput;
-    begin.set_reserve_tokens(EstimateTokens(submission.messages) + output);
+    begin.set_reserve_tokens(EstimateTokens(submission.messages) +
+                             MaxTokensOf(submission));
   }
   return command;
 }
@@ -207,6 +206,10 @@
                               number);
 }
 
+int64_t MaxTokensOf(const CallSubmission& submission) {
+  return submission.max_tokens > 0 ? submission.max_tokens : kDefaultMaxTokens;
+}
+
 int64_t EstimateTokens(const std::string& text) {
   return static_cast<int64_t>(text.size()) / kBytesPerToken + 1;
 }
--- a/main/ledger_messages.h
+++ b/main/ledger_messages.h
@@ -78,6 +78,10 @@
 /// Names the prompt prefix that ends with the answer of call `number`.
 uint64_t PrefixHash(const core::ProgramId& program, uint32_t number);
 
+/// Tokens that the answer of a model call may have: those asked for, or the
+/// default. The budget reserves as many as the engine is allowed.
+int64_t MaxTokensOf(const CallSubmission& submission);
+
 /// Estimate of the tokens in a JSON text.
 int64_t EstimateTokens(const std::string& text);
 
