--- /dev/null
+++ b/cluster/deployment_client.cpp
@@ -0,0 +1,222 @@
+#include "cluster/deployment_client.h"
+
+#include <QPointer>
+#include <utility>
+
+#include "cluster/deployment_host.h"
+#include "logging/log.h"
+
+namespace hawthorn::cluster {
+
+namespace {
+
+using logging::Log;
+using logging::LogLevel;
+
+/// Settlements in one command.
+constexpr size_t kSettlementsPerCommand = 256;
+
+}  // namespace
+
+DeploymentClient::DeploymentClient(std::vector<std::string> seeds,
+                                   uint64_t seed, const core::Clock& clock,
+                                   core::Metrics& metrics,
+                                   peer::PeerTransport& peers,
+                                   UpdateHandler on_update)
+    : seed_(seed),
+      clock_(clock),
+      metrics_(metrics),
+      peers_(peers),
+      on_update_(std::move(on_update)) {
+  source_cursor_ = seed_;
+  AddSeeds(seeds);
+  retry_.setSingleShot(true);
+  connect(&retry_, &QTimer::timeout, this, &DeploymentClient::Watch);
+  settle_timer_.setSingleShot(true);
+  connect(&settle_timer_, &QTimer::timeout, this,
+          &DeploymentClient::SendSettlements);
+}
+
+void DeploymentClient::AddSeeds(const std::vector<std::string>& seeds) {
+  for (const std::string& address : seeds) {
+    LearnInstance(HostOf(address), address, true);
+  }
+}
+
+void DeploymentClient::LearnInstance(const std::string& instance,
+                                     const std::string& address,
+                                     bool serves_control) {
+  if (address.empty()) {
+    return;
+  }
+  std::string& known = dialled_[instance];
+  if (known != address) {
+    known = address;
+    peers_.SetPeer(core::InstanceId(instance), address);
+  }
+  if (serves_control) {
+    sources_[instance] = address;
+  }
+}
+
+void DeploymentClient::Start() { Watch(); }
+
+bool DeploymentClient::IsCurrent() const {
+  return last_update_ != core::TimePoint() &&
+         clock_.Now() - last_update_ < kUpdateTimeout;
+}
+
+void DeploymentClient::Watch() {
+  if (sources_.empty()) {
+    retry_.start(kWatchRetry);
+    return;
+  }
+  auto it = sources_.begin();
+  std::advance(it, static_cast<ptrdiff_t>(source_cursor_++ % sources_.size()));
+  source_ = it->first;
+  schema::DeploymentMessage message;
+  message.mutable_watch()->set_configuration_version(configuration_version_);
+  peer::StreamCallbacks callbacks;
+  callbacks.on_piece = [this](const schema::PeerMessage& piece) {
+    OnWatchPiece(piece);
+  };
+  callbacks.on_end = [this](const core::Status& status) { OnWatchEnd(status); };
+  watch_ = peers_.OpenStream(core::InstanceId(source_), Pack(message),
+                             kUpdateTimeout, std::move(callbacks));
+}
+
+void DeploymentClient::OnWatchPiece(const schema::PeerMessage& piece) {
+  const auto message = Unpack(piece);
+  if (!core::IsOk(message) || !core::Value(message).has_update()) {
+    Log(LogLevel::kWarn, "unreadable update", {{"source", source_}});
+    return;
+  }
+  const schema::DeploymentUpdate& update = core::Value(message).update();
+  last_update_ = clock_.Now();
+  if (update.leader() != leader_) {
+    leader_ = update.leader();
+    Log(LogLevel::kInfo, "leader changed",
+        {{"leader", leader_}, {"source", source_}});
+  }
+  for (const schema::InstanceRecord& record : update.instances()) {
+    LearnInstance(record.instance(), record.peer_address(),
+                  record.serves_control());
+  }
+  if (update.configuration().version() > configuration_version_) {
+    configuration_version_ = update.configuration().version();
+  }
+  on_update_(update);
+}
+
+void DeploymentClient::OnWatchEnd(const core::Status& status) {
+  metrics_.Count("watch_ended");
+  Log(LogLevel::kWarn, "watch ended",
+      {{"source", source_},
+       {"reason", core::IsOk(status) ? "finished"
+                                     : core::ErrorOf(status).message}});
+  retry_.start(kWatchRetry);
+}
+
+void DeploymentClient::Claim(const relay::TokenClaim& claim,
+                             std::chrono::milliseconds timeout,
+                             ClaimCallback callback) {
+  schema::DeploymentCommand command;
+  schema::TokenReservation* reserve = command.mutable_reserve();
+  reserve->set_program(claim.program);
+  reserve->set_request(claim.request_id);
+  reserve->set_budget(claim.budget);
+  reserve->set_tokens(claim.tokens);
+  auto pending = std::make_shared<PendingClaim>();
+  pending->command = command.SerializeAsString();
+  pending->callback = std::move(callback);
+  pending->deadline = clock_.Now() + timeout;
+  QMetaObject::invokeMethod(
+      this, [this, pending] { TryClaim(pending); }, Qt::QueuedConnection);
+}
+
+void DeploymentClient::TryClaim(const std::shared_ptr<PendingClaim>& claim) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      claim->deadline - clock_.Now());
+  if (left <= kClaimRetry || leader_.empty()) {
+    metrics_.Count("claims_unanswered");
+    claim->callback(core::Error{core::ErrorCode::kUnavailable,
+                                "no answer from the leader " + leader_,
+                                core::Execution::kNotRun,
+                                kClaimRetry});
+    return;
+  }
+  schema::DeploymentMessage message;
+  message.set_propose(claim->command);
+  const auto again = [guard = QPointer<DeploymentClient>(this), claim] {
+    if (guard) {
+      guard->TryClaim(claim);
+    }
+  };
+  peers_.Request(
+      core::InstanceId(leader_), Pack(message), std::min(left, kClaimAttempt),
+      [this, guard = QPointer<DeploymentClient>(this), claim,
+       again](const core::Result<schema::PeerMessage>& reply) {
+        if (!guard) {
+          return;
+        }
+        const auto answer =
+            core::IsOk(reply) ? Unpack(core::Value(reply))
+                              : core::Result<schema::DeploymentMessage>(
+                                    core::ErrorOf(reply));
+        if (!core::IsOk(answer)) {
+          // The same claim is granted once however often it is sent.
+          QTimer::singleShot(kClaimRetry, this, again);
+          return;
+        }
+        claim->callback(core::Value(answer).reply().granted());
+      });
+}
+
+void DeploymentClient::Settle(const relay::TokenClaim& claim, int64_t used) {
+  schema::TokenSettlement settlement;
+  settlement.set_program(claim.program);
+  settlement.set_request(claim.request_id);
+  settlement.set_tokens(used);
+  settlements_[claim.request_id] = std::move(settlement);
+  if (!settling_ && !settle_timer_.isActive()) {
+    settle_timer_.start(kSettleDelay);
+  }
+}
+
+void DeploymentClient::SendSettlements() {
+  if (settlements_.empty() || settling_) {
+    return;
+  }
+  schema::DeploymentCommand command;
+  for (const auto& [request, settlement] : settlements_) {
+    *command.mutable_settle()->add_settlements() = settlement;
+    if (static_cast<size_t>(command.settle().settlements_size()) >=
+        kSettlementsPerCommand) {
+      break;
+    }
+  }
+  schema::DeploymentMessage message;
+  command.SerializeToString(message.mutable_propose());
+  settling_ = true;
+  peers_.Request(
+      core::InstanceId(leader_), Pack(message), kClaimAttempt,
+      [this, guard = QPointer<DeploymentClient>(this),
+       command](const core::Result<schema::PeerMessage>& reply) {
+        if (!guard) {
+          return;
+        }
+        settling_ = false;
+        if (!core::IsOk(reply)) {
+          settle_timer_.start(kSettleRetry);
+          return;
+        }
+        for (const auto& it : command.settle().settlements()) {
+          settlements_.erase(it.request());
+        }
+        if (!settlements_.empty()) {
+          settle_timer_.start(kSettleDelay);
+        }
+      });
+}
+
+}  // namespace hawthorn::cluster
--- /dev/null
+++ b/cluster/deployment_client.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "peer/peer_transport.h"
+#include "relay/token_ledger.h"
+#include "schema/generated/deployment.pb.h"
+
+namespace hawthorn::cluster {
+
+/// An instance without a disk: it watches the deployment at one instance that
+/// serves control, and claims budgets at the leader.
+class DeploymentClient final : public QObject, public relay::TokenLedger {
+  Q_OBJECT
+
+ public:
+  using UpdateHandler = std::function<void(const schema::DeploymentUpdate&)>;
+
+  /// Time without an update after which another instance is watched. Updates
+  /// come at least every DeploymentHost::kKeepAlive.
+  static constexpr std::chrono::milliseconds kUpdateTimeout{1000};
+  /// Wait between two attempts to watch.
+  static constexpr std::chrono::milliseconds kWatchRetry{150};
+  static constexpr std::chrono::milliseconds kClaimAttempt{500};
+  static constexpr std::chrono::milliseconds kClaimRetry{60};
+  /// Settlements of this long share a command. Well within the second in
+  /// which a deployment counts an ended turn at its most.
+  static constexpr std::chrono::milliseconds kSettleDelay{20};
+  static constexpr std::chrono::milliseconds kSettleRetry{200};
+
+  DeploymentClient(std::vector<std::string> seeds, uint64_t seed,
+                   const core::Clock& clock, core::Metrics& metrics,
+                   peer::PeerTransport& peers, UpdateHandler on_update);
+
+  void Start();
+  void AddSeeds(const std::vector<std::string>& seeds);
+
+  void Claim(const relay::TokenClaim& claim, std::chrono::milliseconds timeout,
+             ClaimCallback callback) override;
+  void Settle(const relay::TokenClaim& claim, int64_t used) override;
+
+  /// An update arrived lately, so that what is known here is current.
+  bool IsCurrent() const;
+  /// Settlements that are not durable yet.
+  size_t open_settlements() const { return settlements_.size(); }
+
+ private:
+  struct PendingClaim {
+    std::string command;
+    ClaimCallback callback;
+    core::TimePoint deadline;
+  };
+
+  void Watch();
+  void OnWatchPiece(const schema::PeerMessage& piece);
+  void OnWatchEnd(const core::Status& status);
+  void TryClaim(const std::shared_ptr<PendingClaim>& claim);
+  void SendSettlements();
+  void LearnInstance(const std::string& instance, const std::string& address,
+                     bool serves_control);
+
+  uint64_t seed_;
+  const core::Clock& clock_;
+  core::Metrics& metrics_;
+  peer::PeerTransport& peers_;
+  UpdateHandler on_update_;
+  /// Peer addresses of instances that may be watched, by instance.
+  std::map<std::string, std::string> sources_;
+  std::map<std::string, std::string> dialled_;
+  std::string source_;
+  size_t source_cursor_ = 0;
+  std::string leader_;
+  uint64_t configuration_version_ = 0;
+  core::TimePoint last_update_;
+  peer::StreamHandle watch_;
+  QTimer retry_;
+  QTimer settle_timer_;
+  std::map<std::string, schema::TokenSettlement> settlements_;
+  bool settling_ = false;
+};
+
+}  // namespace hawthorn::cluster
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -211,6 +211,13 @@
   return role_ == Role::kLeader && !transfer_ && !storage_failed_;
 }
 
+std::optional<core::TimePoint> Replica::LastContact() const {
+  if (role_ == Role::kLeader) {
+    return leading_->ConfirmedSince(membership());
+  }
+  return leader_.empty() ? std::nullopt : leader_heard_;
+}
+
 bool Replica::fresh() const { return membership().empty() && term() == 0; }
 
 schema::ConsensusMessage Replica::MessageTo(const ReplicaId& to) const {
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -119,6 +119,9 @@
   bool HasLease(core::TimePoint now) const;
   /// End of the lease; nothing without one.
   std::optional<core::TimePoint> LeaseEnd() const;
+  /// Time at which a leader was last heard, or a majority for a leader itself;
+  /// nothing before the first contact.
+  std::optional<core::TimePoint> LastContact() const;
   /// The last write failed and none has succeeded since.
   bool storage_failed() const { return storage_failed_; }
   /// The store held nothing and no group has taken this replica in.
--- /dev/null
+++ b/control/deployment_state.cpp
@@ -0,0 +1,277 @@
+#include "control/deployment_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::control {
+
+namespace {
+
+/// Interval on the group's clock at which idle programs are looked for, in ms.
+constexpr int64_t kSweepIntervalMs = 30'000;
+
+/// Whether an announcement is newer than the entry that is held.
+bool IsNewer(const schema::UpstreamEntry& held,
+             const schema::UpstreamEntry& entry) {
+  if (entry.started_at_ms() != held.started_at_ms()) {
+    return entry.started_at_ms() > held.started_at_ms();
+  }
+  return !held.gone() && entry.sequence() >= held.sequence();
+}
+
+bool SameContent(const schema::UpstreamEntry& a,
+                 const schema::UpstreamEntry& b) {
+  return a.service() == b.service() && a.address() == b.address() &&
+         a.zone() == b.zone() && a.max_running() == b.max_running() &&
+         a.draining() == b.draining() && a.gone() == b.gone() &&
+         a.started_at_ms() == b.started_at_ms();
+}
+
+}  // namespace
+
+int64_t DeploymentState::Spending::Committed() const {
+  int64_t total = spent;
+  for (const auto& [request, tokens] : open) {
+    total += tokens;
+  }
+  return total;
+}
+
+std::string DeploymentState::Apply(uint64_t /*index*/,
+                                   std::string_view command) {
+  schema::DeploymentReply reply;
+  schema::DeploymentCommand parsed;
+  if (!parsed.ParseFromArray(command.data(),
+                             static_cast<int>(command.size()))) {
+    return reply.SerializeAsString();
+  }
+  clock_ms_ += std::max<int64_t>(0, parsed.elapsed_ms());
+  ForgetIdlePrograms();
+  reply.set_known(true);
+  switch (parsed.body_case()) {
+    case schema::DeploymentCommand::kPublish:
+      Publish(parsed.publish());
+      break;
+    case schema::DeploymentCommand::kUpstream:
+      TakeUpstream(parsed.upstream());
+      break;
+    case schema::DeploymentCommand::kReserve:
+      Reserve(parsed.reserve(), &reply);
+      break;
+    case schema::DeploymentCommand::kSettle:
+      for (const schema::TokenSettlement& it : parsed.settle().settlements()) {
+        Settle(it);
+      }
+      break;
+    case schema::DeploymentCommand::kInstance:
+      TakeInstance(parsed.instance());
+      break;
+    case schema::DeploymentCommand::kForgetInstance:
+      instances_.erase(parsed.forget_instance());
+      break;
+    case schema::DeploymentCommand::kRetire:
+      Retire(parsed.retire(), &reply);
+      break;
+    case schema::DeploymentCommand::kForgetUpstream:
+      ForgetUpstream(parsed.forget_upstream());
+      break;
+    case schema::DeploymentCommand::BODY_NOT_SET:
+      break;
+  }
+  reply.set_version(configuration_.version());
+  return reply.SerializeAsString();
+}
+
+std::string DeploymentState::Snapshot() const {
+  schema::DeploymentSnapshot snapshot;
+  *snapshot.mutable_configuration() = configuration_;
+  for (const auto& [id, entry] : upstreams_) {
+    *snapshot.add_upstreams() = entry;
+  }
+  snapshot.set_upstream_revision(upstream_revision_);
+  for (const auto& [id, spending] : programs_) {
+    schema::ProgramSpending* out = snapshot.add_programs();
+    out->set_program(id);
+    out->set_spent(spending.spent);
+    out->set_last_used_ms(spending.last_used_ms);
+    for (const auto& [request, tokens] : spending.open) {
+      schema::OpenReservation* open = out->add_open();
+      open->set_request(request);
+      open->set_tokens(tokens);
+    }
+    for (const std::string& request : spending.settled) {
+      out->add_settled(request);
+    }
+  }
+  for (const auto& [id, record] : instances_) {
+    *snapshot.add_instances() = record;
+  }
+  snapshot.set_clock_ms(clock_ms_);
+  return snapshot.SerializeAsString();
+}
+
+core::Status DeploymentState::Restore(std::string_view snapshot) {
+  schema::DeploymentSnapshot parsed;
+  if (!parsed.ParseFromArray(snapshot.data(),
+                             static_cast<int>(snapshot.size()))) {
+    return core::Error{core::ErrorCode::kStorage,
+                       "the snapshot of the deployment is unreadable",
+                       core::Execution::kNotRun,
+                       {}};
+  }
+  *this = DeploymentState();
+  configuration_ = parsed.configuration();
+  for (const schema::UpstreamEntry& entry : parsed.upstreams()) {
+    upstreams_[entry.upstream()] = entry;
+  }
+  upstream_revision_ = parsed.upstream_revision();
+  for (const schema::ProgramSpending& it : parsed.programs()) {
+    Spending& spending = programs_[it.program()];
+    spending.spent = it.spent();
+    spending.last_used_ms = it.last_used_ms();
+    for (const schema::OpenReservation& open : it.open()) {
+      spending.open[open.request()] = open.tokens();
+    }
+    spending.settled.assign(it.settled().begin(), it.settled().end());
+  }
+  for (const schema::InstanceRecord& record : parsed.instances()) {
+    instances_[record.instance()] = record;
+  }
+  clock_ms_ = parsed.clock_ms();
+  return std::monostate{};
+}
+
+const schema::InstanceRecord* DeploymentState::FindByName(
+    std::string_view name) const {
+  for (const auto& [id, record] : instances_) {
+    if (record.name() == name) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+bool DeploymentState::WouldChange(const schema::UpstreamEntry& entry) const {
+  const auto it = upstreams_.find(entry.upstream());
+  if (it == upstreams_.end()) {
+    return true;
+  }
+  return IsNewer(it->second, entry) && !SameContent(it->second, entry);
+}
+
+void DeploymentState::Publish(
+    const schema::PublishedConfiguration& published) {
+  if (published.version() > configuration_.version()) {
+    configuration_ = published;
+  }
+}
+
+void DeploymentState::TakeUpstream(schema::UpstreamEntry entry) {
+  if (!WouldChange(entry)) {
+    return;
+  }
+  for (auto& [id, other] : upstreams_) {
+    const bool replaced = id != entry.upstream() && !other.gone() &&
+                          !entry.gone() && other.address() == entry.address();
+    if (!replaced) {
+      continue;
+    }
+    if (other.started_at_ms() > entry.started_at_ms()) {
+      // A newer upstream holds the address; the announcement is a late one.
+      entry.set_gone(true);
+      continue;
+    }
+    other.set_gone(true);
+    other.set_revision(++upstream_revision_);
+  }
+  entry.set_revision(++upstream_revision_);
+  upstreams_[entry.upstream()] = std::move(entry);
+  const auto gone = std::count_if(
+      upstreams_.begin(), upstreams_.end(),
+      [](const auto& it) { return it.second.gone(); });
+  if (static_cast<size_t>(gone) > kMaxGone) {
+    auto oldest = upstreams_.end();
+    for (auto it = upstreams_.begin(); it != upstreams_.end(); ++it) {
+      const bool older = oldest == upstreams_.end() ||
+                         it->second.revision() < oldest->second.revision();
+      if (it->second.gone() && older) {
+        oldest = it;
+      }
+    }
+    upstreams_.erase(oldest);
+  }
+}
+
+void DeploymentState::Reserve(const schema::TokenReservation& reservation,
+                              schema::DeploymentReply* reply) {
+  Spending& spending = programs_[reservation.program()];
+  spending.last_used_ms = clock_ms_;
+  const bool settled =
+      std::find(spending.settled.begin(), spending.settled.end(),
+                reservation.request()) != spending.settled.end();
+  const bool open = spending.open.contains(reservation.request());
+  const int64_t committed = spending.Committed();
+  if (!settled && !open &&
+      committed + reservation.tokens() <= reservation.budget()) {
+    spending.open[reservation.request()] = reservation.tokens();
+    reply->set_granted(true);
+  } else {
+    reply->set_granted(open);
+  }
+  reply->set_remaining(reservation.budget() - spending.Committed());
+}
+
+void DeploymentState::Settle(const schema::TokenSettlement& settlement) {
+  Spending& spending = programs_[settlement.program()];
+  spending.last_used_ms = clock_ms_;
+  if (spending.open.erase(settlement.request()) > 0) {
+    spending.spent += settlement.tokens();
+  }
+  spending.settled.push_back(settlement.request());
+  if (spending.settled.size() > kSettledRequests) {
+    spending.settled.pop_front();
+  }
+}
+
+void DeploymentState::TakeInstance(schema::InstanceRecord record) {
+  const auto it = instances_.find(record.instance());
+  const bool same_machine =
+      it != instances_.end() && it->second.name() == record.name();
+  record.set_retiring(same_machine && it->second.retiring());
+  instances_[record.instance()] = std::move(record);
+}
+
+void DeploymentState::Retire(const std::string& name,
+                             schema::DeploymentReply* reply) {
+  reply->set_known(false);
+  for (auto& [id, record] : instances_) {
+    if (record.name() == name) {
+      record.set_retiring(true);
+      reply->set_known(true);
+    }
+  }
+}
+
+void DeploymentState::ForgetUpstream(const std::string& upstream) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end() || it->second.gone()) {
+    return;
+  }
+  it->second.set_gone(true);
+  // A later announcement of the same life brings it back.
+  it->second.set_started_at_ms(
+      it->second.started_at_ms() == 0 ? 0 : it->second.started_at_ms() - 1);
+  it->second.set_revision(++upstream_revision_);
+}
+
+void DeploymentState::ForgetIdlePrograms() {
+  if (clock_ms_ < next_sweep_ms_) {
+    return;
+  }
+  next_sweep_ms_ = clock_ms_ + kSweepIntervalMs;
+  std::erase_if(programs_, [this](const auto& it) {
+    return it.second.last_used_ms + kProgramRetentionMs < clock_ms_;
+  });
+}
+
+}  // namespace hawthorn::control
--- /dev/null
+++ b/control/deployment_state.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/error.h"
+#include "schema/generated/deployment.pb.h"
+
+// Replicated state machine of a deployment whose configuration versions are
+// chosen by operators: the highest version wins.
+namespace hawthorn::control {
+
+/// Configuration, upstreams, instances with a disk and spending of programs.
+/// Deterministic: equal commands in equal order give equal states.
+class DeploymentState {
+ public:
+  /// Time after which the spending of an unused program is forgotten, in ms
+  /// on the group's clock: ten times the longest retention of programs (60 s).
+  static constexpr int64_t kProgramRetentionMs = 600'000;
+  /// Settled requests that a program remembers so that a reservation that
+  /// arrives late opens nothing again.
+  static constexpr size_t kSettledRequests = 64;
+  /// Entries of departed upstreams kept against late announcements.
+  static constexpr size_t kMaxGone = 1024;
+
+  /// Applies a serialized DeploymentCommand and returns a serialized
+  /// DeploymentReply. Unreadable commands change nothing.
+  std::string Apply(uint64_t index, std::string_view command);
+  std::string Snapshot() const;
+  core::Status Restore(std::string_view snapshot);
+
+  const schema::PublishedConfiguration& configuration() const {
+    return configuration_;
+  }
+  const std::map<std::string, schema::UpstreamEntry>& upstreams() const {
+    return upstreams_;
+  }
+  uint64_t upstream_revision() const { return upstream_revision_; }
+  const std::map<std::string, schema::InstanceRecord>& instances() const {
+    return instances_;
+  }
+  /// Record of the instance that operators call `name`, or null.
+  const schema::InstanceRecord* FindByName(std::string_view name) const;
+  /// Whether applying `entry` would change the table of upstreams.
+  bool WouldChange(const schema::UpstreamEntry& entry) const;
+  size_t program_count() const { return programs_.size(); }
+
+ private:
+  struct Spending {
+    int64_t spent = 0;
+    std::map<std::string, int64_t> open;
+    std::deque<std::string> settled;
+    int64_t last_used_ms = 0;
+
+    int64_t Committed() const;
+  };
+
+  void Publish(const schema::PublishedConfiguration& published);
+  void TakeUpstream(schema::UpstreamEntry entry);
+  void Reserve(const schema::TokenReservation& reservation,
+               schema::DeploymentReply* reply);
+  void Settle(const schema::TokenSettlement& settlement);
+  void TakeInstance(schema::InstanceRecord record);
+  void Retire(const std::string& name, schema::DeploymentReply* reply);
+  void ForgetUpstream(const std::string& upstream);
+  void ForgetIdlePrograms();
+
+  schema::PublishedConfiguration configuration_;
+  std::map<std::string, schema::UpstreamEntry> upstreams_;
+  uint64_t upstream_revision_ = 0;
+  std::map<std::string, Spending> programs_;
+  std::map<std::string, schema::InstanceRecord> instances_;
+  int64_t clock_ms_ = 0;
+  int64_t next_sweep_ms_ = 0;
+};
+
+}  // namespace hawthorn::control
--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "core/clock.h"
 
+#include <time.h>
+
 namespace hawthorn::core {
 
 TimePoint SystemClock::Now() const { return std::chrono::steady_clock::now(); }
@@ -9,6 +11,15 @@
       std::chrono::system_clock::now());
 }
 
+TimePoint SuspendAwareClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
+WallTime SuspendAwareClock::WallNow() const { return SystemClock().WallNow(); }
+
 TimePoint ManualClock::Now() const {
   const std::lock_guard lock(mutex_);
   return TimePoint(std::chrono::duration_cast<TimePoint::duration>(elapsed_));
--- a/core/clock.h
+++ b/core/clock.h
@@ -33,6 +33,14 @@
   WallTime WallNow() const override;
 };
 
+/// The machine's own clock with a monotonic time that also counts the time for
+/// which the machine was suspended, so that leases end during a suspension.
+class SuspendAwareClock final : public Clock {
+ public:
+  TimePoint Now() const override;
+  WallTime WallNow() const override;
+};
+
 /// A clock that moves only when told to. Both times advance together.
 class ManualClock final : public Clock {
  public:
--- a/main/log.cpp
+++ b/logging/log.cpp
@@ -1,4 +1,4 @@
-#include "main/log.h"
+#include "logging/log.h"
 
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
@@ -10,7 +10,7 @@
 #include <memory>
 #include <vector>
 
-namespace hawthorn::main {
+namespace hawthorn::logging {
 
 namespace {
 
@@ -36,23 +36,32 @@
 
 }  // namespace
 
-void StartLog(const schema::Settings& settings) {
+void StartLog(const LogOptions& options) {
   auto layout = std::make_shared<log4cxx::JSONLayout>();
   layout->setLocationInfo(false);
   log4cxx::AppenderPtr target;
-  if (settings.log_file().empty()) {
+  if (options.file.empty() || options.file == "-") {
     target = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, options.file.empty()
+                    ? log4cxx::ConsoleAppender::getSystemErr()
+                    : log4cxx::ConsoleAppender::getSystemOut());
   } else {
-    target = std::make_shared<log4cxx::FileAppender>(layout,
-                                                     settings.log_file(), true);
+    target =
+        std::make_shared<log4cxx::FileAppender>(layout, options.file, true);
   }
   auto async = std::make_shared<log4cxx::AsyncAppender>();
+  async->setBlocking(options.blocking);
   async->addAppender(target);
   Logger()->addAppender(async);
   Logger()->setAdditivity(false);
-  Logger()->setLevel(log4cxx::Level::toLevel(settings.log_level()));
-  log4cxx::MDC::put("instance", settings.instance());
+  Logger()->setLevel(log4cxx::Level::toLevel(options.level));
+  log4cxx::MDC::put("instance", options.instance);
+}
+
+void StopLog() { Logger()->removeAllAppenders(); }
+
+bool IsLogged(LogLevel level) {
+  return Logger()->isEnabledFor(ToLevel(level));
 }
 
 void Log(LogLevel level, const std::string& message, LogFields fields) {
@@ -67,4 +76,4 @@
   Logger()->forcedLog(severity, message);
 }
 
-}  // namespace hawthorn::main
+}  // namespace hawthorn::logging
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -77,7 +77,7 @@
       LimitsOf(settings_.limits()), clock_,
       [this](Event event) { return events_.TryPush(std::move(event)); });
   upstreams_ = std::make_unique<UpstreamThread>(push);
-  journal_ = std::make_unique<JournalThread>(push);
+  journal_ = std::make_unique<storage::JournalThread>(push);
   peer::PeerOptions options;
   options.self = core::InstanceId(settings_.instance());
   options.listen_address = settings_.peer_listen();
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -12,10 +12,10 @@
 #include "main/events.h"
 #include "main/http_thread.h"
 #include "main/instance.h"
-#include "main/journal_thread.h"
 #include "main/peer_thread.h"
 #include "main/upstream_thread.h"
 #include "settings.pb.h"
+#include "storage/journal_thread.h"
 #include "storage/file_system.h"
 
 namespace hawthorn::main {
@@ -56,7 +56,7 @@
   std::unique_ptr<HttpThread> http_;
   std::unique_ptr<UpstreamThread> upstreams_;
   std::unique_ptr<PeerThread> peers_;
-  std::unique_ptr<JournalThread> journal_;
+  std::unique_ptr<storage::JournalThread> journal_;
   std::unique_ptr<Instance> instance_;
   std::thread decisions_;
   uint16_t http_port_ = 0;
--- a/main/events.h
+++ b/main/events.h
@@ -6,6 +6,7 @@
 
 #include "core/error.h"
 #include "peer.pb.h"
+#include "storage/journal_thread.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
@@ -46,12 +47,7 @@
   core::Result<schema::PeerMessage> result;
 };
 
-/// The journal wrote a batch, or failed to.
-struct JournalWritten {
-  std::string group;
-  uint64_t sequence = 0;
-  core::Status status;
-};
+using storage::JournalWritten;
 
 /// The process was asked to shut down gracefully.
 struct DrainRequested {};
--- a/main/hawthornd.cpp
+++ b/main/hawthornd.cpp
@@ -13,10 +13,19 @@
 #include <sstream>
 
 #include "main/daemon.h"
-#include "main/log.h"
+#include "logging/log.h"
+#include "main/roles/platform_process.h"
+#include "platform/boot_settings.h"
 #include "settings/settings.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file of this instance");
+ABSL_FLAG(bool, platform, false,
+          "run on the users' platform: the settings file is the platform's and "
+          "is named by its environment if not here");
+ABSL_FLAG(uint16_t, metrics_port, 0,
+          "with --platform: port of the metrics; 0 serves none");
+ABSL_FLAG(std::string, log_level, "info",
+          "with --platform: debug, info, warn or error");
 
 namespace hawthorn::main {
 namespace {
@@ -38,7 +47,21 @@
   return secret;
 }
 
+int RunOnPlatform(int argc, char** argv) {
+  PlatformOptions options;
+  options.settings_path = absl::GetFlag(FLAGS_settings);
+  if (options.settings_path.empty()) {
+    options.settings_path = platform::SettingsPath();
+  }
+  options.metrics_port = absl::GetFlag(FLAGS_metrics_port);
+  options.log_level = absl::GetFlag(FLAGS_log_level);
+  return RunPlatformProcess(argc, argv, options);
+}
+
 int Run(int argc, char** argv) {
+  if (absl::GetFlag(FLAGS_platform)) {
+    return RunOnPlatform(argc, argv);
+  }
   const auto loaded = settings::LoadSettings(absl::GetFlag(FLAGS_settings));
   if (std::holds_alternative<core::FindingList>(loaded)) {
     std::cerr << std::get<core::FindingList>(loaded).Report();
@@ -55,7 +78,8 @@
     }
     first = std::get<schema::Configuration>(parsed);
   }
-  StartLog(settings);
+  logging::StartLog(
+      {settings.instance(), settings.log_level(), settings.log_file()});
   QCoreApplication app(argc, argv);
   const core::SystemClock clock;
   Daemon daemon(settings,
--- /dev/null
+++ b/main/roles/control_role.cpp
@@ -0,0 +1,95 @@
+#include "main/roles/control_role.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::main {
+
+ControlRole::ControlRole(platform::BootSettings settings,
+                         const core::Clock& clock, core::Metrics& metrics,
+                         peer::PeerTransport& peers)
+    : settings_(std::move(settings)),
+      clock_(clock),
+      peers_(peers),
+      host_(OptionsOf(settings_), clock, metrics, peers),
+      api_(host_, metrics),
+      control_([this](transport::HttpSession& session,
+                      const transport::RelayRequest& request) {
+        api_.OnRequest(session, request);
+      }) {
+  QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_,
+                   [this] { ContinueDrain(); });
+}
+
+cluster::HostOptions ControlRole::OptionsOf(
+    const platform::BootSettings& settings) {
+  cluster::HostOptions options;
+  options.self.set_instance(settings.ip);
+  options.self.set_name(settings.machine);
+  options.self.set_zone(settings.zone);
+  options.self.set_serves_control(!settings.control_address.empty());
+  options.self.set_peer_address(settings.PeerAddress());
+  options.self.set_control_address(settings.control_address);
+  if (settings.first_start) {
+    for (const std::string& seed : settings.seeds) {
+      options.founders.push_back(cluster::HostOf(seed));
+    }
+  }
+  options.seeds = settings.SeedPeers();
+  options.data_folder = settings.data_folder;
+  options.seed = std::hash<std::string>{}(settings.ip);
+  return options;
+}
+
+core::Status ControlRole::Start() {
+  peers_.SetHandler(
+      [this](const schema::PeerMessage& message, const peer::Replier& replier) {
+        if (message.has_group()) {
+          host_.OnGroupMessage(message.group());
+          return;
+        }
+        const auto unpacked = cluster::Unpack(message);
+        if (!core::IsOk(unpacked)) {
+          replier.Fail(core::ErrorOf(unpacked));
+          return;
+        }
+        host_.OnMessage(core::Value(unpacked), message.from(), replier);
+      });
+  const core::Status status = host_.Start();
+  if (!core::IsOk(status) || settings_.control_address.empty()) {
+    return status;
+  }
+  const auto address = transport::ParseAddress(settings_.control_address);
+  if (!core::IsOk(address)) {
+    return core::ErrorOf(address);
+  }
+  return control_.Listen(core::Value(address));
+}
+
+void ControlRole::AddSeeds(const std::vector<std::string>& seeds) {
+  host_.AddSeeds(seeds);
+}
+
+void ControlRole::Drain(std::function<void()> on_done) {
+  if (std::exchange(draining_, true)) {
+    return;
+  }
+  on_done_ = std::move(on_done);
+  drain_started_ = clock_.Now();
+  control_.CloseIdle();
+  host_.HandOver();
+  drain_timer_.start(kDrainPoll);
+}
+
+void ControlRole::ContinueDrain() {
+  const auto elapsed = clock_.Now() - drain_started_;
+  const bool finished = elapsed >= kHandOverTime &&
+                        control_.busy_count() == 0 && !host_.is_leader();
+  if (!finished && elapsed < kDrainLimit) {
+    return;
+  }
+  drain_timer_.stop();
+  on_done_();
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/roles/entry_role.cpp
@@ -0,0 +1,128 @@
+#include "main/roles/entry_role.h"
+
+#include <utility>
+
+#include "logging/log.h"
+#include "platform/configuration_codec.h"
+
+namespace hawthorn::main {
+
+namespace {
+
+using logging::Log;
+using logging::LogLevel;
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+core::Status ListenOn(transport::HttpEndpoint& endpoint,
+                      const std::string& address) {
+  const auto parsed = transport::ParseAddress(address);
+  if (!core::IsOk(parsed)) {
+    return core::ErrorOf(parsed);
+  }
+  return endpoint.Listen(core::Value(parsed));
+}
+
+}  // namespace
+
+EntryRole::EntryRole(platform::BootSettings settings, const core::Clock& clock,
+                     core::Metrics& metrics, peer::PeerTransport& peers)
+    : settings_(std::move(settings)),
+      clock_(clock),
+      client_(settings_.SeedPeers(), std::hash<std::string>{}(settings_.ip),
+              clock, metrics, peers,
+              [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
+      relay_({clock, codec_, client_, metrics, settings_.zone,
+              std::hash<std::string>{}(settings_.ip)}),
+      callers_([this](transport::HttpSession& session,
+                      transport::RelayRequest request) {
+        relay_.OnRequest(session, std::move(request));
+      }),
+      readiness_([this](transport::HttpSession& session,
+                        const transport::RelayRequest&) {
+        session.Respond(IsReady() ? kOk : kUnavailable, {}, "");
+      }) {
+  QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_,
+                   [this] { ContinueDrain(); });
+}
+
+core::Status EntryRole::Start() {
+  const core::Status status = ListenOn(callers_, settings_.caller_address);
+  if (!core::IsOk(status)) {
+    return status;
+  }
+  client_.Start();
+  return ListenOn(readiness_, settings_.readiness_address);
+}
+
+void EntryRole::AddSeeds(const std::vector<std::string>& seeds) {
+  client_.AddSeeds(seeds);
+}
+
+bool EntryRole::IsReady() const {
+  return !draining_ && relay_.table() != nullptr && table_complete_;
+}
+
+void EntryRole::OnUpdate(const schema::DeploymentUpdate& update) {
+  if (update.has_configuration()) {
+    auto decoded =
+        platform::DecodeConfiguration(update.configuration().content());
+    if (std::holds_alternative<core::FindingList>(decoded)) {
+      Log(LogLevel::kError, "committed configuration is unreadable",
+          {{"findings", std::get<core::FindingList>(decoded).Report()}});
+    } else {
+      auto table =
+          std::get<std::shared_ptr<const relay::RouteTable>>(std::move(decoded));
+      const relay::CallerLimits& limits = table->limits();
+      callers_.SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
+                          limits.head_timeout,
+                          limits.idle_timeout});
+      relay_.SetTable(std::move(table));
+    }
+  }
+  if (update.whole_table()) {
+    std::set<std::string> known;
+    for (const schema::UpstreamEntry& entry : update.upstreams()) {
+      known.insert(entry.upstream());
+    }
+    relay_.RetainUpstreams(known);
+    table_complete_ = true;
+  }
+  for (const schema::UpstreamEntry& entry : update.upstreams()) {
+    relay_.SetUpstream(entry);
+  }
+  relay_.SetInstanceCount(update.watchers());
+}
+
+void EntryRole::Drain(std::function<void()> on_done) {
+  if (std::exchange(draining_, true)) {
+    return;
+  }
+  on_done_ = std::move(on_done);
+  drain_started_ = clock_.Now();
+  callers_.AnnounceClose();
+  drain_timer_.start(kDrainPoll);
+}
+
+void EntryRole::ContinueDrain() {
+  const auto elapsed = clock_.Now() - drain_started_;
+  if (elapsed < kLeaveRotation) {
+    return;
+  }
+  callers_.CloseIdle();
+  const bool finished = callers_.session_count() == 0 &&
+                        relay_.open_calls() == 0 &&
+                        client_.open_settlements() == 0;
+  const auto limit =
+      std::chrono::milliseconds(settings_.grace_ms) - kDrainReserve;
+  if (!finished && elapsed < limit) {
+    return;
+  }
+  drain_timer_.stop();
+  Log(LogLevel::kInfo, "drained",
+      {{"open_calls", std::to_string(relay_.open_calls())}});
+  on_done_();
+}
+
+}  // namespace hawthorn::main
--- /dev/null
+++ b/main/roles/platform_process.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace hawthorn::main {
+
+/// How a process on the users' platform is started.
+struct PlatformOptions {
+  /// File with the settings of this process.
+  std::string settings_path;
+  /// Port of the metrics; 0 serves none.
+  uint16_t metrics_port = 0;
+  std::string log_level = "info";
+};
+
+/// Runs one process on the users' platform until SIGTERM. Returns the exit
+/// code: 0 drained, 2 faulty settings, 3 could not start.
+int RunPlatformProcess(int argc, char** argv, const PlatformOptions& options);
+
+}  // namespace hawthorn::main
--- a/main/sinks.h
+++ b/main/sinks.h
@@ -7,7 +7,7 @@
 #include "core/error.h"
 #include "core/id.h"
 #include "peer.pb.h"
-#include "storage/log_store.h"
+#include "storage/journal_thread.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
@@ -54,14 +54,6 @@
                        ReplyHandler on_reply) = 0;
 };
 
-/// Durable writes of replicated groups.
-class JournalSink {
- public:
-  virtual ~JournalSink() = default;
-  /// Writes and syncs `batch`; the outcome comes back as an event. `store`
-  /// outlives the journal.
-  virtual void Write(const std::string& group, storage::LogStore& store,
-                     storage::LogBatch batch) = 0;
-};
+using storage::JournalSink;
 
 }  // namespace hawthorn::main
--- a/peer/peer_options.h
+++ b/peer/peer_options.h
@@ -17,6 +17,9 @@
   std::string listen_address;
   /// Secret that all instances of the deployment share; at least 16 bytes.
   std::string key;
+  /// Accepts links from instances that were not named by SetPeer but prove
+  /// the key. Only named ones can be dialled.
+  bool accept_unnamed = false;
   /// Largest message in bytes, in either direction.
   size_t max_message_bytes = size_t{8} * 1024 * 1024;
   /// Bytes that may wait for one peer.
--- /dev/null
+++ b/relay/relay.cpp
@@ -0,0 +1,358 @@
+#include "relay/relay.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace hawthorn::relay {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+/// Wait that is suggested while no configuration is known, in seconds.
+constexpr const char* kUnconfiguredRetryAfter = "0.3";
+/// Connections to one upstream that every instance may have, whatever its
+/// share of the limit is.
+constexpr size_t kLeastConnections = 4;
+/// Parts of a prompt that a program's first turn already has: what it shares
+/// with others and its own.
+constexpr size_t kFirstTurnParts = 2;
+
+/// Hash of the prompt up to each part.
+std::vector<scheduling::PrefixSegment> Segments(const CallHead& head) {
+  std::vector<scheduling::PrefixSegment> segments;
+  uint64_t hash = XXH64(head.model.data(), head.model.size(), 0);
+  int64_t tokens = 0;
+  for (const PromptPart& part : head.prompt_parts) {
+    hash = XXH64(part.id.data(), part.id.size(), hash);
+    tokens += part.tokens;
+    segments.push_back({hash, tokens});
+  }
+  return segments;
+}
+
+}  // namespace
+
+Relay::Relay(Parts parts, QObject* parent)
+    : QObject(parent), parts_(std::move(parts)), links_(parts_.clock, this) {
+  scheduling::SchedulerSettings settings;
+  settings.zone = core::ZoneId(parts_.zone);
+  settings.seed = parts_.seed;
+  scheduler_ = scheduling::MakeScheduler(settings);
+  wake_up_.setSingleShot(true);
+  connect(&wake_up_, &QTimer::timeout, this, &Relay::Pump);
+}
+
+Relay::~Relay() = default;
+
+void Relay::OnRequest(transport::HttpSession& session,
+                      transport::RelayRequest request) {
+  if (!table_) {
+    parts_.metrics.Count("relay_refused_unconfigured");
+    session.Respond(kUnavailable, {{"Retry-After", kUnconfiguredRetryAfter}},
+                    "no configuration is known yet");
+    return;
+  }
+  CallHead head = parts_.codec.DecodeCall(request);
+  const Route* route = table_->Find(request.host, request.target);
+  if (route == nullptr) {
+    parts_.metrics.Count("relay_no_route");
+    logging::Log(logging::LogLevel::kInfo, "call without a route",
+                 {{"request", head.request_id},
+                  {"host", request.host},
+                  {"target", request.target},
+                  {"configuration", std::to_string(table_->version())}});
+    session.Respond(kNotFound, {}, "no route matches the host and path");
+    return;
+  }
+  if (head.request_id.empty()) {
+    session.Respond(kBadRequest, {}, "the request id is missing");
+    return;
+  }
+  const std::string& key =
+      head.program.empty() ? head.request_id : head.program;
+  std::string service = RouteTable::PickService(*route, key);
+  const ServiceSettings* settings = table_->FindService(service);
+  RelayCall::Parts call{*this,
+                        session,
+                        std::move(request),
+                        std::move(head),
+                        *route,
+                        std::move(service),
+                        settings != nullptr && settings->engine
+                            ? settings->engine->tokens_per_event
+                            : 1};
+  auto* it = new RelayCall(std::move(call), this);
+  calls_.insert(it);
+  it->Start();
+}
+
+void Relay::SetTable(std::shared_ptr<const RouteTable> table) {
+  if (table_ && table->version() <= table_->version()) {
+    return;
+  }
+  table_ = std::move(table);
+  for (const auto& [id, upstream] : upstreams_) {
+    Announce(upstream);
+  }
+  ApplyPolicies();
+  logging::Log(logging::LogLevel::kInfo, "configuration in force",
+               {{"version", std::to_string(table_->version())},
+                {"routes", std::to_string(table_->routes().size())}});
+  SchedulePump();
+}
+
+void Relay::ApplyPolicies() {
+  for (const auto& [name, service] : table_->services()) {
+    scheduling::PolicySettings policy;
+    policy.kind = service.engine ? scheduling::PolicyKind::kPrefix
+                                 : scheduling::PolicyKind::kFcfs;
+    scheduler_->SetPolicy(core::ServiceId(name), policy, parts_.clock.Now());
+  }
+}
+
+void Relay::SetUpstream(const schema::UpstreamEntry& entry) {
+  const std::string& id = entry.upstream();
+  const auto address = transport::ParseAddress(entry.address());
+  if (entry.gone() || !core::IsOk(address)) {
+    RemoveUpstream(id);
+    return;
+  }
+  Upstream& upstream = upstreams_[id];
+  if (upstream.entry.address() != entry.address() ||
+      upstream.entry.started_at_ms() != entry.started_at_ms()) {
+    links_.Forget(id);
+  }
+  upstream.entry = entry;
+  upstream.address = core::Value(address);
+  Announce(upstream);
+  logging::Log(logging::LogLevel::kInfo, "upstream changed",
+               {{"upstream", id},
+                {"service", entry.service()},
+                {"address", entry.address()},
+                {"draining", entry.draining() ? "true" : "false"},
+                {"revision", std::to_string(entry.revision())}});
+  SchedulePump();
+}
+
+void Relay::RemoveUpstream(const std::string& id) {
+  if (upstreams_.erase(id) == 0) {
+    return;
+  }
+  links_.Forget(id);
+  scheduler_->RemoveUpstream(core::UpstreamId(id), parts_.clock.Now());
+  logging::Log(logging::LogLevel::kInfo, "upstream gone", {{"upstream", id}});
+}
+
+void Relay::RetainUpstreams(const std::set<std::string>& known) {
+  std::vector<std::string> gone;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!known.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    RemoveUpstream(id);
+  }
+}
+
+void Relay::SetInstanceCount(size_t instances) {
+  if (instances_ == instances || instances == 0) {
+    return;
+  }
+  instances_ = instances;
+  scheduler_->SetInstanceCount(instances, parts_.clock.Now());
+}
+
+void Relay::Announce(const Upstream& upstream) {
+  scheduling::UpstreamState state;
+  state.id = core::UpstreamId(upstream.entry.upstream());
+  state.service = core::ServiceId(upstream.entry.service());
+  state.zone = core::ZoneId(upstream.entry.zone());
+  state.max_running = upstream.entry.max_running();
+  state.leaving = upstream.entry.draining();
+  const ServiceSettings* service =
+      table_ ? table_->FindService(upstream.entry.service()) : nullptr;
+  if (service != nullptr && service->engine) {
+    state.cache_tokens = service->engine->cache_tokens;
+  }
+  scheduler_->SetUpstream(state, parts_.clock.Now());
+}
+
+core::Status Relay::Enqueue(RelayCall& call) {
+  const CallHead& head = call.head();
+  scheduling::CallRequest request;
+  request.id = next_id_++;
+  request.program = core::ProgramId(head.program);
+  request.service_class = call.route().name;
+  request.interactive = call.route().priority == 0;
+  request.service = core::ServiceId(call.service());
+  request.prompt_tokens = head.prompt_tokens;
+  request.max_output_tokens = head.max_output_tokens;
+  request.prefix = Segments(head);
+  const bool is_turn = !head.prompt_parts.empty();
+  const bool begun = is_turn ? head.prompt_parts.size() > kFirstTurnParts
+                             : !head.program.empty();
+  request.attained_tokens = begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
+  request.deadline = call.deadline();
+  request.excluded = call.excluded();
+  const core::Status status =
+      scheduler_->Enqueue(request, parts_.clock.Now());
+  if (core::IsOk(status)) {
+    call.set_schedule_id(request.id);
+    scheduled_[request.id] = &call;
+    SchedulePump();
+  }
+  return status;
+}
+
+void Relay::Dequeue(RelayCall& call) {
+  scheduler_->Cancel(call.schedule_id(), parts_.clock.Now());
+  scheduled_.erase(call.schedule_id());
+}
+
+void Relay::FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
+                          const AnswerHead& answer) {
+  const core::TimePoint now = parts_.clock.Now();
+  scheduled_.erase(call.schedule_id());
+  scheduling::CallResult result;
+  result.call = call.schedule_id();
+  result.outcome = outcome;
+  result.prompt_tokens = call.head().prompt_tokens;
+  result.output_tokens = call.generated_tokens();
+  const std::vector<scheduling::PrefixSegment> segments =
+      Segments(call.head());
+  if (!segments.empty()) {
+    result.produced = segments.back();
+  }
+  scheduler_->OnFinished(result, now);
+  if (answer.running) {
+    scheduling::LoadReport report;
+    report.taken_at = now;
+    report.running = *answer.running;
+    report.waiting = answer.waiting;
+    scheduler_->OnReport(core::UpstreamId(call.summary().last_upstream),
+                         report, now);
+  }
+  SchedulePump();
+}
+
+size_t Relay::ConnectionLimit(const Upstream& upstream) const {
+  const ServiceSettings* service =
+      table_ ? table_->FindService(upstream.entry.service()) : nullptr;
+  if (service == nullptr || service->max_connections == 0) {
+    return SIZE_MAX;
+  }
+  return std::max(kLeastConnections, service->max_connections / instances_);
+}
+
+UpstreamLink* Relay::OpenLink(const std::string& upstream,
+                              bool must_be_fresh) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) {
+    return nullptr;
+  }
+  if (links_.IdleCount(upstream) == 0 &&
+      links_.OpenCount(upstream) >= ConnectionLimit(it->second)) {
+    parts_.metrics.Count("relay_connection_limit");
+    return nullptr;
+  }
+  return links_.Acquire(upstream, it->second.address, must_be_fresh);
+}
+
+void Relay::CloseLink(const std::string& upstream, UpstreamLink* link,
+                      const AnswerHead& answer) {
+  if (link == nullptr) {
+    return;
+  }
+  if (!link->reusable()) {
+    links_.Discard(upstream, link);
+    return;
+  }
+  links_.Release(upstream, link,
+                 answer.idle_timeout.value_or(
+                     UpstreamLinkPool::kDefaultIdleTimeout));
+}
+
+void Relay::OnWrongUpstream(const std::string& upstream) {
+  parts_.metrics.Count("relay_wrong_upstream");
+  RemoveUpstream(upstream);
+}
+
+void Relay::SchedulePump() {
+  if (std::exchange(pump_scheduled_, true)) {
+    return;
+  }
+  QMetaObject::invokeMethod(
+      this, [this] { Pump(); }, Qt::QueuedConnection);
+}
+
+void Relay::Pump() {
+  pump_scheduled_ = false;
+  const core::TimePoint now = parts_.clock.Now();
+  for (const scheduling::Dispatch& it : scheduler_->Next(now)) {
+    const auto call = scheduled_.find(it.call);
+    if (call != scheduled_.end()) {
+      call->second->Dispatch(it.upstream.text());
+    }
+  }
+  for (const scheduling::Refusal& it : scheduler_->TakeRefused(now)) {
+    const auto call = scheduled_.find(it.call);
+    if (call == scheduled_.end()) {
+      continue;
+    }
+    RelayCall* refused = call->second;
+    scheduled_.erase(call);
+    refused->RefuseQueued(it.error);
+  }
+  const auto next = scheduler_->NextWakeUp(now);
+  if (!next) {
+    wake_up_.stop();
+    return;
+  }
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(*next - now);
+  wake_up_.start(std::max(wait, std::chrono::milliseconds(1)));
+}
+
+void Relay::OnCallEnded(RelayCall& call) {
+  scheduled_.erase(call.schedule_id());
+  if (calls_.erase(&call) == 0) {
+    return;
+  }
+  const CallSummary& summary = call.summary();
+  parts_.metrics.Count("relay_calls_" + std::to_string(summary.status));
+  parts_.metrics.Observe({core::OrganisationId(call.route().host),
+                          call.route().name},
+                         summary.total);
+  LogEnd(call);
+  call.deleteLater();
+}
+
+void Relay::LogEnd(const RelayCall& call) const {
+  const CallSummary& it = call.summary();
+  const bool failed = !it.reason.empty();
+  logging::Log(
+      failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
+      "call ended",
+      {{"request", call.head().request_id},
+       {"program", call.head().program},
+       {"route", call.route().name},
+       {"service", call.service()},
+       {"status", std::to_string(it.status)},
+       {"reason", it.reason},
+       {"upstream", it.last_upstream},
+       {"attempts", std::to_string(it.attempts)},
+       {"events", std::to_string(it.events)},
+       {"queued_ms", std::to_string(it.queued.count())},
+       {"first_event_ms", std::to_string(it.to_first_event.count())},
+       {"total_ms", std::to_string(it.total.count())},
+       {"configuration", std::to_string(table_->version())}});
+}
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/relay.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "relay/relay_call.h"
+#include "relay/upstream_link_pool.h"
+#include "scheduling/scheduler.h"
+#include "schema/generated/deployment.pb.h"
+#include "transport/http_session.h"
+
+// Pass-through calls: bodies and answers go byte for byte between callers and
+// upstreams, in the order that the scheduler decides.
+namespace hawthorn::relay {
+
+/// Takes requests of callers and carries them out. Lives in one thread with an
+/// event loop.
+class Relay final : public QObject, private CallHost {
+  Q_OBJECT
+
+ public:
+  struct Parts {
+    const core::Clock& clock;
+    const CallCodec& codec;
+    TokenLedger& ledger;
+    core::Metrics& metrics;
+    /// Availability zone of this instance.
+    std::string zone;
+    uint64_t seed = 1;
+  };
+
+  explicit Relay(Parts parts, QObject* parent = nullptr);
+  ~Relay() override;
+
+  /// Takes a request that arrived whole.
+  void OnRequest(transport::HttpSession& session,
+                 transport::RelayRequest request);
+
+  /// Puts a table in force if its version is higher than the present one.
+  void SetTable(std::shared_ptr<const RouteTable> table);
+  const std::shared_ptr<const RouteTable>& table() const { return table_; }
+
+  /// Takes an upstream's entry as the deployment holds it.
+  void SetUpstream(const schema::UpstreamEntry& entry);
+  /// Removes every upstream that is not in `known`.
+  void RetainUpstreams(const std::set<std::string>& known);
+  /// Sets how many instances share the upstreams.
+  void SetInstanceCount(size_t instances);
+
+  size_t open_calls() const { return calls_.size(); }
+  size_t upstream_count() const { return upstreams_.size(); }
+
+ private:
+  struct Upstream {
+    schema::UpstreamEntry entry;
+    transport::SocketAddress address;
+  };
+
+  // CallHost
+  const core::Clock& clock() const override { return parts_.clock; }
+  const CallCodec& codec() const override { return parts_.codec; }
+  TokenLedger& ledger() override { return parts_.ledger; }
+  core::Status Enqueue(RelayCall& call) override;
+  void Dequeue(RelayCall& call) override;
+  void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
+                     const AnswerHead& answer) override;
+  UpstreamLink* OpenLink(const std::string& upstream,
+                         bool must_be_fresh) override;
+  void CloseLink(const std::string& upstream, UpstreamLink* link,
+                 const AnswerHead& answer) override;
+  void OnWrongUpstream(const std::string& upstream) override;
+  void OnCallEnded(RelayCall& call) override;
+
+  void Announce(const Upstream& upstream);
+  void RemoveUpstream(const std::string& id);
+  void ApplyPolicies();
+  void SchedulePump();
+  void Pump();
+  void LogEnd(const RelayCall& call) const;
+  size_t ConnectionLimit(const Upstream& upstream) const;
+
+  Parts parts_;
+  std::shared_ptr<const RouteTable> table_;
+  std::unique_ptr<scheduling::Scheduler> scheduler_;
+  UpstreamLinkPool links_;
+  std::map<std::string, Upstream> upstreams_;
+  std::map<scheduling::CallId, RelayCall*> scheduled_;
+  std::set<RelayCall*> calls_;
+  scheduling::CallId next_id_ = 1;
+  size_t instances_ = 1;
+  bool pump_scheduled_ = false;
+  QTimer wake_up_;
+};
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/relay_call.cpp
@@ -0,0 +1,421 @@
+#include "relay/relay_call.h"
+
+#include <QPointer>
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::relay {
+
+namespace {
+
+constexpr int kBudgetSpent = 402;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kFirstServerError = 500;
+/// Part of the time left that a claim on a budget may take.
+constexpr int kClaimShare = 3;
+/// Longest wait for a claim; an election takes about as long.
+constexpr std::chrono::milliseconds kLongestClaim{1500};
+/// Upstreams that one call may crash before it is given up.
+constexpr int kMaxCrashes = 2;
+
+std::chrono::milliseconds Elapsed(core::TimePoint from, core::TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
+}
+
+/// Seconds with fractions, as Retry-After is read here.
+std::string Seconds(std::chrono::milliseconds time) {
+  std::string text = std::to_string(static_cast<double>(time.count()) / 1000.0);
+  text.resize(text.find('.') + 4);
+  return text;
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+RelayCall::RelayCall(Parts parts, QObject* parent)
+    : QObject(parent), parts_(std::move(parts)) {
+  deadline_timer_.setSingleShot(true);
+  deadline_timer_.setTimerType(Qt::PreciseTimer);
+  connect(&deadline_timer_, &QTimer::timeout, this, &RelayCall::OnDeadline);
+}
+
+int64_t RelayCall::generated_tokens() const {
+  return static_cast<int64_t>(summary_.events) * parts_.tokens_per_event;
+}
+
+std::chrono::milliseconds RelayCall::TimeLeft() const {
+  return Elapsed(parts_.host.clock().Now(), deadline_);
+}
+
+void RelayCall::Start() {
+  started_ = parts_.host.clock().Now();
+  std::chrono::milliseconds allowed = parts_.route.timeout;
+  if (parts_.head.patience) {
+    allowed = std::min(allowed, *parts_.head.patience);
+  }
+  deadline_ = started_ + allowed;
+  parts_.session.SetLeftHandler([this] { OnCallerLeft(); });
+  if (allowed < kLeastTimeLeft) {
+    Refuse(kUnavailable, "no time left", std::nullopt);
+    return;
+  }
+  deadline_timer_.start(allowed);
+  if (!parts_.head.token_budget || parts_.head.program.empty()) {
+    EnterQueue();
+    return;
+  }
+  claim_ = TokenClaim{parts_.head.program, parts_.head.request_id,
+                      *parts_.head.token_budget,
+                      parts_.head.max_output_tokens};
+  const auto patience = std::min(kLongestClaim, allowed / kClaimShare);
+  // A claim that outlives its call is settled by End().
+  parts_.host.ledger().Claim(
+      *claim_, patience,
+      [guard = QPointer<RelayCall>(this)](const core::Result<bool>& granted) {
+        if (guard) {
+          guard->OnClaimed(granted);
+        }
+      });
+}
+
+void RelayCall::OnClaimed(const core::Result<bool>& granted) {
+  if (state_ != State::kClaiming) {
+    return;
+  }
+  if (!core::IsOk(granted)) {
+    Refuse(kUnavailable, "budget unknown: " + core::ErrorOf(granted).message,
+           core::ErrorOf(granted).retry_after.value_or(kRetryAfter));
+    return;
+  }
+  if (!core::Value(granted)) {
+    claim_.reset();
+    Refuse(kBudgetSpent, "budget spent", std::nullopt);
+    return;
+  }
+  EnterQueue();
+}
+
+void RelayCall::EnterQueue() {
+  state_ = State::kQueued;
+  queued_at_ = parts_.host.clock().Now();
+  const core::Status status = parts_.host.Enqueue(*this);
+  if (!core::IsOk(status)) {
+    RefuseQueued(core::ErrorOf(status));
+  }
+}
+
+void RelayCall::RefuseQueued(const core::Error& error) {
+  Refuse(kUnavailable, error.message, error.retry_after.value_or(kRetryAfter));
+}
+
+void RelayCall::Dispatch(const std::string& upstream) {
+  state_ = State::kRunning;
+  upstream_ = upstream;
+  summary_.last_upstream = upstream;
+  summary_.queued += Elapsed(queued_at_, parts_.host.clock().Now());
+  BeginExchange(!parts_.route.MayRepeat());
+}
+
+void RelayCall::BeginExchange(bool must_be_fresh) {
+  streaming_ = false;
+  ignore_body_ = false;
+  whole_body_.clear();
+  framer_.Reset();
+  answer_head_ = {};
+  link_ = parts_.host.OpenLink(upstream_, must_be_fresh);
+  if (link_ == nullptr) {
+    OnFailed(LinkFailure::kUnreachable);
+    return;
+  }
+  ++summary_.attempts;
+  ForwardHead forward;
+  forward.upstream = upstream_;
+  forward.time_left = TimeLeft();
+  forward.resume_after = last_event_ ? last_event_ : parts_.head.resume_after;
+  UpstreamLink::Events events;
+  events.on_head = [this](const transport::ResponseHead& head,
+                          std::optional<uint64_t> length) {
+    OnHead(head, length);
+  };
+  events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
+  events.on_complete = [this] { OnComplete(); };
+  events.on_failed = [this](LinkFailure failure) { OnFailed(failure); };
+  link_->Start(parts_.host.codec().EncodeForward(parts_.request, forward),
+               std::move(events));
+}
+
+void RelayCall::OnHead(const transport::ResponseHead& head,
+                       std::optional<uint64_t> length) {
+  answer_ = head;
+  answer_head_ = parts_.host.codec().DecodeAnswer(head);
+  const bool success = IsSuccess(head.status);
+  const bool foreign = answer_head_.request_id != parts_.head.request_id &&
+                       (success || !answer_head_.request_id.empty());
+  const bool unproven =
+      success && (!answer_head_.has_signature || answer_head_.encoded);
+  if (foreign || unproven) {
+    link_->Abandon();
+    OnFailed(LinkFailure::kMalformed);
+    return;
+  }
+  if (answer_head_.not_run || answer_head_.wrong_upstream) {
+    ignore_body_ = true;
+    return;
+  }
+  streaming_ = success && parts_.route.kind == CallKind::kStream;
+  if (answer_begun_ && !streaming_) {
+    link_->Abandon();
+    OnFailed(LinkFailure::kMalformed);
+    return;
+  }
+  if (!streaming_ && length && *length > kWholeBodyBytes) {
+    answer_begun_ = true;
+    parts_.session.BeginBody(
+        {head.status, parts_.host.codec().ReturnedFields(head)}, length);
+  }
+}
+
+void RelayCall::OnBody(std::string_view bytes) {
+  if (ignore_body_ || state_ != State::kRunning) {
+    return;
+  }
+  if (streaming_) {
+    ForwardEvents(bytes);
+    return;
+  }
+  if (!answer_begun_) {
+    whole_body_.append(bytes);
+    if (whole_body_.size() <= kWholeBodyBytes) {
+      return;
+    }
+    BeginAnswer();
+    parts_.session.WriteBody(std::exchange(whole_body_, {}));
+    return;
+  }
+  parts_.session.WriteBody(bytes);
+}
+
+void RelayCall::BeginAnswer() {
+  if (std::exchange(answer_begun_, true)) {
+    return;
+  }
+  summary_.status = answer_.status;
+  parts_.session.BeginBody(
+      {answer_.status, parts_.host.codec().ReturnedFields(answer_)},
+      std::nullopt);
+}
+
+void RelayCall::ForwardEvents(std::string_view bytes) {
+  std::string out;
+  for (StreamEvent& event : framer_.Feed(bytes)) {
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      continue;
+    }
+    if (event.id) {
+      last_event_ = event.id;
+    }
+    if (summary_.events++ == 0) {
+      summary_.to_first_event =
+          Elapsed(started_, parts_.host.clock().Now());
+    }
+    out += event.bytes;
+  }
+  if (framer_.overflowed()) {
+    link_->Abandon();
+    OnFailed(LinkFailure::kMalformed);
+    return;
+  }
+  if (out.empty()) {
+    return;
+  }
+  BeginAnswer();
+  parts_.session.WriteBody(out);
+  if (parts_.session.pending_bytes() > kCallerHighWater && link_ != nullptr) {
+    link_->SetReading(false);
+    parts_.session.SetDrainedHandler([guard = QPointer<UpstreamLink>(link_)] {
+      if (guard) {
+        guard->SetReading(true);
+      }
+    });
+  }
+}
+
+void RelayCall::OnComplete() {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  if (answer_head_.not_run || answer_head_.wrong_upstream) {
+    OnNotRun();
+    return;
+  }
+  if (streaming_) {
+    if (!framer_.rest().empty()) {
+      // Every event ends with a blank line, so this run was cut short.
+      OnFailed(LinkFailure::kClosed);
+      return;
+    }
+    BeginAnswer();
+    LeaveUpstream(scheduling::CallOutcome::kSucceeded);
+    parts_.session.EndBody();
+    End();
+    return;
+  }
+  const bool failed = answer_.status >= kFirstServerError;
+  if (failed && !answer_begun_) {
+    ran_at_.insert(upstream_);
+    if (ran_at_.size() < parts_.route.max_upstreams &&
+        TryAgain(LinkFailure::kClosed)) {
+      return;
+    }
+  }
+  LeaveUpstream(failed ? scheduling::CallOutcome::kFailed
+                       : scheduling::CallOutcome::kSucceeded);
+  summary_.status = answer_.status;
+  if (answer_begun_) {
+    parts_.session.EndBody();
+  } else {
+    parts_.session.Respond(answer_.status,
+                           parts_.host.codec().ReturnedFields(answer_),
+                           whole_body_);
+  }
+  End();
+}
+
+void RelayCall::OnNotRun() {
+  if (answer_head_.wrong_upstream) {
+    parts_.host.OnWrongUpstream(upstream_);
+  }
+  excluded_.emplace_back(upstream_);
+  LeaveUpstream(scheduling::CallOutcome::kCancelled);
+  if (++not_run_ <= kMaxNotRun && TimeLeft() > kLeastTimeLeft) {
+    EnterQueue();
+    return;
+  }
+  Fail(ran_at_.empty() ? kUnavailable : kBadGateway,
+       "every upstream that was asked refused");
+}
+
+void RelayCall::OnFailed(LinkFailure failure) {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  if (failure != LinkFailure::kUnreachable) {
+    ran_at_.insert(upstream_);
+    if (!TryAgain(failure)) {
+      LeaveUpstream(scheduling::CallOutcome::kFailed);
+      Fail(kBadGateway, "the upstream broke its answer off");
+    }
+    return;
+  }
+  if (ran_at_.erase(upstream_) > 0 && ++summary_.crashes >= kMaxCrashes) {
+    LeaveUpstream(scheduling::CallOutcome::kUnreachable);
+    Fail(kBadGateway, "the request ended every upstream that ran it");
+    return;
+  }
+  excluded_.emplace_back(upstream_);
+  LeaveUpstream(scheduling::CallOutcome::kUnreachable);
+  if (++not_run_ <= kMaxNotRun && TimeLeft() > kLeastTimeLeft) {
+    EnterQueue();
+    return;
+  }
+  Fail(summary_.ran ? kBadGateway : kUnavailable,
+       "no upstream could be reached");
+}
+
+bool RelayCall::TryAgain(LinkFailure /*failure*/) {
+  summary_.ran = true;
+  const bool raw_begun = answer_begun_ && !streaming_ && !last_event_;
+  if (!parts_.route.MayRepeat() || raw_begun ||
+      summary_.attempts >= kMaxAttempts || TimeLeft() < kLeastTimeLeft) {
+    return false;
+  }
+  if (ran_at_.size() < parts_.route.max_upstreams) {
+    excluded_.emplace_back(upstream_);
+    LeaveUpstream(scheduling::CallOutcome::kFailed);
+    EnterQueue();
+    return true;
+  }
+  // The limit of upstreams is reached: only one that has run it already may
+  // run it once more.
+  parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr), {});
+  BeginExchange(true);
+  return true;
+}
+
+void RelayCall::LeaveUpstream(scheduling::CallOutcome outcome) {
+  if (link_ != nullptr) {
+    parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr),
+                          answer_head_);
+  }
+  parts_.host.FinishAttempt(*this, outcome, answer_head_);
+}
+
+void RelayCall::OnCallerLeft() {
+  summary_.reason = "the caller left";
+  if (state_ == State::kQueued) {
+    parts_.host.Dequeue(*this);
+  } else if (state_ == State::kRunning) {
+    LeaveUpstream(scheduling::CallOutcome::kCancelled);
+  }
+  End();
+}
+
+void RelayCall::OnDeadline() {
+  if (state_ == State::kQueued) {
+    parts_.host.Dequeue(*this);
+  }
+  if (state_ == State::kRunning) {
+    LeaveUpstream(scheduling::CallOutcome::kCancelled);
+    Fail(kGatewayTimeout, "the deadline passed at the upstream");
+    return;
+  }
+  Fail(summary_.ran ? kGatewayTimeout : kUnavailable,
+       "the deadline passed in the queue");
+}
+
+void RelayCall::Refuse(int status, std::string reason,
+                       std::optional<std::chrono::milliseconds> retry_after) {
+  if (answer_begun_ || summary_.ran) {
+    Fail(kBadGateway, std::move(reason));
+    return;
+  }
+  summary_.status = status;
+  summary_.reason = std::move(reason);
+  transport::HeaderList fields;
+  if (retry_after) {
+    fields.push_back({"Retry-After", Seconds(*retry_after)});
+  }
+  parts_.session.Respond(status, std::move(fields), summary_.reason);
+  End();
+}
+
+void RelayCall::Fail(int status, std::string reason) {
+  summary_.reason = std::move(reason);
+  if (answer_begun_) {
+    parts_.session.AbortBody();
+  } else if (status == kUnavailable) {
+    Refuse(status, summary_.reason, kRetryAfter);
+    return;
+  } else {
+    summary_.status = status;
+    parts_.session.Respond(status, {}, summary_.reason);
+  }
+  End();
+}
+
+void RelayCall::End() {
+  if (std::exchange(state_, State::kEnded) == State::kEnded) {
+    return;
+  }
+  deadline_timer_.stop();
+  if (claim_) {
+    parts_.host.ledger().Settle(*claim_, generated_tokens());
+  }
+  summary_.total = Elapsed(started_, parts_.host.clock().Now());
+  parts_.host.OnCallEnded(*this);
+}
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/relay_call.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "relay/call_codec.h"
+#include "relay/event_framer.h"
+#include "relay/route_table.h"
+#include "relay/token_ledger.h"
+#include "relay/upstream_link.h"
+#include "scheduling/call.h"
+#include "transport/http_session.h"
+
+namespace hawthorn::relay {
+
+class RelayCall;
+
+/// What a call asks of its relay.
+class CallHost {
+ public:
+  virtual ~CallHost() = default;
+  virtual const core::Clock& clock() const = 0;
+  virtual const CallCodec& codec() const = 0;
+  virtual TokenLedger& ledger() = 0;
+  /// Queues the call; Dispatch or RefuseQueued follows, never inside this.
+  virtual core::Status Enqueue(RelayCall& call) = 0;
+  /// Takes the call out of the queue.
+  virtual void Dequeue(RelayCall& call) = 0;
+  /// Ends the call's place at its upstream.
+  virtual void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
+                             const AnswerHead& answer) = 0;
+  virtual UpstreamLink* OpenLink(const std::string& upstream,
+                                 bool must_be_fresh) = 0;
+  virtual void CloseLink(const std::string& upstream, UpstreamLink* link,
+                         const AnswerHead& answer) = 0;
+  /// Another upstream answers at the address of this one.
+  virtual void OnWrongUpstream(const std::string& upstream) = 0;
+  /// The call is over; it will be deleted.
+  virtual void OnCallEnded(RelayCall& call) = 0;
+};
+
+/// What a call led to, for logs and metrics.
+struct CallSummary {
+  int status = 0;
+  /// Why the relay itself ended the call; empty if an upstream answered.
+  std::string reason;
+  /// Attempts that reached an upstream.
+  int attempts = 0;
+  std::string last_upstream;
+  std::chrono::milliseconds queued{0};
+  std::chrono::milliseconds to_first_event{0};
+  std::chrono::milliseconds total{0};
+  uint64_t events = 0;
+  /// An upstream may have run the call.
+  bool ran = false;
+  /// Upstreams that ended while they ran the call.
+  int crashes = 0;
+
+  bool operator==(const CallSummary&) const = default;
+};
+
+/// One attempt of a caller, from its request to its answer.
+class RelayCall final : public QObject {
+  Q_OBJECT
+
+ public:
+  /// Attempts at upstreams for one request, resumptions included.
+  static constexpr int kMaxAttempts = 4;
+  /// Refusals of upstreams that a call survives.
+  static constexpr int kMaxNotRun = 4;
+  /// Bodies up to this size are checked whole before the caller sees a byte.
+  static constexpr size_t kWholeBodyBytes = size_t{256} * 1024;
+  /// Bytes that wait for a slow caller before its upstream is paused.
+  static constexpr size_t kCallerHighWater = size_t{128} * 1024;
+  /// Time left below which no further attempt is made.
+  static constexpr std::chrono::milliseconds kLeastTimeLeft{20};
+  /// Suggested wait after a refusal without a better estimate.
+  static constexpr std::chrono::milliseconds kRetryAfter{100};
+
+  struct Parts {
+    CallHost& host;
+    transport::HttpSession& session;
+    transport::RelayRequest request;
+    CallHead head;
+    Route route;
+    std::string service;
+    int64_t tokens_per_event = 1;
+  };
+
+  RelayCall(Parts parts, QObject* parent);
+
+  void Start();
+  /// The scheduler chose an upstream.
+  void Dispatch(const std::string& upstream);
+  /// The scheduler gave the call up.
+  void RefuseQueued(const core::Error& error);
+
+  const CallHead& head() const { return parts_.head; }
+  const Route& route() const { return parts_.route; }
+  const std::string& service() const { return parts_.service; }
+  const transport::RelayRequest& request() const { return parts_.request; }
+  core::TimePoint started() const { return started_; }
+  core::TimePoint deadline() const { return deadline_; }
+  const std::vector<core::UpstreamId>& excluded() const { return excluded_; }
+  const CallSummary& summary() const { return summary_; }
+  /// Id under which the scheduler knows the present attempt.
+  scheduling::CallId schedule_id() const { return schedule_id_; }
+  void set_schedule_id(scheduling::CallId id) { schedule_id_ = id; }
+  int64_t generated_tokens() const;
+
+ private:
+  enum class State { kClaiming, kQueued, kRunning, kEnded };
+
+  void OnClaimed(const core::Result<bool>& granted);
+  void EnterQueue();
+  void BeginExchange(bool must_be_fresh);
+  void OnHead(const transport::ResponseHead& head,
+              std::optional<uint64_t> length);
+  void OnBody(std::string_view bytes);
+  void OnComplete();
+  void OnFailed(LinkFailure failure);
+  void OnNotRun();
+  void ForwardEvents(std::string_view bytes);
+  void BeginAnswer();
+  void LeaveUpstream(scheduling::CallOutcome outcome);
+  /// Tries again where the kind of call allows it; false if it does not.
+  bool TryAgain(LinkFailure failure);
+  void OnCallerLeft();
+  void OnDeadline();
+  void Refuse(int status, std::string reason,
+              std::optional<std::chrono::milliseconds> retry_after);
+  void Fail(int status, std::string reason);
+  void End();
+  std::chrono::milliseconds TimeLeft() const;
+
+  Parts parts_;
+  core::TimePoint started_;
+  core::TimePoint deadline_;
+  core::TimePoint queued_at_;
+  QTimer deadline_timer_;
+  State state_ = State::kClaiming;
+  scheduling::CallId schedule_id_ = 0;
+  std::string upstream_;
+  UpstreamLink* link_ = nullptr;
+  std::vector<core::UpstreamId> excluded_;
+  std::optional<TokenClaim> claim_;
+  /// Upstreams that may have run the call and still live.
+  std::set<std::string> ran_at_;
+  int not_run_ = 0;
+  transport::ResponseHead answer_;
+  AnswerHead answer_head_;
+  bool streaming_ = false;
+  bool answer_begun_ = false;
+  bool ignore_body_ = false;
+  std::string whole_body_;
+  EventFramer framer_;
+  std::optional<uint64_t> last_event_;
+  CallSummary summary_;
+};
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/upstream_link.cpp
@@ -0,0 +1,114 @@
+#include "relay/upstream_link.h"
+
+#include <utility>
+
+namespace hawthorn::relay {
+
+UpstreamLink::UpstreamLink(const transport::SocketAddress& address,
+                           QObject* parent)
+    : QObject(parent) {
+  connect_timer_.setSingleShot(true);
+  connect(&connect_timer_, &QTimer::timeout, this,
+          [this] { Fail(LinkFailure::kUnreachable); });
+  socket_.SetEvents({.on_connected =
+                         [this] {
+                           connected_ = true;
+                           connect_timer_.stop();
+                         },
+                     .on_bytes = [this](std::string_view it) { OnBytes(it); },
+                     .on_end = [this](transport::SocketEnd it) { OnEnd(it); },
+                     .on_drained = {}});
+  connect_timer_.start(kConnectTimeout);
+  socket_.Connect(address);
+}
+
+void UpstreamLink::Start(std::string_view request, Events events) {
+  reusable_ = false;
+  events_ = std::move(events);
+  transport::ResponseReader::Events reading;
+  reading.on_head = [this](const transport::ResponseHead& head,
+                           std::optional<uint64_t> length) {
+    if (events_.on_head) {
+      events_.on_head(head, length);
+    }
+  };
+  reading.on_body = [this](std::string_view bytes) {
+    if (events_.on_body) {
+      events_.on_body(bytes);
+    }
+  };
+  reader_ = std::make_unique<transport::ResponseReader>(std::move(reading));
+  socket_.Write(request);
+}
+
+void UpstreamLink::Abandon() {
+  events_ = {};
+  on_idle_end_ = nullptr;
+  reusable_ = false;
+  connect_timer_.stop();
+  socket_.Close();
+}
+
+void UpstreamLink::OnBytes(std::string_view bytes) {
+  if (!reader_) {
+    // Bytes outside an exchange belong to no request.
+    socket_.Close();
+    OnEnd(transport::SocketEnd::kReset);
+    return;
+  }
+  const core::Result<size_t> used = reader_->Feed(bytes);
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (!core::IsOk(used)) {
+    Fail(LinkFailure::kMalformed);
+    return;
+  }
+  if (!reader_->complete()) {
+    return;
+  }
+  reusable_ = reader_->keep_alive() && core::Value(used) == bytes.size();
+  Complete();
+}
+
+void UpstreamLink::OnEnd(transport::SocketEnd how) {
+  connect_timer_.stop();
+  reusable_ = false;
+  if (!reader_) {
+    if (on_idle_end_) {
+      on_idle_end_();
+    }
+    return;
+  }
+  if (!connected_) {
+    Fail(LinkFailure::kUnreachable);
+    return;
+  }
+  if (how == transport::SocketEnd::kReset) {
+    Fail(LinkFailure::kReset);
+    return;
+  }
+  if (core::IsOk(reader_->FeedEnd())) {
+    Complete();
+    return;
+  }
+  Fail(LinkFailure::kClosed);
+}
+
+void UpstreamLink::Complete() {
+  const Events events = std::exchange(events_, {});
+  reader_.reset();
+  if (events.on_complete) {
+    events.on_complete();
+  }
+}
+
+void UpstreamLink::Fail(LinkFailure failure) {
+  const Events events = std::exchange(events_, {});
+  Abandon();
+  if (events.on_failed) {
+    events.on_failed(failure);
+  }
+}
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/upstream_link.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "transport/response_reader.h"
+#include "transport/stream_socket.h"
+
+namespace hawthorn::relay {
+
+/// How an exchange with an upstream failed.
+enum class LinkFailure {
+  kUnreachable,  ///< No connection came about; nothing was sent.
+  kClosed,       ///< An orderly end before the answer was complete.
+  kReset,        ///< The connection broke after the request was sent.
+  kMalformed,    ///< The bytes are no answer.
+};
+
+/// One connection to an upstream; carries one exchange at a time.
+class UpstreamLink final : public QObject {
+  Q_OBJECT
+
+ public:
+  /// Longest time to connect: five round trips within a region with a lost
+  /// first packet would take longer, and another upstream is tried instead.
+  static constexpr std::chrono::milliseconds kConnectTimeout{300};
+
+  struct Events {
+    std::function<void(const transport::ResponseHead&,
+                       std::optional<uint64_t> length)>
+        on_head;
+    std::function<void(std::string_view)> on_body;
+    /// The answer is complete.
+    std::function<void()> on_complete;
+    std::function<void(LinkFailure)> on_failed;
+  };
+
+  UpstreamLink(const transport::SocketAddress& address, QObject* parent);
+
+  /// Sends a serialized request; the events belong to it alone.
+  void Start(std::string_view request, Events events);
+  /// Ends the exchange and the connection; no event follows.
+  void Abandon();
+
+  /// Whether it can carry another exchange.
+  bool reusable() const { return reusable_; }
+  /// Closed by the upstream or by a failure.
+  bool is_open() const { return socket_.is_open(); }
+  void SetReading(bool reading) { socket_.SetReading(reading); }
+
+  /// Called when an idle connection ends.
+  void SetIdleEndHandler(std::function<void()> on_end) {
+    on_idle_end_ = std::move(on_end);
+  }
+
+ private:
+  void OnBytes(std::string_view bytes);
+  void OnEnd(transport::SocketEnd how);
+  void Complete();
+  void Fail(LinkFailure failure);
+
+  transport::StreamSocket socket_;
+  QTimer connect_timer_;
+  std::unique_ptr<transport::ResponseReader> reader_;
+  Events events_;
+  bool connected_ = false;
+  bool reusable_ = false;
+  std::function<void()> on_idle_end_;
+};
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/upstream_link_pool.cpp
@@ -0,0 +1,119 @@
+#include "relay/upstream_link_pool.h"
+
+#include <algorithm>
+
+namespace hawthorn::relay {
+
+namespace {
+
+/// Interval at which idle connections are looked through.
+constexpr std::chrono::milliseconds kSweepInterval{1000};
+
+}  // namespace
+
+UpstreamLinkPool::UpstreamLinkPool(const core::Clock& clock, QObject* parent)
+    : QObject(parent), clock_(clock) {
+  connect(&sweep_, &QTimer::timeout, this, &UpstreamLinkPool::CloseExpired);
+}
+
+UpstreamLink* UpstreamLinkPool::Acquire(
+    const std::string& upstream, const transport::SocketAddress& address,
+    bool must_be_fresh) {
+  Links& links = links_[upstream];
+  const core::TimePoint now = clock_.Now();
+  ++links.in_use;
+  while (!links.idle.empty()) {
+    const IdleLink kept = links.idle.back();
+    const bool usable = kept.link->is_open() && now < kept.until &&
+                        (!must_be_fresh || now - kept.since < kFreshIdle);
+    if (!usable && must_be_fresh && kept.link->is_open()) {
+      break;
+    }
+    links.idle.pop_back();
+    kept.link->SetIdleEndHandler(nullptr);
+    if (usable) {
+      return kept.link;
+    }
+    kept.link->Abandon();
+    kept.link->deleteLater();
+  }
+  ++opened_;
+  return new UpstreamLink(address, this);
+}
+
+void UpstreamLinkPool::Release(const std::string& upstream, UpstreamLink* link,
+                               std::chrono::milliseconds idle_timeout) {
+  Links& links = links_[upstream];
+  links.in_use -= std::min<size_t>(links.in_use, 1);
+  if (!link->reusable() || !link->is_open() || links.idle.size() >= kMaxIdle) {
+    link->Abandon();
+    link->deleteLater();
+    return;
+  }
+  const core::TimePoint now = clock_.Now();
+  links.idle.push_back({link, now, now + idle_timeout * kIdlePercent / 100});
+  link->SetIdleEndHandler(
+      [this, upstream, link] { DropIdle(upstream, link); });
+  if (!sweep_.isActive()) {
+    sweep_.start(kSweepInterval);
+  }
+}
+
+void UpstreamLinkPool::Discard(const std::string& upstream,
+                               UpstreamLink* link) {
+  Links& links = links_[upstream];
+  links.in_use -= std::min<size_t>(links.in_use, 1);
+  link->Abandon();
+  link->deleteLater();
+}
+
+void UpstreamLinkPool::DropIdle(const std::string& upstream,
+                                UpstreamLink* link) {
+  std::erase_if(links_[upstream].idle,
+                [link](const IdleLink& it) { return it.link == link; });
+  link->Abandon();
+  link->deleteLater();
+}
+
+void UpstreamLinkPool::Forget(const std::string& upstream) {
+  const auto it = links_.find(upstream);
+  if (it == links_.end()) {
+    return;
+  }
+  for (const IdleLink& idle : it->second.idle) {
+    idle.link->Abandon();
+    idle.link->deleteLater();
+  }
+  it->second.idle.clear();
+}
+
+size_t UpstreamLinkPool::OpenCount(const std::string& upstream) const {
+  const auto it = links_.find(upstream);
+  return it == links_.end() ? 0 : it->second.in_use + it->second.idle.size();
+}
+
+size_t UpstreamLinkPool::IdleCount(const std::string& upstream) const {
+  const auto it = links_.find(upstream);
+  return it == links_.end() ? 0 : it->second.idle.size();
+}
+
+void UpstreamLinkPool::CloseExpired() {
+  const core::TimePoint now = clock_.Now();
+  bool any = false;
+  for (auto& [upstream, links] : links_) {
+    std::erase_if(links.idle, [now](const IdleLink& it) {
+      if (it.link->is_open() && now < it.until) {
+        return false;
+      }
+      it.link->Abandon();
+      it.link->deleteLater();
+      return true;
+    });
+    any = any || !links.idle.empty();
+  }
+  if (!any) {
+    sweep_.stop();
+  }
+}
+
+}  // namespace hawthorn::relay
--- /dev/null
+++ b/relay/upstream_link_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <QObject>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "relay/upstream_link.h"
+
+namespace hawthorn::relay {
+
+/// Keeps idle connections to upstreams for later calls.
+class UpstreamLinkPool final : public QObject {
+  Q_OBJECT
+
+ public:
+  /// Idle time after which a connection is closed if the upstream does not
+  /// say how long it keeps one.
+  static constexpr std::chrono::milliseconds kDefaultIdleTimeout{4000};
+  /// Part of the upstream's own idle time after which its connection is not
+  /// used any more, in percent: a request must not cross the close.
+  static constexpr int kIdlePercent = 60;
+  /// Idle time up to which a connection may carry a call that must not run
+  /// twice: it was alive a moment ago.
+  static constexpr std::chrono::milliseconds kFreshIdle{500};
+  /// Idle connections kept for one upstream.
+  static constexpr size_t kMaxIdle = 16;
+
+  UpstreamLinkPool(const core::Clock& clock, QObject* parent);
+
+  /// A connection to `upstream`: a kept one, or a new one that is connecting.
+  /// With `must_be_fresh` only one that was in use a moment ago is reused.
+  UpstreamLink* Acquire(const std::string& upstream,
+                        const transport::SocketAddress& address,
+                        bool must_be_fresh);
+  /// Takes a connection back after its exchange.
+  void Release(const std::string& upstream, UpstreamLink* link,
+               std::chrono::milliseconds idle_timeout);
+  /// Ends a connection that is in use; no event follows.
+  void Discard(const std::string& upstream, UpstreamLink* link);
+  /// Closes the idle connections of an upstream that is gone.
+  void Forget(const std::string& upstream);
+
+  /// Connections to `upstream`, idle and in use.
+  size_t OpenCount(const std::string& upstream) const;
+  size_t IdleCount(const std::string& upstream) const;
+  uint64_t opened() const { return opened_; }
+
+ private:
+  struct IdleLink {
+    UpstreamLink* link = nullptr;
+    core::TimePoint since;
+    core::TimePoint until;
+  };
+  struct Links {
+    std::vector<IdleLink> idle;
+    size_t in_use = 0;
+  };
+
+  void CloseExpired();
+  void DropIdle(const std::string& upstream, UpstreamLink* link);
+
+  const core::Clock& clock_;
+  std::map<std::string, Links> links_;
+  uint64_t opened_ = 0;
+  QTimer sweep_;
+};
+
+}  // namespace hawthorn::relay
--- a/main/journal_thread.cpp
+++ b/storage/journal_thread.cpp
@@ -1,11 +1,12 @@
-#include "main/journal_thread.h"
+#include "storage/journal_thread.h"
 
 #include <utility>
 
-namespace hawthorn::main {
+namespace hawthorn::storage {
 
 namespace {
-constexpr std::chrono::milliseconds kPollInterval{200};
+/// Pushing and closing wake the thread, so the wait need not end by itself.
+constexpr std::chrono::hours kLongestWait{1};
 }  // namespace
 
 JournalThread::JournalThread(EventSink events) : events_(std::move(events)) {
@@ -21,8 +22,8 @@
   }
 }
 
-void JournalThread::Write(const std::string& group, storage::LogStore& store,
-                          storage::LogBatch batch) {
+void JournalThread::Write(const std::string& group, LogStore& store,
+                          LogBatch batch) {
   Job job{group, &store, std::move(batch)};
   const uint64_t sequence = job.batch.sequence;
   if (!jobs_.TryPush(std::move(job))) {
@@ -36,7 +37,7 @@
 
 void JournalThread::Run() {
   while (true) {
-    auto job = jobs_.Pop(kPollInterval);
+    auto job = jobs_.Pop(kLongestWait);
     if (!job) {
       if (jobs_.closed()) {
         return;
@@ -48,4 +49,4 @@
   }
 }
 
-}  // namespace hawthorn::main
+}  // namespace hawthorn::storage
--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -149,7 +149,8 @@
 core::Status SegmentStore::LoadIdentity(bool is_new) {
   const std::string path = PathOf(std::string(kIdentityName));
   if (is_new) {
-    incarnation_ = NewIncarnation();
+    incarnation_ = options_.first_incarnation != 0 ? options_.first_incarnation
+                                                   : NewIncarnation();
     return WriteAtomically(std::string(kIdentityName),
                            EncodeRecord(std::to_string(incarnation_)));
   }
--- a/storage/segment_store.h
+++ b/storage/segment_store.h
@@ -16,6 +16,9 @@
   std::string folder;
   /// Size after which a new segment is begun, in bytes.
   uint64_t segment_bytes = uint64_t{16} * 1024 * 1024;
+  /// Incarnation of a folder that is created; a random one if it is 0. The
+  /// founders of a group share one so that each knows the others' identities.
+  uint64_t first_incarnation = 0;
 };
 
 /// Store in one folder: segment files of checked records, one for each batch,
--- /dev/null
+++ b/transport/http_session.cpp
@@ -0,0 +1,267 @@
+#include "transport/http_session.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace hawthorn::transport {
+
+namespace {
+
+constexpr int kRequestTimeoutStatus = 408;
+constexpr int kNotModified = 304;
+constexpr int kNoContent = 204;
+
+bool HasBody(int status) {
+  return status != kNotModified && status != kNoContent;
+}
+
+}  // namespace
+
+HttpSession::HttpSession(int descriptor, const SessionLimits& limits,
+                         Events events, QObject* parent)
+    : QObject(parent),
+      limits_(limits),
+      events_(std::move(events)),
+      framer_(limits.framing) {
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this, &HttpSession::OnTimeout);
+  timer_.start(limits_.idle_timeout);
+  socket_.SetEvents({.on_connected = {},
+                     .on_bytes = [this](std::string_view it) { OnBytes(it); },
+                     .on_end = [this](SocketEnd) { OnEnd(); },
+                     .on_drained = {}});
+  socket_.Adopt(descriptor);
+}
+
+void HttpSession::SetLeftHandler(std::function<void()> on_left) {
+  on_left_ = std::move(on_left);
+}
+
+void HttpSession::SetDrainedHandler(std::function<void()> on_drained) {
+  socket_.SetEvents({.on_connected = {},
+                     .on_bytes = [this](std::string_view it) { OnBytes(it); },
+                     .on_end = [this](SocketEnd) { OnEnd(); },
+                     .on_drained = std::move(on_drained)});
+}
+
+void HttpSession::OnBytes(std::string_view bytes) {
+  if (closed_) {
+    return;
+  }
+  early_.append(bytes);
+  if (busy_) {
+    if (early_.size() > kMaxEarlyBytes) {
+      socket_.SetReading(false);
+    }
+    return;
+  }
+  ParseRequests();
+}
+
+void HttpSession::ParseRequests() {
+  while (!busy_ && !closed_ && !early_.empty()) {
+    const bool started = framer_.started();
+    const size_t used = framer_.Feed(early_);
+    early_.erase(0, used);
+    switch (framer_.state()) {
+      case RequestFramer::State::kComplete:
+        HandOver();
+        return;
+      case RequestFramer::State::kRefused:
+        Refuse(framer_.error().status, framer_.error().reason);
+        return;
+      default:
+        break;
+    }
+    if (!started && framer_.started()) {
+      timer_.start(limits_.request_timeout);
+    }
+    if (framer_.state() == RequestFramer::State::kBody &&
+        framer_.expects_continue()) {
+      socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (used == 0) {
+      return;
+    }
+  }
+}
+
+void HttpSession::HandOver() {
+  busy_ = true;
+  timer_.stop();
+  RelayRequest request = ParseFramedRequest(framer_.message());
+  head_request_ = request.method == "HEAD";
+  closing_ = closing_ || framer_.wants_close();
+  framer_.Reset();
+  events_.on_request(*this, std::move(request));
+}
+
+void HttpSession::Refuse(int status, const std::string& reason) {
+  busy_ = true;
+  closing_ = true;
+  Respond(status, {}, reason);
+}
+
+HeaderList HttpSession::WithFraming(HeaderList fields) const {
+  if (closing_) {
+    fields.push_back({"Connection", "close"});
+  }
+  return fields;
+}
+
+void HttpSession::Respond(int status, HeaderList fields,
+                          std::string_view body) {
+  if (closed_ || !busy_) {
+    return;
+  }
+  fields.push_back({"Content-Length", std::to_string(body.size())});
+  std::string out = SerializeHead({status, WithFraming(std::move(fields))});
+  if (!head_request_ && HasBody(status)) {
+    out.append(body);
+  }
+  socket_.Write(out);
+  FinishExchange();
+}
+
+void HttpSession::BeginBody(const ResponseHead& head,
+                            std::optional<uint64_t> length) {
+  if (closed_ || !busy_) {
+    return;
+  }
+  HeaderList fields = WithFraming(head.fields);
+  chunked_ = !length.has_value();
+  if (chunked_) {
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  } else {
+    fields.push_back({"Content-Length", std::to_string(*length)});
+  }
+  socket_.Write(SerializeHead({head.status, std::move(fields)}));
+}
+
+void HttpSession::WriteBody(std::string_view bytes) {
+  if (closed_ || !busy_ || head_request_) {
+    return;
+  }
+  if (chunked_) {
+    socket_.Write(SerializeChunk(bytes));
+  } else {
+    socket_.Write(bytes);
+  }
+}
+
+void HttpSession::EndBody() {
+  if (closed_ || !busy_) {
+    return;
+  }
+  if (chunked_ && !head_request_) {
+    socket_.Write(kLastChunk);
+  }
+  FinishExchange();
+}
+
+void HttpSession::AbortBody() {
+  if (closed_ || !busy_) {
+    return;
+  }
+  on_left_ = nullptr;
+  socket_.Abort();
+  OnEnd();
+}
+
+void HttpSession::FinishExchange() {
+  busy_ = false;
+  on_left_ = nullptr;
+  if (closed_) {
+    return;
+  }
+  if (closing_) {
+    timer_.stop();
+    socket_.CloseAfterWrite();
+    return;
+  }
+  socket_.SetReading(true);
+  timer_.start(limits_.idle_timeout);
+  if (!early_.empty()) {
+    QMetaObject::invokeMethod(
+        this, [this] { ParseRequests(); }, Qt::QueuedConnection);
+  }
+}
+
+void HttpSession::CloseWhenIdle() {
+  closing_ = true;
+  if (!busy_ && !framer_.started() && early_.empty() && !closed_) {
+    timer_.stop();
+    socket_.CloseAfterWrite();
+  }
+}
+
+void HttpSession::OnTimeout() {
+  if (busy_ || closed_) {
+    return;
+  }
+  if (framer_.started()) {
+    Refuse(kRequestTimeoutStatus, "the request did not arrive in time");
+    return;
+  }
+  socket_.Close();
+  OnEnd();
+}
+
+void HttpSession::OnEnd() {
+  if (std::exchange(closed_, true)) {
+    return;
+  }
+  timer_.stop();
+  const bool left = std::exchange(busy_, false);
+  const std::function<void()> on_left = std::exchange(on_left_, nullptr);
+  if (left && on_left) {
+    on_left();
+  }
+  events_.on_closed(*this);
+}
+
+HttpEndpoint::HttpEndpoint(RequestHandler on_request, QObject* parent)
+    : QObject(parent), on_request_(std::move(on_request)) {}
+
+core::Status HttpEndpoint::Listen(const SocketAddress& address) {
+  return listener_.Listen(address, [this](int it) { Accept(it); });
+}
+
+void HttpEndpoint::Accept(int descriptor) {
+  if (sessions_.size() >= kMaxSessions) {
+    ::close(descriptor);
+    return;
+  }
+  HttpSession::Events events;
+  events.on_request = [this](HttpSession& session, RelayRequest request) {
+    if (closing_) {
+      session.AnnounceClose();
+    }
+    on_request_(session, std::move(request));
+  };
+  events.on_closed = [this](HttpSession& session) {
+    sessions_.erase(&session);
+    session.deleteLater();
+  };
+  auto* session = new HttpSession(descriptor, limits_, std::move(events), this);
+  sessions_.insert(session);
+}
+
+void HttpEndpoint::CloseIdle() {
+  closing_ = true;
+  const auto sessions = sessions_;
+  for (HttpSession* session : sessions) {
+    session->CloseWhenIdle();
+  }
+}
+
+size_t HttpEndpoint::busy_count() const {
+  size_t n = 0;
+  for (HttpSession* session : sessions_) {
+    n += session->busy() ? 1 : 0;
+  }
+  return n;
+}
+
+}  // namespace hawthorn::transport
--- a/transport/http_status.h
+++ b/transport/http_status.h
@@ -15,6 +15,8 @@
       return "Bad Request";
     case 401:
       return "Unauthorized";
+    case 402:
+      return "Payment Required";
     case 404:
       return "Not Found";
     case 405:
@@ -25,10 +27,14 @@
       return "Conflict";
     case 413:
       return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
     case 429:
       return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
     case 501:
       return "Not Implemented";
     case 502:
--- /dev/null
+++ b/transport/response_reader.cpp
@@ -0,0 +1,135 @@
+#include "transport/response_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <utility>
+
+namespace hawthorn::transport {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+namespace {
+
+std::string_view ToStd(string_view text) { return {text.data(), text.size()}; }
+
+core::Error Malformed(const std::string& reason) {
+  return core::Error{core::ErrorCode::kInvalidArgument, reason,
+                     core::Execution::kUnknown,
+                     {}};
+}
+
+}  // namespace
+
+/// Collects the head and hands the body on. The overridden names are those of
+/// the library.
+// NOLINTBEGIN(readability-identifier-naming)
+class ResponseReader::Parser final : public http::basic_parser<false> {
+ public:
+  explicit Parser(Events events) : events_(std::move(events)) {
+    header_limit(kMaxHeadBytes);
+    body_limit(kMaxBodyBytes);
+  }
+
+ private:
+  void on_request_impl(http::verb, string_view, string_view, int,
+                       error_code& ec) override {
+    ec = http::error::bad_version;
+  }
+  void on_response_impl(int status, string_view, int,
+                        error_code& /*ec*/) override {
+    head_.status = status;
+  }
+  void on_field_impl(http::field, string_view name, string_view value,
+                     error_code& /*ec*/) override {
+    head_.fields.push_back(
+        {std::string(ToStd(name)), std::string(ToStd(value))});
+  }
+  void on_header_impl(error_code& /*ec*/) override {
+    std::optional<uint64_t> length;
+    if (content_length()) {
+      length = *content_length();
+    }
+    events_.on_head(head_, length);
+  }
+  void on_body_init_impl(const boost::optional<uint64_t>&,
+                         error_code& /*ec*/) override {}
+  size_t on_body_impl(string_view body, error_code& /*ec*/) override {
+    events_.on_body(ToStd(body));
+    return body.size();
+  }
+  void on_chunk_header_impl(uint64_t, string_view,
+                            error_code& /*ec*/) override {}
+  size_t on_chunk_body_impl(uint64_t, string_view body,
+                            error_code& /*ec*/) override {
+    events_.on_body(ToStd(body));
+    return body.size();
+  }
+  void on_finish_impl(error_code& /*ec*/) override {}
+
+  Events events_;
+  ResponseHead head_;
+};
+// NOLINTEND(readability-identifier-naming)
+
+ResponseReader::ResponseReader(Events events)
+    : parser_(std::make_unique<Parser>(std::move(events))) {
+  parser_->eager(true);
+}
+
+ResponseReader::~ResponseReader() = default;
+
+core::Result<size_t> ResponseReader::Feed(std::string_view bytes) {
+  const size_t held = buffer_.size();
+  buffer_.append(bytes);
+  size_t used = 0;
+  while (used < buffer_.size() && !parser_->is_done()) {
+    error_code ec;
+    const size_t n = parser_->put(
+        boost::asio::buffer(buffer_.data() + used, buffer_.size() - used), ec);
+    used += n;
+    if (ec == http::error::need_more) {
+      break;
+    }
+    if (ec) {
+      return Malformed(ec.message());
+    }
+    if (n == 0) {
+      break;
+    }
+  }
+  const bool done = parser_->is_done();
+  buffer_.erase(0, used);
+  if (!done) {
+    return bytes.size();
+  }
+  return used - std::min(used, held);
+}
+
+core::Status ResponseReader::FeedEnd() {
+  if (complete()) {
+    return std::monostate{};
+  }
+  if (!parser_->got_some() || !buffer_.empty()) {
+    return Malformed("the connection closed before the answer");
+  }
+  error_code ec;
+  parser_->put_eof(ec);
+  if (ec) {
+    return Malformed(ec.message());
+  }
+  return std::monostate{};
+}
+
+bool ResponseReader::has_head() const { return parser_->is_header_done(); }
+
+bool ResponseReader::complete() const { return parser_->is_done(); }
+
+bool ResponseReader::keep_alive() const { return parser_->keep_alive(); }
+
+bool ResponseReader::ends_with_connection() const {
+  return parser_->is_header_done() && parser_->need_eof();
+}
+
+}  // namespace hawthorn::transport
--- /dev/null
+++ b/transport/stream_socket.cpp
@@ -0,0 +1,319 @@
+#include "transport/stream_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTimer>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <utility>
+
+namespace hawthorn::transport {
+
+namespace {
+
+/// Bytes read at once; a full read is followed by another one.
+constexpr size_t kReadChunkBytes = size_t{32} * 1024;
+/// Reads in one turn of the event loop, so that one peer cannot hold it.
+constexpr int kReadsPerTurn = 4;
+/// Idle time before keep-alive probes, and between them, in seconds.
+constexpr int kKeepAliveSeconds = 1;
+/// Unanswered probes that end a connection.
+constexpr int kKeepAliveProbes = 2;
+
+core::Error SocketError(const char* operation) {
+  return core::Error{core::ErrorCode::kUnavailable,
+                     std::string(operation) + ": " + std::strerror(errno),
+                     core::Execution::kNotRun,
+                     {}};
+}
+
+bool Encode(const SocketAddress& address, sockaddr_in* out) {
+  *out = sockaddr_in{};
+  out->sin_family = AF_INET;
+  out->sin_port = htons(address.port);
+  return inet_pton(AF_INET, address.host.c_str(), &out->sin_addr) == 1;
+}
+
+void SetOption(int descriptor, int level, int name, int value) {
+  setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+core::Result<SocketAddress> ParseAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  SocketAddress address;
+  sockaddr_in encoded{};
+  bool valid = colon != std::string_view::npos;
+  if (valid) {
+    address.host = std::string(text.substr(0, colon));
+    const char* end = text.data() + text.size();
+    const auto [rest, ec] =
+        std::from_chars(text.data() + colon + 1, end, address.port);
+    valid = ec == std::errc() && rest == end && Encode(address, &encoded);
+  }
+  if (!valid) {
+    return core::Error{core::ErrorCode::kInvalidArgument,
+                       "'" + std::string(text) + "' is not IP:port",
+                       core::Execution::kNotRun,
+                       {}};
+  }
+  return address;
+}
+
+StreamSocket::StreamSocket(QObject* parent) : QObject(parent) {}
+
+StreamSocket::~StreamSocket() { Release(false); }
+
+void StreamSocket::Adopt(int descriptor) {
+  descriptor_ = descriptor;
+  connected_ = true;
+  TuneDescriptor();
+  Watch();
+}
+
+void StreamSocket::Connect(const SocketAddress& address) {
+  sockaddr_in encoded{};
+  descriptor_ =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const bool valid = descriptor_ >= 0 && Encode(address, &encoded);
+  if (valid) {
+    TuneDescriptor();
+  }
+  const int status =
+      valid ? ::connect(descriptor_, reinterpret_cast<sockaddr*>(&encoded),
+                        sizeof(encoded))
+            : -1;
+  if (!valid || (status != 0 && errno != EINPROGRESS)) {
+    // The caller expects the outcome as an event, never inside this call.
+    QMetaObject::invokeMethod(
+        this, [this] { End(SocketEnd::kReset); }, Qt::QueuedConnection);
+    return;
+  }
+  Watch();
+  writable_->setEnabled(true);
+}
+
+void StreamSocket::TuneDescriptor() {
+  SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kSilenceLimit.count()));
+  SetOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
+  SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
+  SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+void StreamSocket::Watch() {
+  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                QSocketNotifier::Read);
+  writable_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                QSocketNotifier::Write);
+  readable_->setEnabled(connected_ && reading_);
+  writable_->setEnabled(false);
+  connect(readable_.get(), &QSocketNotifier::activated, this,
+          &StreamSocket::OnReadable);
+  connect(writable_.get(), &QSocketNotifier::activated, this,
+          &StreamSocket::OnWritable);
+}
+
+void StreamSocket::OnReadable() {
+  std::array<char, kReadChunkBytes> buf;
+  for (int n = 0; n < kReadsPerTurn && is_open() && reading_; ++n) {
+    const ssize_t got = recv(descriptor_, buf.data(), buf.size(), 0);
+    if (got > 0) {
+      if (events_.on_bytes && !close_after_write_) {
+        events_.on_bytes({buf.data(), static_cast<size_t>(got)});
+      }
+      if (static_cast<size_t>(got) < buf.size()) {
+        return;
+      }
+      continue;
+    }
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+      return;
+    }
+    End(got == 0 ? SocketEnd::kFinished : SocketEnd::kReset);
+    return;
+  }
+}
+
+void StreamSocket::OnWritable() {
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+      End(SocketEnd::kReset);
+      return;
+    }
+    connected_ = true;
+    writable_->setEnabled(false);
+    readable_->setEnabled(reading_);
+    if (events_.on_connected) {
+      events_.on_connected();
+    }
+    if (!is_open()) {
+      return;
+    }
+  }
+  Flush();
+}
+
+void StreamSocket::Write(std::string_view bytes) {
+  if (!is_open()) {
+    return;
+  }
+  output_.append(bytes);
+  if (connected_) {
+    Flush();
+  }
+}
+
+void StreamSocket::Flush() {
+  while (sent_ < output_.size()) {
+    const ssize_t n = send(descriptor_, output_.data() + sent_,
+                           output_.size() - sent_, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) {
+      continue;
+    }
+    if (n < 0 && errno == EAGAIN) {
+      writable_->setEnabled(true);
+      return;
+    }
+    if (n < 0) {
+      // The reason arrives with the next read; a reset is told once.
+      QMetaObject::invokeMethod(
+          this, [this] { End(SocketEnd::kReset); }, Qt::QueuedConnection);
+      output_.clear();
+      sent_ = 0;
+      return;
+    }
+    sent_ += static_cast<size_t>(n);
+  }
+  output_.clear();
+  sent_ = 0;
+  writable_->setEnabled(false);
+  if (close_after_write_) {
+    FinishOutput();
+    return;
+  }
+  if (events_.on_drained) {
+    events_.on_drained();
+  }
+}
+
+void StreamSocket::CloseAfterWrite() {
+  if (!is_open() || close_after_write_) {
+    return;
+  }
+  close_after_write_ = true;
+  SetReading(true);
+  if (pending_bytes() == 0) {
+    FinishOutput();
+  }
+}
+
+void StreamSocket::FinishOutput() {
+  // Closing with unread bytes would reset the connection and take the last
+  // answer with it, so the peer gets time to read it and to close.
+  shutdown(descriptor_, SHUT_WR);
+  QTimer::singleShot(kLingerTime, this, [this] { End(SocketEnd::kFinished); });
+}
+
+void StreamSocket::Close() { Release(false); }
+
+void StreamSocket::Abort() { Release(true); }
+
+void StreamSocket::SetReading(bool reading) {
+  reading_ = reading;
+  if (readable_ && connected_) {
+    readable_->setEnabled(reading);
+  }
+}
+
+void StreamSocket::End(SocketEnd how) {
+  if (!is_open()) {
+    return;
+  }
+  Release(false);
+  if (events_.on_end) {
+    events_.on_end(how);
+  }
+}
+
+void StreamSocket::Release(bool reset) {
+  if (descriptor_ < 0) {
+    return;
+  }
+  for (auto* it : {&readable_, &writable_}) {
+    if (*it) {
+      (*it)->setEnabled(false);
+      // The notifier may be the one that called.
+      it->release()->deleteLater();
+    }
+  }
+  if (reset) {
+    const linger option{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+  }
+  ::close(descriptor_);
+  descriptor_ = -1;
+  connected_ = false;
+}
+
+StreamListener::~StreamListener() { Close(); }
+
+core::Status StreamListener::Listen(const SocketAddress& address,
+                                    std::function<void(int)> on_accept) {
+  on_accept_ = std::move(on_accept);
+  descriptor_ =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in encoded{};
+  if (descriptor_ < 0 || !Encode(address, &encoded)) {
+    return SocketError("listen");
+  }
+  SetOption(descriptor_, SOL_SOCKET, SO_REUSEADDR, 1);
+  auto* name = reinterpret_cast<sockaddr*>(&encoded);
+  socklen_t size = sizeof(encoded);
+  if (bind(descriptor_, name, size) != 0 ||
+      listen(descriptor_, kBacklog) != 0 ||
+      getsockname(descriptor_, name, &size) != 0) {
+    const core::Error error = SocketError("listen");
+    Close();
+    return error;
+  }
+  port_ = ntohs(encoded.sin_port);
+  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                QSocketNotifier::Read);
+  connect(readable_.get(), &QSocketNotifier::activated, this,
+          &StreamListener::Accept);
+  return std::monostate{};
+}
+
+void StreamListener::Close() {
+  readable_.reset();
+  if (descriptor_ >= 0) {
+    ::close(descriptor_);
+    descriptor_ = -1;
+  }
+}
+
+void StreamListener::Accept() {
+  while (true) {
+    const int accepted = accept4(descriptor_, nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    on_accept_(accepted);
+  }
+}
+
+}  // namespace hawthorn::transport
