scheduling: See whole upstreams from every instance

Each instance had a ninth of each window and chose only upstreams of its own zone; two of nine instances share two slow workers in zone c.

Change: SharedScheduler and SharedPool. Every instance sees the whole upstream, corrects its own calls by the late reports (also at the head of an answer, not only at its end), and chooses the least expected time from load, missing cache, zone and failures.

Ruled out: processor time (entry 0.07 of 0.25 cores), memory, the group (claims took 3 ms).

What binds now is claims without an answer while a leader is lost or a zone is cut off.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -112,8 +112,8 @@
   metrics_.Count("watch_ended");
   Log(LogLevel::kWarn, "watch ended",
       {{"source", source_},
-       {"reason", core::IsOk(status) ? "finished"
-                                     : core::ErrorOf(status).message}});
+       {"reason",
+        core::IsOk(status) ? "finished" : core::ErrorOf(status).message}});
   retry_.start(kWatchRetry);
 }
 
@@ -141,8 +141,7 @@
     metrics_.Count("claims_unanswered");
     claim->callback(core::Error{core::ErrorCode::kUnavailable,
                                 "no answer from the leader " + leader_,
-                                core::Execution::kNotRun,
-                                kClaimRetry});
+                                core::Execution::kNotRun, kClaimRetry});
     return;
   }
   schema::DeploymentMessage message;
@@ -160,9 +159,9 @@
           return;
         }
         const auto answer =
-            core::IsOk(reply) ? Unpack(core::Value(reply))
-                              : core::Result<schema::DeploymentMessage>(
-                                    core::ErrorOf(reply));
+            core::IsOk(reply)
+                ? Unpack(core::Value(reply))
+                : core::Result<schema::DeploymentMessage>(core::ErrorOf(reply));
         if (!core::IsOk(answer)) {
           // The same claim is granted once however often it is sent.
           QTimer::singleShot(kClaimRetry, this, again);
@@ -198,25 +197,24 @@
   schema::DeploymentMessage message;
   command.SerializeToString(message.mutable_propose());
   settling_ = true;
-  peers_.Request(
-      core::InstanceId(leader_), Pack(message), kClaimAttempt,
-      [this, guard = QPointer<DeploymentClient>(this),
-       command](const core::Result<schema::PeerMessage>& reply) {
-        if (!guard) {
-          return;
-        }
-        settling_ = false;
-        if (!core::IsOk(reply)) {
-          settle_timer_.start(kSettleRetry);
-          return;
-        }
-        for (const auto& it : command.settle().settlements()) {
-          settlements_.erase(it.request());
-        }
-        if (!settlements_.empty()) {
-          settle_timer_.start(kSettleDelay);
-        }
-      });
+  peers_.Request(core::InstanceId(leader_), Pack(message), kClaimAttempt,
+                 [this, guard = QPointer<DeploymentClient>(this),
+                  command](const core::Result<schema::PeerMessage>& reply) {
+                   if (!guard) {
+                     return;
+                   }
+                   settling_ = false;
+                   if (!core::IsOk(reply)) {
+                     settle_timer_.start(kSettleRetry);
+                     return;
+                   }
+                   for (const auto& it : command.settle().settlements()) {
+                     settlements_.erase(it.request());
+                   }
+                   if (!settlements_.empty()) {
+                     settle_timer_.start(kSettleDelay);
+                   }
+                 });
 }
 
 }  // namespace hawthorn::cluster
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -43,8 +43,7 @@
 core::Result<schema::DeploymentMessage> Unpack(
     const schema::PeerMessage& message) {
   schema::DeploymentMessage out;
-  if (!message.has_deployment() ||
-      !out.ParseFromString(message.deployment())) {
+  if (!message.has_deployment() || !out.ParseFromString(message.deployment())) {
     return core::Error{core::ErrorCode::kInvalidArgument,
                        "not a message about the deployment",
                        core::Execution::kUnknown,
@@ -119,8 +118,7 @@
   Log(LogLevel::kInfo, "replica started",
       {{"incarnation", std::to_string(store_->incarnation())},
        {"founds", founds ? "true" : "false"},
-       {"configuration",
-        std::to_string(machine_.configuration().version())}});
+       {"configuration", std::to_string(machine_.configuration().version())}});
   tick_.start(kTick);
   Flush();
   return std::monostate{};
@@ -246,8 +244,8 @@
   std::string to = IsCurrent() ? LeaderElsewhere() : std::string();
   if (to.empty() && !dialled_.empty()) {
     auto target = dialled_.begin();
-    std::advance(target, static_cast<ptrdiff_t>(announce_cursor_++ %
-                                                dialled_.size()));
+    std::advance(target,
+                 static_cast<ptrdiff_t>(announce_cursor_++ % dialled_.size()));
     to = target->first;
   }
   if (to.empty()) {
@@ -260,8 +258,7 @@
                      return;
                    }
                    const auto list = Unpack(core::Value(reply));
-                   if (core::IsOk(list) &&
-                       core::Value(list).has_instances()) {
+                   if (core::IsOk(list) && core::Value(list).has_instances()) {
                      guard->LearnInstances(core::Value(list).instances());
                    }
                  });
@@ -422,16 +419,15 @@
     callback(Unavailable("no leader is known"));
     return;
   }
-  peers_.Request(
-      core::InstanceId(leader), Pack(message), timeout,
-      [callback = std::move(callback)](
-          const core::Result<schema::PeerMessage>& reply) {
-        if (!core::IsOk(reply)) {
-          callback(core::ErrorOf(reply));
-          return;
-        }
-        callback(Unpack(core::Value(reply)));
-      });
+  peers_.Request(core::InstanceId(leader), Pack(message), timeout,
+                 [callback = std::move(callback)](
+                     const core::Result<schema::PeerMessage>& reply) {
+                   if (!core::IsOk(reply)) {
+                     callback(core::ErrorOf(reply));
+                     return;
+                   }
+                   callback(Unpack(core::Value(reply)));
+                 });
 }
 
 void DeploymentHost::Propose(schema::DeploymentCommand command,
@@ -666,8 +662,8 @@
                 : change.kind == Kind::kPromote  ? "promote"
                                                  : "remove"},
        {"voters", std::to_string(replica.membership().voter_count())},
-       {"outcome", core::IsOk(status) ? "proposed"
-                                      : core::ErrorOf(status).message}});
+       {"outcome",
+        core::IsOk(status) ? "proposed" : core::ErrorOf(status).message}});
 }
 
 void DeploymentHost::RecordInstances() {
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -149,11 +149,11 @@
   core::Result<schema::RetirementState> RetirementHere(
       const std::string& name) const;
   /// Asks the leader; kUnavailable if none is known.
-  void AskLeader(const schema::DeploymentMessage& message,
-                 std::chrono::milliseconds timeout,
-                 std::function<void(
-                     const core::Result<schema::DeploymentMessage>&)>
-                     callback);
+  void AskLeader(
+      const schema::DeploymentMessage& message,
+      std::chrono::milliseconds timeout,
+      std::function<void(const core::Result<schema::DeploymentMessage>&)>
+          callback);
   std::string LeaderElsewhere() const;
   void FillInstances(
       google::protobuf::RepeatedPtrField<schema::InstanceRecord>* out) const;
--- a/cluster/membership_planner.cpp
+++ b/cluster/membership_planner.cpp
@@ -75,8 +75,7 @@
   PlannedStep RemoveLostIdentity() const {
     for (const Member& member : view_.membership.members()) {
       const InstanceView* it = ViewOf(member);
-      const bool lost =
-          it != nullptr && it->alive && it->id != member.id;
+      const bool lost = it != nullptr && it->alive && it->id != member.id;
       if (lost && member.id != view_.self) {
         return Remove(member);
       }
--- a/cluster/membership_planner.h
+++ b/cluster/membership_planner.h
@@ -38,9 +38,8 @@
   bool operator==(const HandOverLeadership&) const = default;
 };
 
-using PlannedStep =
-    std::variant<std::monostate, consensus::MembershipChange,
-                 HandOverLeadership>;
+using PlannedStep = std::variant<std::monostate, consensus::MembershipChange,
+                                 HandOverLeadership>;
 
 /// Most voters of a group. Five bear the loss of two at once, so that a second
 /// loss right after a repair is borne even if the repair has not ended.
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -159,8 +159,7 @@
   return IsNewer(it->second, entry) && !SameContent(it->second, entry);
 }
 
-void DeploymentState::Publish(
-    const schema::PublishedConfiguration& published) {
+void DeploymentState::Publish(const schema::PublishedConfiguration& published) {
   if (published.version() > configuration_.version()) {
     configuration_ = published;
   }
@@ -186,9 +185,9 @@
   }
   entry.set_revision(++upstream_revision_);
   upstreams_[entry.upstream()] = std::move(entry);
-  const auto gone = std::count_if(
-      upstreams_.begin(), upstreams_.end(),
-      [](const auto& it) { return it.second.gone(); });
+  const auto gone =
+      std::count_if(upstreams_.begin(), upstreams_.end(),
+                    [](const auto& it) { return it.second.gone(); });
   if (static_cast<size_t>(gone) > kMaxGone) {
     auto oldest = upstreams_.end();
     for (auto it = upstreams_.begin(); it != upstreams_.end(); ++it) {
--- a/logging/log.cpp
+++ b/logging/log.cpp
@@ -60,9 +60,7 @@
 
 void StopLog() { Logger()->removeAllAppenders(); }
 
-bool IsLogged(LogLevel level) {
-  return Logger()->isEnabledFor(ToLevel(level));
-}
+bool IsLogged(LogLevel level) { return Logger()->isEnabledFor(ToLevel(level)); }
 
 void Log(LogLevel level, const std::string& message, LogFields fields) {
   const log4cxx::LevelPtr severity = ToLevel(level);
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -15,8 +15,8 @@
 #include "main/peer_thread.h"
 #include "main/upstream_thread.h"
 #include "settings.pb.h"
-#include "storage/journal_thread.h"
 #include "storage/file_system.h"
+#include "storage/journal_thread.h"
 
 namespace hawthorn::main {
 
--- a/main/hawthornd.cpp
+++ b/main/hawthornd.cpp
@@ -12,8 +12,8 @@
 #include <iostream>
 #include <sstream>
 
-#include "main/daemon.h"
 #include "logging/log.h"
+#include "main/daemon.h"
 #include "main/roles/platform_process.h"
 #include "platform/boot_settings.h"
 #include "settings/settings.h"
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -72,8 +72,8 @@
       Log(LogLevel::kError, "committed configuration is unreadable",
           {{"findings", std::get<core::FindingList>(decoded).Report()}});
     } else {
-      auto table =
-          std::get<std::shared_ptr<const relay::RouteTable>>(std::move(decoded));
+      auto table = std::get<std::shared_ptr<const relay::RouteTable>>(
+          std::move(decoded));
       const relay::CallerLimits& limits = table->limits();
       callers_.SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
                           limits.head_timeout,
--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -68,12 +68,13 @@
                           metrics_.Exposition());
         }) {
     if (settings_.caller_address.empty()) {
-      role_ = std::make_unique<ControlRole>(settings_, clock_, metrics_,
-                                            peers_);
+      role_ =
+          std::make_unique<ControlRole>(settings_, clock_, metrics_, peers_);
     } else {
       role_ = std::make_unique<EntryRole>(settings_, clock_, metrics_, peers_);
     }
-    QObject::connect(&reload_, &QTimer::timeout, &reload_, [this] { Reload(); });
+    QObject::connect(&reload_, &QTimer::timeout, &reload_,
+                     [this] { Reload(); });
   }
 
   core::Status Start() {
--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -81,7 +81,8 @@
   virtual ~CallCodec() = default;
 
   virtual CallHead DecodeCall(const transport::RelayRequest& request) const = 0;
-  virtual AnswerHead DecodeAnswer(const transport::ResponseHead& head) const = 0;
+  virtual AnswerHead DecodeAnswer(
+      const transport::ResponseHead& head) const = 0;
   /// The request as the upstream gets it, serialized.
   virtual std::string EncodeForward(const transport::RelayRequest& request,
                                     const ForwardHead& forward) const = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -23,6 +23,13 @@
 /// with others and its own.
 constexpr size_t kFirstTurnParts = 2;
 
+scheduling::SharedScheduler::Settings SettingsOf(const Relay::Parts& parts) {
+  scheduling::SharedScheduler::Settings settings;
+  settings.zone = core::ZoneId(parts.zone);
+  settings.seed = parts.seed;
+  return settings;
+}
+
 /// Hash of the prompt up to each part.
 std::vector<scheduling::PrefixSegment> Segments(const CallHead& head) {
   std::vector<scheduling::PrefixSegment> segments;
@@ -39,11 +46,10 @@
 }  // namespace
 
 Relay::Relay(Parts parts, QObject* parent)
-    : QObject(parent), parts_(std::move(parts)), links_(parts_.clock, this) {
-  scheduling::SchedulerSettings settings;
-  settings.zone = core::ZoneId(parts_.zone);
-  settings.seed = parts_.seed;
-  scheduler_ = scheduling::MakeScheduler(settings);
+    : QObject(parent),
+      parts_(std::move(parts)),
+      scheduler_(SettingsOf(parts_)),
+      links_(parts_.clock, this) {
   wake_up_.setSingleShot(true);
   connect(&wake_up_, &QTimer::timeout, this, &Relay::Pump);
 }
@@ -100,22 +106,12 @@
   for (const auto& [id, upstream] : upstreams_) {
     Announce(upstream);
   }
-  ApplyPolicies();
   logging::Log(logging::LogLevel::kInfo, "configuration in force",
                {{"version", std::to_string(table_->version())},
                 {"routes", std::to_string(table_->routes().size())}});
   SchedulePump();
 }
 
-void Relay::ApplyPolicies() {
-  for (const auto& [name, service] : table_->services()) {
-    scheduling::PolicySettings policy;
-    policy.kind = service.engine ? scheduling::PolicyKind::kPrefix
-                                 : scheduling::PolicyKind::kFcfs;
-    scheduler_->SetPolicy(core::ServiceId(name), policy, parts_.clock.Now());
-  }
-}
-
 void Relay::SetUpstream(const schema::UpstreamEntry& entry) {
   const std::string& id = entry.upstream();
   const auto address = transport::ParseAddress(entry.address());
@@ -145,7 +141,7 @@
     return;
   }
   links_.Forget(id);
-  scheduler_->RemoveUpstream(core::UpstreamId(id), parts_.clock.Now());
+  scheduler_.RemoveUpstream(core::UpstreamId(id));
   logging::Log(logging::LogLevel::kInfo, "upstream gone", {{"upstream", id}});
 }
 
@@ -166,7 +162,6 @@
     return;
   }
   instances_ = instances;
-  scheduler_->SetInstanceCount(instances, parts_.clock.Now());
 }
 
 void Relay::Announce(const Upstream& upstream) {
@@ -181,7 +176,7 @@
   if (service != nullptr && service->engine) {
     state.cache_tokens = service->engine->cache_tokens;
   }
-  scheduler_->SetUpstream(state, parts_.clock.Now());
+  scheduler_.SetUpstream(state, parts_.clock.Now());
 }
 
 core::Status Relay::Enqueue(RelayCall& call) {
@@ -190,7 +185,7 @@
   request.id = next_id_++;
   request.program = core::ProgramId(head.program);
   request.service_class = call.route().name;
-  request.interactive = call.route().priority == 0;
+  request.priority = call.route().priority;
   request.service = core::ServiceId(call.service());
   request.prompt_tokens = head.prompt_tokens;
   request.max_output_tokens = head.max_output_tokens;
@@ -198,11 +193,11 @@
   const bool is_turn = !head.prompt_parts.empty();
   const bool begun = is_turn ? head.prompt_parts.size() > kFirstTurnParts
                              : !head.program.empty();
-  request.attained_tokens = begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
+  request.attained_tokens =
+      begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
   request.deadline = call.deadline();
   request.excluded = call.excluded();
-  const core::Status status =
-      scheduler_->Enqueue(request, parts_.clock.Now());
+  const core::Status status = scheduler_.Enqueue(request, parts_.clock.Now());
   if (core::IsOk(status)) {
     call.set_schedule_id(request.id);
     scheduled_[request.id] = &call;
@@ -212,12 +207,11 @@
 }
 
 void Relay::Dequeue(RelayCall& call) {
-  scheduler_->Cancel(call.schedule_id(), parts_.clock.Now());
+  scheduler_.Cancel(call.schedule_id());
   scheduled_.erase(call.schedule_id());
 }
 
-void Relay::FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
-                          const AnswerHead& answer) {
+void Relay::FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) {
   const core::TimePoint now = parts_.clock.Now();
   scheduled_.erase(call.schedule_id());
   scheduling::CallResult result;
@@ -225,23 +219,26 @@
   result.outcome = outcome;
   result.prompt_tokens = call.head().prompt_tokens;
   result.output_tokens = call.generated_tokens();
-  const std::vector<scheduling::PrefixSegment> segments =
-      Segments(call.head());
+  const std::vector<scheduling::PrefixSegment> segments = Segments(call.head());
   if (!segments.empty()) {
     result.produced = segments.back();
   }
-  scheduler_->OnFinished(result, now);
-  if (answer.running) {
-    scheduling::LoadReport report;
-    report.taken_at = now;
-    report.running = *answer.running;
-    report.waiting = answer.waiting;
-    scheduler_->OnReport(core::UpstreamId(call.summary().last_upstream),
-                         report, now);
-  }
+  scheduler_.OnFinished(result, now);
   SchedulePump();
 }
 
+void Relay::OnAnswerHead(const std::string& upstream,
+                         const AnswerHead& answer) {
+  if (!answer.running) {
+    return;
+  }
+  scheduling::LoadReport report;
+  report.taken_at = parts_.clock.Now();
+  report.running = *answer.running;
+  report.waiting = answer.waiting;
+  scheduler_.OnReport(core::UpstreamId(upstream), report);
+}
+
 size_t Relay::ConnectionLimit(const Upstream& upstream) const {
   const ServiceSettings* service =
       table_ ? table_->FindService(upstream.entry.service()) : nullptr;
@@ -251,8 +248,7 @@
   return std::max(kLeastConnections, service->max_connections / instances_);
 }
 
-UpstreamLink* Relay::OpenLink(const std::string& upstream,
-                              bool must_be_fresh) {
+UpstreamLink* Relay::OpenLink(const std::string& upstream, bool must_be_fresh) {
   const auto it = upstreams_.find(upstream);
   if (it == upstreams_.end()) {
     return nullptr;
@@ -274,9 +270,9 @@
     links_.Discard(upstream, link);
     return;
   }
-  links_.Release(upstream, link,
-                 answer.idle_timeout.value_or(
-                     UpstreamLinkPool::kDefaultIdleTimeout));
+  links_.Release(
+      upstream, link,
+      answer.idle_timeout.value_or(UpstreamLinkPool::kDefaultIdleTimeout));
 }
 
 void Relay::OnWrongUpstream(const std::string& upstream) {
@@ -295,13 +291,13 @@
 void Relay::Pump() {
   pump_scheduled_ = false;
   const core::TimePoint now = parts_.clock.Now();
-  for (const scheduling::Dispatch& it : scheduler_->Next(now)) {
+  for (const scheduling::Dispatch& it : scheduler_.Next(now)) {
     const auto call = scheduled_.find(it.call);
     if (call != scheduled_.end()) {
       call->second->Dispatch(it.upstream.text());
     }
   }
-  for (const scheduling::Refusal& it : scheduler_->TakeRefused(now)) {
+  for (const scheduling::Refusal& it : scheduler_.TakeRefused(now)) {
     const auto call = scheduled_.find(it.call);
     if (call == scheduled_.end()) {
       continue;
@@ -310,13 +306,12 @@
     scheduled_.erase(call);
     refused->RefuseQueued(it.error);
   }
-  const auto next = scheduler_->NextWakeUp(now);
+  const auto next = scheduler_.NextWakeUp(now);
   if (!next) {
     wake_up_.stop();
     return;
   }
-  const auto wait =
-      std::chrono::ceil<std::chrono::milliseconds>(*next - now);
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*next - now);
   wake_up_.start(std::max(wait, std::chrono::milliseconds(1)));
 }
 
@@ -327,9 +322,9 @@
   }
   const CallSummary& summary = call.summary();
   parts_.metrics.Count("relay_calls_" + std::to_string(summary.status));
-  parts_.metrics.Observe({core::OrganisationId(call.route().host),
-                          call.route().name},
-                         summary.total);
+  parts_.metrics.Observe(
+      {core::OrganisationId(call.route().host), call.route().name},
+      summary.total);
   LogEnd(call);
   call.deleteLater();
 }
@@ -337,22 +332,21 @@
 void Relay::LogEnd(const RelayCall& call) const {
   const CallSummary& it = call.summary();
   const bool failed = !it.reason.empty();
-  logging::Log(
-      failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
-      "call ended",
-      {{"request", call.head().request_id},
-       {"program", call.head().program},
-       {"route", call.route().name},
-       {"service", call.service()},
-       {"status", std::to_string(it.status)},
-       {"reason", it.reason},
-       {"upstream", it.last_upstream},
-       {"attempts", std::to_string(it.attempts)},
-       {"events", std::to_string(it.events)},
-       {"queued_ms", std::to_string(it.queued.count())},
-       {"first_event_ms", std::to_string(it.to_first_event.count())},
-       {"total_ms", std::to_string(it.total.count())},
-       {"configuration", std::to_string(table_->version())}});
+  logging::Log(failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
+               "call ended",
+               {{"request", call.head().request_id},
+                {"program", call.head().program},
+                {"route", call.route().name},
+                {"service", call.service()},
+                {"status", std::to_string(it.status)},
+                {"reason", it.reason},
+                {"upstream", it.last_upstream},
+                {"attempts", std::to_string(it.attempts)},
+                {"events", std::to_string(it.events)},
+                {"queued_ms", std::to_string(it.queued.count())},
+                {"first_event_ms", std::to_string(it.to_first_event.count())},
+                {"total_ms", std::to_string(it.total.count())},
+                {"configuration", std::to_string(table_->version())}});
 }
 
 }  // namespace hawthorn::relay
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -13,7 +13,7 @@
 #include "core/metrics.h"
 #include "relay/relay_call.h"
 #include "relay/upstream_link_pool.h"
-#include "scheduling/scheduler.h"
+#include "scheduling/shared_scheduler.h"
 #include "schema/generated/deployment.pb.h"
 #include "transport/http_session.h"
 
@@ -70,8 +70,9 @@
   TokenLedger& ledger() override { return parts_.ledger; }
   core::Status Enqueue(RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
-  void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
-                     const AnswerHead& answer) override;
+  void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
+  void OnAnswerHead(const std::string& upstream,
+                    const AnswerHead& answer) override;
   UpstreamLink* OpenLink(const std::string& upstream,
                          bool must_be_fresh) override;
   void CloseLink(const std::string& upstream, UpstreamLink* link,
@@ -81,7 +82,6 @@
 
   void Announce(const Upstream& upstream);
   void RemoveUpstream(const std::string& id);
-  void ApplyPolicies();
   void SchedulePump();
   void Pump();
   void LogEnd(const RelayCall& call) const;
@@ -89,7 +89,7 @@
 
   Parts parts_;
   std::shared_ptr<const RouteTable> table_;
-  std::unique_ptr<scheduling::Scheduler> scheduler_;
+  scheduling::SharedScheduler scheduler_;
   UpstreamLinkPool links_;
   std::map<std::string, Upstream> upstreams_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -68,8 +68,7 @@
     return;
   }
   claim_ = TokenClaim{parts_.head.program, parts_.head.request_id,
-                      *parts_.head.token_budget,
-                      parts_.head.max_output_tokens};
+                      *parts_.head.token_budget, parts_.head.max_output_tokens};
   const auto patience = std::min(kLongestClaim, allowed / kClaimShare);
   // A claim that outlives its call is settled by End().
   parts_.host.ledger().Claim(
@@ -151,6 +150,7 @@
                        std::optional<uint64_t> length) {
   answer_ = head;
   answer_head_ = parts_.host.codec().DecodeAnswer(head);
+  parts_.host.OnAnswerHead(upstream_, answer_head_);
   const bool success = IsSuccess(head.status);
   const bool foreign = answer_head_.request_id != parts_.head.request_id &&
                        (success || !answer_head_.request_id.empty());
@@ -218,8 +218,7 @@
       last_event_ = event.id;
     }
     if (summary_.events++ == 0) {
-      summary_.to_first_event =
-          Elapsed(started_, parts_.host.clock().Now());
+      summary_.to_first_event = Elapsed(started_, parts_.host.clock().Now());
     }
     out += event.bytes;
   }
@@ -350,7 +349,7 @@
     parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr),
                           answer_head_);
   }
-  parts_.host.FinishAttempt(*this, outcome, answer_head_);
+  parts_.host.FinishAttempt(*this, outcome);
 }
 
 void RelayCall::OnCallerLeft() {
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -37,8 +37,11 @@
   /// Takes the call out of the queue.
   virtual void Dequeue(RelayCall& call) = 0;
   /// Ends the call's place at its upstream.
-  virtual void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome,
-                             const AnswerHead& answer) = 0;
+  virtual void FinishAttempt(RelayCall& call,
+                             scheduling::CallOutcome outcome) = 0;
+  /// An answer began, with what the upstream says about its load.
+  virtual void OnAnswerHead(const std::string& upstream,
+                            const AnswerHead& answer) = 0;
   virtual UpstreamLink* OpenLink(const std::string& upstream,
                                  bool must_be_fresh) = 0;
   virtual void CloseLink(const std::string& upstream, UpstreamLink* link,
--- a/relay/route_table.cpp
+++ b/relay/route_table.cpp
@@ -34,8 +34,7 @@
   for (const WeightedService& it : route.services) {
     total += it.weight;
   }
-  uint64_t point =
-      total == 0 ? 0 : std::hash<std::string_view>{}(key) % total;
+  uint64_t point = total == 0 ? 0 : std::hash<std::string_view>{}(key) % total;
   for (const WeightedService& it : route.services) {
     if (point < it.weight) {
       return it.service;
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -16,9 +16,9 @@
   connect(&sweep_, &QTimer::timeout, this, &UpstreamLinkPool::CloseExpired);
 }
 
-UpstreamLink* UpstreamLinkPool::Acquire(
-    const std::string& upstream, const transport::SocketAddress& address,
-    bool must_be_fresh) {
+UpstreamLink* UpstreamLinkPool::Acquire(const std::string& upstream,
+                                        const transport::SocketAddress& address,
+                                        bool must_be_fresh) {
   Links& links = links_[upstream];
   const core::TimePoint now = clock_.Now();
   ++links.in_use;
@@ -52,8 +52,7 @@
   }
   const core::TimePoint now = clock_.Now();
   links.idle.push_back({link, now, now + idle_timeout * kIdlePercent / 100});
-  link->SetIdleEndHandler(
-      [this, upstream, link] { DropIdle(upstream, link); });
+  link->SetIdleEndHandler([this, upstream, link] { DropIdle(upstream, link); });
   if (!sweep_.isActive()) {
     sweep_.start(kSweepInterval);
   }
--- a/scheduling/call.h
+++ b/scheduling/call.h
@@ -35,6 +35,8 @@
   std::string service_class;
   /// A person waits for the answer.
   bool interactive = false;
+  /// Rank of the kind of call; 0 is the most urgent.
+  uint32_t priority = 0;
   /// Weights in fair sharing; 0 counts as 1.
   uint32_t organisation_weight = 1;
   uint32_t class_weight = 1;
--- /dev/null
+++ b/scheduling/load_estimate.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+#include "core/clock.h"
+#include "scheduling/upstream.h"
+
+namespace hawthorn::scheduling {
+
+/// Load of one upstream that many instances share: the own calls, which are
+/// known, and those of the others, which reports tell late.
+class LoadEstimate {
+ public:
+  /// Time in which the other instances' part of a report loses half of its
+  /// weight: calls of programs last some hundred ms.
+  static constexpr std::chrono::milliseconds kHalfLife{400};
+
+  void OnStart(core::TimePoint now);
+  void OnEnd(core::TimePoint now);
+  void OnReport(const LoadReport& report);
+
+  uint32_t own() const { return own_; }
+  /// Calls on the upstream, own and others', running or waiting.
+  double Total(core::TimePoint now) const;
+
+ private:
+  uint32_t OwnAt(core::TimePoint time) const;
+  void Remember(core::TimePoint now);
+
+  uint32_t own_ = 0;
+  double others_ = 0;
+  core::TimePoint reported_at_;
+  /// Own calls after each change, the oldest first.
+  std::deque<std::pair<core::TimePoint, uint32_t>> history_;
+};
+
+}  // namespace hawthorn::scheduling
--- /dev/null
+++ b/scheduling/shared_pool.cpp
@@ -0,0 +1,201 @@
+#include "scheduling/shared_pool.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace hawthorn::scheduling {
+
+namespace {
+
+constexpr double kRunSmoothing = 0.05;
+constexpr double kFailureSmoothing = 0.1;
+/// Part of the prompt that a line's own upstream holds although this instance
+/// did not see it, for calls that go on with a line.
+constexpr double kHomeShare = 0.6;
+
+/// Weight of an upstream for a key in rendezvous hashing.
+uint64_t RendezvousWeight(const std::string& key, const std::string& upstream) {
+  return std::hash<std::string>{}(key + '\n' + upstream);
+}
+
+bool IsExcluded(const CallRequest& call, const core::UpstreamId& upstream) {
+  return std::find(call.excluded.begin(), call.excluded.end(), upstream) !=
+         call.excluded.end();
+}
+
+}  // namespace
+
+uint64_t SharedPool::NextRandom() {
+  // SplitMix64.
+  random_ += 0x9e3779b97f4a7c15U;
+  uint64_t z = random_;
+  z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
+  z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
+  return z ^ (z >> 31U);
+}
+
+void SharedPool::Set(const UpstreamState& state, core::TimePoint /*now*/) {
+  const auto [it, added] = upstreams_.try_emplace(state.id);
+  if (added) {
+    it->second.cache_slot = next_cache_slot_++;
+  }
+  it->second.state = state;
+}
+
+void SharedPool::Remove(const core::UpstreamId& upstream) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  cache_.Remove(it->second.cache_slot);
+  upstreams_.erase(it);
+}
+
+void SharedPool::OnReport(const core::UpstreamId& upstream,
+                          const LoadReport& report) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.load.OnReport(report);
+  }
+}
+
+double SharedPool::CostOf(const Upstream& upstream, const CallRequest& call,
+                          core::TimePoint now) const {
+  const double total = upstream.load.Total(now);
+  if (placement_ == SharedPlacement::kLeastLoaded) {
+    return total / upstream.MaxRunning();
+  }
+  const double waiting = std::max(0.0, total + 1 - upstream.MaxRunning());
+  const double wait_ms =
+      waiting / upstream.MaxRunning() * mean_run_seconds_ * 1000.0;
+  double cost = wait_ms + total * kMsPerRunningCall;
+  if (upstream.state.cache_tokens > 0) {
+    const int64_t cached =
+        cache_.CachedTokens(upstream.cache_slot, call.prefix);
+    cost +=
+        static_cast<double>(call.prompt_tokens - cached) * kMsPerPromptToken;
+  }
+  cost += upstream.state.zone == zone_ ? 0 : kCrossZoneMs;
+  return cost + upstream.failures * kFailureMs;
+}
+
+std::optional<core::UpstreamId> SharedPool::Choose(const CallRequest& call,
+                                                   core::TimePoint now) {
+  std::vector<const Upstream*> usable;
+  for (const bool allow_excluded : {false, true}) {
+    for (const auto& [id, upstream] : upstreams_) {
+      if (upstream.TakesCalls(now) &&
+          (allow_excluded || !IsExcluded(call, id))) {
+        usable.push_back(&upstream);
+      }
+    }
+    if (!usable.empty()) {
+      break;
+    }
+  }
+  std::erase_if(usable, [now](const Upstream* it) {
+    return it->load.Total(now) >= it->MaxRunning() * (1 + kOverfill);
+  });
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  if (placement_ == SharedPlacement::kRandom) {
+    return usable[NextRandom() % usable.size()]->state.id;
+  }
+  const Upstream* home = nullptr;
+  uint64_t home_weight = 0;
+  if (call.attained_tokens > 0 && !call.program.empty()) {
+    for (const Upstream* it : usable) {
+      const uint64_t weight =
+          RendezvousWeight(call.program.text(), it->state.id.text());
+      if (home == nullptr || weight > home_weight) {
+        home = it;
+        home_weight = weight;
+      }
+    }
+  }
+  const Upstream* best = nullptr;
+  double best_cost = 0;
+  for (const Upstream* it : usable) {
+    double cost = CostOf(*it, call, now);
+    const bool unseen = it == home && it->state.cache_tokens > 0 &&
+                        cache_.CachedTokens(it->cache_slot, call.prefix) == 0;
+    if (unseen) {
+      cost -= static_cast<double>(call.prompt_tokens) * kHomeShare *
+              kMsPerPromptToken;
+    }
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best->state.id;
+}
+
+void SharedPool::Start(const core::UpstreamId& upstream, core::TimePoint now) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.load.OnStart(now);
+  }
+}
+
+void SharedPool::End(const core::UpstreamId& upstream, const CallResult& result,
+                     std::chrono::duration<double> ran, core::TimePoint now) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  Upstream& ended = it->second;
+  ended.load.OnEnd(now);
+  switch (result.outcome) {
+    case CallOutcome::kCancelled:
+      return;
+    case CallOutcome::kUnreachable:
+      ended.suspension = std::clamp(ended.suspension * 2, kFirstSuspension,
+                                    kLongestSuspension);
+      ended.suspended_until = now + ended.suspension;
+      return;
+    case CallOutcome::kFailed:
+      ended.failures += kFailureSmoothing * (1 - ended.failures);
+      return;
+    case CallOutcome::kSucceeded:
+      break;
+  }
+  ended.suspended_until.reset();
+  ended.suspension = std::chrono::milliseconds(0);
+  ended.failures *= 1 - kFailureSmoothing;
+  mean_run_seconds_ += kRunSmoothing * (ran.count() - mean_run_seconds_);
+  if (result.produced && ended.state.cache_tokens > 0) {
+    cache_.Insert(ended.cache_slot, *result.produced);
+  }
+}
+
+double SharedPool::Slots(core::TimePoint now) const {
+  double slots = 0;
+  for (const auto& [id, it] : upstreams_) {
+    slots += it.TakesCalls(now) ? it.MaxRunning() : 0;
+  }
+  return slots;
+}
+
+double SharedPool::Load(core::TimePoint now) const {
+  double load = 0;
+  for (const auto& [id, it] : upstreams_) {
+    load += it.TakesCalls(now) ? it.load.Total(now) : 0;
+  }
+  return load;
+}
+
+std::optional<core::TimePoint> SharedPool::NextSuspensionEnd(
+    core::TimePoint now) const {
+  std::optional<core::TimePoint> next;
+  for (const auto& [id, it] : upstreams_) {
+    if (it.suspended_until && *it.suspended_until > now &&
+        (!next || *it.suspended_until < *next)) {
+      next = it.suspended_until;
+    }
+  }
+  return next;
+}
+
+}  // namespace hawthorn::scheduling
--- /dev/null
+++ b/scheduling/shared_pool.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/id.h"
+#include "scheduling/cache_index.h"
+#include "scheduling/call.h"
+#include "scheduling/load_estimate.h"
+#include "scheduling/upstream.h"
+
+namespace hawthorn::scheduling {
+
+/// How an upstream is chosen among those with room.
+enum class SharedPlacement {
+  kCost,         ///< Least expected time: load, missing cache, zone, failures.
+  kLeastLoaded,  ///< Least load, whatever it holds.
+  kRandom,       ///< Any one; the baseline.
+};
+
+/// Upstreams of one service that many instances share without a coordinator.
+/// Windows of each instance's own would leave upstreams idle while calls wait,
+/// so every instance sees the whole upstream and corrects for the others.
+class SharedPool {
+ public:
+  /// Time of one prompt token that is not cached. Engines read 120 to 220
+  /// tokens in a ms.
+  static constexpr double kMsPerPromptToken = 0.006;
+  /// Time by which one more running call delays the others: their steps grow
+  /// and its prompt is read between them.
+  static constexpr double kMsPerRunningCall = 2.0;
+  /// Round trip to another availability zone and the price of its bytes.
+  static constexpr double kCrossZoneMs = 4.0;
+  /// Time that a failed call costs its program.
+  static constexpr double kFailureMs = 600.0;
+  /// Calls above the slots that an upstream may get, as a part of its slots:
+  /// reports lag, and an empty slot costs more than a short wait.
+  static constexpr double kOverfill = 0.25;
+  /// Time without calls after an upstream could not be reached; doubles.
+  static constexpr std::chrono::milliseconds kFirstSuspension{500};
+  static constexpr std::chrono::milliseconds kLongestSuspension{8000};
+  /// Running calls of an upstream that does not say how many it takes.
+  static constexpr uint32_t kDefaultSlots = 8;
+
+  SharedPool(core::ZoneId zone, uint64_t seed)
+      : zone_(std::move(zone)), random_(seed) {}
+
+  void Set(const UpstreamState& state, core::TimePoint now);
+  void Remove(const core::UpstreamId& upstream);
+  void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
+  void SetPlacement(SharedPlacement placement) { placement_ = placement; }
+
+  /// Upstream for `call`, or nothing while all are full.
+  std::optional<core::UpstreamId> Choose(const CallRequest& call,
+                                         core::TimePoint now);
+  void Start(const core::UpstreamId& upstream, core::TimePoint now);
+  void End(const core::UpstreamId& upstream, const CallResult& result,
+           std::chrono::duration<double> ran, core::TimePoint now);
+
+  /// Slots of all upstreams that take calls.
+  double Slots(core::TimePoint now) const;
+  /// Calls on all upstreams that take calls.
+  double Load(core::TimePoint now) const;
+  /// Mean time of a call at an upstream, in seconds.
+  double mean_run_seconds() const { return mean_run_seconds_; }
+  bool empty() const { return upstreams_.empty(); }
+  bool Has(const core::UpstreamId& upstream) const {
+    return upstreams_.contains(upstream);
+  }
+  std::optional<core::TimePoint> NextSuspensionEnd(core::TimePoint now) const;
+
+ private:
+  struct Upstream {
+    UpstreamState state;
+    size_t cache_slot = 0;
+    LoadEstimate load;
+    /// Moving share of calls that failed.
+    double failures = 0;
+    std::optional<core::TimePoint> suspended_until;
+    std::chrono::milliseconds suspension{0};
+
+    double MaxRunning() const {
+      return state.max_running == 0 ? kDefaultSlots : state.max_running;
+    }
+    bool TakesCalls(core::TimePoint now) const {
+      return !state.leaving && (!suspended_until || *suspended_until <= now);
+    }
+  };
+
+  double CostOf(const Upstream& upstream, const CallRequest& call,
+                core::TimePoint now) const;
+  uint64_t NextRandom();
+
+  core::ZoneId zone_;
+  std::map<core::UpstreamId, Upstream> upstreams_;
+  CacheIndex cache_;
+  size_t next_cache_slot_ = 0;
+  SharedPlacement placement_ = SharedPlacement::kCost;
+  uint64_t random_;
+  double mean_run_seconds_ = 0.1;
+};
+
+}  // namespace hawthorn::scheduling
--- /dev/null
+++ b/scheduling/shared_scheduler.cpp
@@ -0,0 +1,186 @@
+#include "scheduling/shared_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::scheduling {
+
+namespace {
+
+/// Rank of a program's first call; those of begun programs are below.
+constexpr int64_t kFirstCallRank = 1000;
+constexpr std::chrono::milliseconds kLeastRetryAfter{100};
+constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{300};
+
+core::Error Refuse(core::ErrorCode code, const char* message,
+                   std::chrono::milliseconds retry_after) {
+  return core::Error{code, message, core::Execution::kNotRun,
+                     std::max(retry_after, kLeastRetryAfter)};
+}
+
+}  // namespace
+
+SharedScheduler::SharedScheduler(Settings settings)
+    : settings_(std::move(settings)) {}
+
+SharedScheduler::Service& SharedScheduler::ServiceOf(
+    const core::ServiceId& service) {
+  auto it = services_.find(service);
+  if (it == services_.end()) {
+    SharedPool pool(settings_.zone, settings_.seed);
+    pool.SetPlacement(settings_.placement);
+    it = services_.emplace(service, Service(std::move(pool))).first;
+  }
+  return it->second;
+}
+
+int64_t SharedScheduler::RankOf(const CallRequest& call) const {
+  int64_t rank = settings_.order.by_priority ? call.priority : 0;
+  if (settings_.order.begun_first && call.attained_tokens == 0) {
+    rank += kFirstCallRank;
+  }
+  return rank;
+}
+
+std::chrono::milliseconds SharedScheduler::ExpectedWait(
+    const Service& service, core::TimePoint now) const {
+  const double slots = service.pool.Slots(now);
+  if (slots <= 0) {
+    return std::chrono::milliseconds(0);
+  }
+  const double ahead = std::max(0.0, service.pool.Load(now) - slots) +
+                       static_cast<double>(service.queue.size());
+  return std::chrono::milliseconds(static_cast<int64_t>(
+      ahead / slots * service.pool.mean_run_seconds() * 1000.0));
+}
+
+core::Status SharedScheduler::Enqueue(const CallRequest& call,
+                                      core::TimePoint now) {
+  Service& service = ServiceOf(call.service);
+  if (service.pool.empty()) {
+    return Refuse(core::ErrorCode::kUnavailable,
+                  "no upstream of the service is known", kNoUpstreamRetryAfter);
+  }
+  const auto wait = ExpectedWait(service, now);
+  if (service.queue.size() >= settings_.max_queued) {
+    return Refuse(core::ErrorCode::kOverloaded, "the queue is full", wait);
+  }
+  if (call.attained_tokens == 0 && wait > settings_.max_first_wait) {
+    return Refuse(core::ErrorCode::kOverloaded,
+                  "the service is overloaded and takes no new program",
+                  wait - settings_.max_first_wait);
+  }
+  if (call.deadline && now + wait >= *call.deadline) {
+    return Refuse(core::ErrorCode::kDeadlineExceeded,
+                  "the expected wait exceeds the deadline", wait);
+  }
+  const QueueKey key(RankOf(call), arrivals_++);
+  queued_keys_[call.id] = {call.service, key};
+  service.queue.emplace(key, Queued{call, now});
+  ++queued_;
+  return std::monostate{};
+}
+
+bool SharedScheduler::Cancel(CallId call) {
+  const auto it = queued_keys_.find(call);
+  if (it == queued_keys_.end()) {
+    return false;
+  }
+  ServiceOf(it->second.first).queue.erase(it->second.second);
+  queued_keys_.erase(it);
+  --queued_;
+  return true;
+}
+
+void SharedScheduler::SetUpstream(const UpstreamState& state,
+                                  core::TimePoint now) {
+  const auto it = service_of_.find(state.id);
+  if (it != service_of_.end() && it->second != state.service) {
+    RemoveUpstream(state.id);
+  }
+  service_of_[state.id] = state.service;
+  ServiceOf(state.service).pool.Set(state, now);
+}
+
+void SharedScheduler::RemoveUpstream(const core::UpstreamId& upstream) {
+  const auto it = service_of_.find(upstream);
+  if (it == service_of_.end()) {
+    return;
+  }
+  ServiceOf(it->second).pool.Remove(upstream);
+  service_of_.erase(it);
+}
+
+void SharedScheduler::OnReport(const core::UpstreamId& upstream,
+                               const LoadReport& report) {
+  const auto it = service_of_.find(upstream);
+  if (it != service_of_.end()) {
+    ServiceOf(it->second).pool.OnReport(upstream, report);
+  }
+}
+
+void SharedScheduler::OnFinished(const CallResult& result,
+                                 core::TimePoint now) {
+  const auto it = running_.find(result.call);
+  if (it == running_.end()) {
+    return;
+  }
+  const Running running = std::move(it->second);
+  running_.erase(it);
+  ServiceOf(running.service)
+      .pool.End(running.upstream, result, now - running.since, now);
+}
+
+std::vector<Dispatch> SharedScheduler::Next(core::TimePoint now) {
+  std::vector<Dispatch> dispatches;
+  for (auto& [id, service] : services_) {
+    while (!service.queue.empty()) {
+      const auto it = service.queue.begin();
+      const CallRequest& call = it->second.call;
+      const auto upstream = service.pool.Choose(call, now);
+      if (!upstream) {
+        break;
+      }
+      service.pool.Start(*upstream, now);
+      running_[call.id] = {id, *upstream, now};
+      dispatches.push_back({call.id, *upstream, false, 0});
+      queued_keys_.erase(call.id);
+      service.queue.erase(it);
+      --queued_;
+    }
+  }
+  return dispatches;
+}
+
+std::vector<Refusal> SharedScheduler::TakeRefused(core::TimePoint now) {
+  std::vector<Refusal> refusals;
+  for (auto& [id, service] : services_) {
+    for (auto it = service.queue.begin(); it != service.queue.end();) {
+      const CallRequest& call = it->second.call;
+      const bool first = call.attained_tokens == 0;
+      const bool late =
+          first && now - it->second.since > settings_.max_first_wait;
+      if (!late && (!call.deadline || now < *call.deadline)) {
+        ++it;
+        continue;
+      }
+      refusals.push_back({call.id, Refuse(core::ErrorCode::kOverloaded,
+                                          "no upstream had room in time",
+                                          ExpectedWait(service, now))});
+      queued_keys_.erase(call.id);
+      it = service.queue.erase(it);
+      --queued_;
+    }
+  }
+  return refusals;
+}
+
+std::optional<core::TimePoint> SharedScheduler::NextWakeUp(
+    core::TimePoint now) const {
+  if (queued_ == 0) {
+    return std::nullopt;
+  }
+  return now + kRecheck;
+}
+
+}  // namespace hawthorn::scheduling
--- a/transport/http_session.h
+++ b/transport/http_session.h
@@ -5,9 +5,9 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <set>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
--- a/transport/response_reader.cpp
+++ b/transport/response_reader.cpp
@@ -15,9 +15,8 @@
 std::string_view ToStd(string_view text) { return {text.data(), text.size()}; }
 
 core::Error Malformed(const std::string& reason) {
-  return core::Error{core::ErrorCode::kInvalidArgument, reason,
-                     core::Execution::kUnknown,
-                     {}};
+  return core::Error{
+      core::ErrorCode::kInvalidArgument, reason, core::Execution::kUnknown, {}};
 }
 
 }  // namespace
--- a/transport/stream_socket.cpp
+++ b/transport/stream_socket.cpp
@@ -80,8 +80,7 @@
 
 void StreamSocket::Connect(const SocketAddress& address) {
   sockaddr_in encoded{};
-  descriptor_ =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const bool valid = descriptor_ >= 0 && Encode(address, &encoded);
   if (valid) {
     TuneDescriptor();
@@ -111,10 +110,10 @@
 }
 
 void StreamSocket::Watch() {
-  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                QSocketNotifier::Read);
-  writable_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                QSocketNotifier::Write);
+  readable_ =
+      std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
+  writable_ =
+      std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Write);
   readable_->setEnabled(connected_ && reading_);
   writable_->setEnabled(false);
   connect(readable_.get(), &QSocketNotifier::activated, this,
@@ -273,8 +272,7 @@
 core::Status StreamListener::Listen(const SocketAddress& address,
                                     std::function<void(int)> on_accept) {
   on_accept_ = std::move(on_accept);
-  descriptor_ =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in encoded{};
   if (descriptor_ < 0 || !Encode(address, &encoded)) {
     return SocketError("listen");
@@ -290,8 +288,8 @@
     return error;
   }
   port_ = ntohs(encoded.sin_port);
-  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                QSocketNotifier::Read);
+  readable_ =
+      std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
   connect(readable_.get(), &QSocketNotifier::activated, this,
           &StreamListener::Accept);
   return std::monostate{};
@@ -307,8 +305,8 @@
 
 void StreamListener::Accept() {
   while (true) {
-    const int accepted = accept4(descriptor_, nullptr, nullptr,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int accepted =
+        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
       return;
     }
