relay: Check silent upstreams and leave rotation without contact

Change: a call that may be repeated checks its upstream by a new connection after 250 ms of silence and goes on elsewhere if none comes about; an unreachable upstream is kept out until a check passes, and its zone is checked at once; an entry instance without an update for a second says that it is not ready, so that the platform sends its callers to the nearest zones; claims without contact are refused at once.

Ruled out: a fixed time-out between events (a preempted request is silent as long).

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -137,11 +137,12 @@
 void DeploymentClient::TryClaim(const std::shared_ptr<PendingClaim>& claim) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       claim->deadline - clock_.Now());
-  if (left <= kClaimRetry || leader_.empty()) {
+  if (left <= kClaimRetry || leader_.empty() || !IsCurrent()) {
     metrics_.Count("claims_unanswered");
     claim->callback(core::Error{core::ErrorCode::kUnavailable,
                                 "no answer from the leader " + leader_,
-                                core::Execution::kNotRun, kClaimRetry});
+                                core::Execution::kNotRun,
+                                kNoLeaderRetryAfter});
     return;
   }
   schema::DeploymentMessage message;
@@ -167,7 +168,8 @@
           QTimer::singleShot(kClaimRetry, this, again);
           return;
         }
-        claim->callback(core::Value(answer).reply().granted());
+        const schema::DeploymentReply& it = core::Value(answer).reply();
+        claim->callback(relay::ClaimAnswer{it.granted(), it.remaining()});
       });
 }
 
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -31,7 +31,10 @@
   static constexpr std::chrono::milliseconds kUpdateTimeout{1000};
   /// Wait between two attempts to watch.
   static constexpr std::chrono::milliseconds kWatchRetry{150};
-  static constexpr std::chrono::milliseconds kClaimAttempt{500};
+  /// Wait that is suggested while no leader can be reached: an election takes
+  /// about as long.
+  static constexpr std::chrono::milliseconds kNoLeaderRetryAfter{600};
+  static constexpr std::chrono::milliseconds kClaimAttempt{400};
   static constexpr std::chrono::milliseconds kClaimRetry{60};
   /// Settlements of this long share a command. Well within the second in
   /// which a deployment counts an ended turn at its most.
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -61,7 +61,8 @@
 }
 
 bool EntryRole::IsReady() const {
-  return !draining_ && relay_.table() != nullptr && table_complete_;
+  return !draining_ && relay_.table() != nullptr && table_complete_ &&
+         client_.IsCurrent();
 }
 
 void EntryRole::OnUpdate(const schema::DeploymentUpdate& update) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -51,6 +51,7 @@
       scheduler_(SettingsOf(parts_)),
       links_(parts_.clock, this) {
   wake_up_.setSingleShot(true);
+  connect(&checks_, &QTimer::timeout, this, &Relay::CheckSuspended);
   connect(&wake_up_, &QTimer::timeout, this, &Relay::Pump);
 }
 
@@ -224,6 +225,9 @@
     result.produced = segments.back();
   }
   scheduler_.OnFinished(result, now);
+  if (outcome == scheduling::CallOutcome::kUnreachable) {
+    OnUnreachable(call.summary().last_upstream);
+  }
   SchedulePump();
 }
 
@@ -275,6 +279,58 @@
       answer.idle_timeout.value_or(UpstreamLinkPool::kDefaultIdleTimeout));
 }
 
+void Relay::CheckUpstream(const std::string& upstream,
+                          std::function<void(bool)> on_checked) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) {
+    QMetaObject::invokeMethod(
+        this, [on_checked = std::move(on_checked)] { on_checked(false); },
+        Qt::QueuedConnection);
+    return;
+  }
+  parts_.metrics.Count("relay_upstream_checks");
+  links_.Check(upstream, it->second.address, std::move(on_checked));
+}
+
+void Relay::OnUnreachable(const std::string& upstream) {
+  parts_.metrics.Count("relay_unreachable");
+  if (!checks_.isActive()) {
+    checks_.start(kCheckInterval);
+  }
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end() || it->second.entry.zone() == parts_.zone) {
+    return;
+  }
+  // Its whole zone may be cut off; finding out at the cost of calls would take
+  // one call for each upstream.
+  for (const auto& [id, other] : upstreams_) {
+    if (id == upstream || other.entry.zone() != it->second.entry.zone()) {
+      continue;
+    }
+    CheckUpstream(id, [this, id = id](bool reachable) {
+      if (!reachable) {
+        scheduler_.Suspend(core::UpstreamId(id), parts_.clock.Now());
+      }
+    });
+  }
+}
+
+void Relay::CheckSuspended() {
+  for (const core::UpstreamId& id : scheduler_.DueChecks(parts_.clock.Now())) {
+    // Keeps the upstream from being due again while the check runs.
+    scheduler_.Suspend(id, parts_.clock.Now());
+    CheckUpstream(id.text(), [this, id](bool reachable) {
+      if (reachable) {
+        scheduler_.Resume(id);
+        SchedulePump();
+      }
+    });
+  }
+  if (!scheduler_.HasSuspended()) {
+    checks_.stop();
+  }
+}
+
 void Relay::OnWrongUpstream(const std::string& upstream) {
   parts_.metrics.Count("relay_wrong_upstream");
   RemoveUpstream(upstream);
@@ -342,7 +398,10 @@
                 {"reason", it.reason},
                 {"upstream", it.last_upstream},
                 {"attempts", std::to_string(it.attempts)},
-                {"events", std::to_string(it.events)},
+                {"budget", std::to_string(call.head().token_budget.value_or(-1))},
+       {"budget_remaining", std::to_string(it.budget_remaining)},
+       {"most_tokens", std::to_string(call.head().max_output_tokens)},
+       {"events", std::to_string(it.events)},
                 {"queued_ms", std::to_string(it.queued.count())},
                 {"first_event_ms", std::to_string(it.to_first_event.count())},
                 {"total_ms", std::to_string(it.total.count())},
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -55,6 +55,9 @@
   /// Sets how many instances share the upstreams.
   void SetInstanceCount(size_t instances);
 
+  /// Interval at which suspended upstreams that are due are checked.
+  static constexpr std::chrono::milliseconds kCheckInterval{100};
+
   size_t open_calls() const { return calls_.size(); }
   size_t upstream_count() const { return upstreams_.size(); }
 
@@ -77,11 +80,15 @@
                          bool must_be_fresh) override;
   void CloseLink(const std::string& upstream, UpstreamLink* link,
                  const AnswerHead& answer) override;
+  void CheckUpstream(const std::string& upstream,
+                     std::function<void(bool)> on_checked) override;
   void OnWrongUpstream(const std::string& upstream) override;
   void OnCallEnded(RelayCall& call) override;
 
   void Announce(const Upstream& upstream);
   void RemoveUpstream(const std::string& id);
+  void OnUnreachable(const std::string& upstream);
+  void CheckSuspended();
   void SchedulePump();
   void Pump();
   void LogEnd(const RelayCall& call) const;
@@ -98,6 +105,7 @@
   size_t instances_ = 1;
   bool pump_scheduled_ = false;
   QTimer wake_up_;
+  QTimer checks_;
 };
 
 }  // namespace hawthorn::relay
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -40,6 +40,8 @@
   deadline_timer_.setSingleShot(true);
   deadline_timer_.setTimerType(Qt::PreciseTimer);
   connect(&deadline_timer_, &QTimer::timeout, this, &RelayCall::OnDeadline);
+  silence_timer_.setSingleShot(true);
+  connect(&silence_timer_, &QTimer::timeout, this, &RelayCall::OnSilence);
 }
 
 int64_t RelayCall::generated_tokens() const {
@@ -73,23 +75,26 @@
   // A claim that outlives its call is settled by End().
   parts_.host.ledger().Claim(
       *claim_, patience,
-      [guard = QPointer<RelayCall>(this)](const core::Result<bool>& granted) {
+      [guard = QPointer<RelayCall>(this)](
+          const core::Result<ClaimAnswer>& answer) {
         if (guard) {
-          guard->OnClaimed(granted);
+          guard->OnClaimed(answer);
         }
       });
 }
 
-void RelayCall::OnClaimed(const core::Result<bool>& granted) {
+void RelayCall::OnClaimed(const core::Result<ClaimAnswer>& answer) {
   if (state_ != State::kClaiming) {
     return;
   }
-  if (!core::IsOk(granted)) {
-    Refuse(kUnavailable, "budget unknown: " + core::ErrorOf(granted).message,
-           core::ErrorOf(granted).retry_after.value_or(kRetryAfter));
+  if (!core::IsOk(answer)) {
+    const core::Error& error = core::ErrorOf(answer);
+    Refuse(kUnavailable, "budget unknown: " + error.message,
+           error.retry_after.value_or(kRetryAfter));
     return;
   }
-  if (!core::Value(granted)) {
+  summary_.budget_remaining = core::Value(answer).remaining;
+  if (!core::Value(answer).granted) {
     claim_.reset();
     Refuse(kBudgetSpent, "budget spent", std::nullopt);
     return;
@@ -130,6 +135,9 @@
     return;
   }
   ++summary_.attempts;
+  if (parts_.route.MayRepeat()) {
+    silence_timer_.start(kFirstSilence);
+  }
   ForwardHead forward;
   forward.upstream = upstream_;
   forward.time_left = TimeLeft();
@@ -182,6 +190,9 @@
   if (ignore_body_ || state_ != State::kRunning) {
     return;
   }
+  if (parts_.route.MayRepeat()) {
+    silence_timer_.start(kFirstSilence);
+  }
   if (streaming_) {
     ForwardEvents(bytes);
     return;
@@ -324,6 +335,40 @@
        "no upstream could be reached");
 }
 
+void RelayCall::OnSilence() {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  parts_.host.CheckUpstream(
+      upstream_, [guard = QPointer<RelayCall>(this), link = link_,
+                  upstream = upstream_](bool reachable) {
+        if (guard && guard->link_ == link && !guard->silence_timer_.isActive()) {
+          guard->OnChecked(upstream, reachable);
+        }
+      });
+}
+
+void RelayCall::OnChecked(const std::string& upstream, bool reachable) {
+  if (state_ != State::kRunning || upstream != upstream_) {
+    return;
+  }
+  if (reachable) {
+    silence_timer_.start(kNextSilence);
+    return;
+  }
+  // Cut off: whatever it still does reaches nobody, and it drops the call once
+  // the connection ends.
+  summary_.ran = true;
+  ran_at_.erase(upstream_);
+  excluded_.emplace_back(upstream_);
+  LeaveUpstream(scheduling::CallOutcome::kUnreachable);
+  if (TimeLeft() > kLeastTimeLeft && ++not_run_ <= kMaxNotRun) {
+    EnterQueue();
+    return;
+  }
+  Fail(kBadGateway, "the upstream was cut off");
+}
+
 bool RelayCall::TryAgain(LinkFailure /*failure*/) {
   summary_.ran = true;
   const bool raw_begun = answer_begun_ && !streaming_ && !last_event_;
@@ -345,6 +390,7 @@
 }
 
 void RelayCall::LeaveUpstream(scheduling::CallOutcome outcome) {
+  silence_timer_.stop();
   if (link_ != nullptr) {
     parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr),
                           answer_head_);
@@ -410,6 +456,7 @@
     return;
   }
   deadline_timer_.stop();
+  silence_timer_.stop();
   if (claim_) {
     parts_.host.ledger().Settle(*claim_, generated_tokens());
   }
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -3,6 +3,7 @@
 #include <QObject>
 #include <QTimer>
 #include <chrono>
+#include <functional>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -46,6 +47,9 @@
                                  bool must_be_fresh) = 0;
   virtual void CloseLink(const std::string& upstream, UpstreamLink* link,
                          const AnswerHead& answer) = 0;
+  /// Tells whether the upstream can be reached; never inside this call.
+  virtual void CheckUpstream(const std::string& upstream,
+                             std::function<void(bool)> on_checked) = 0;
   /// Another upstream answers at the address of this one.
   virtual void OnWrongUpstream(const std::string& upstream) = 0;
   /// The call is over; it will be deleted.
@@ -64,6 +68,9 @@
   std::chrono::milliseconds to_first_event{0};
   std::chrono::milliseconds total{0};
   uint64_t events = 0;
+  /// Tokens of the program's budget that were left at the claim; -1 without a
+  /// claim.
+  int64_t budget_remaining = -1;
   /// An upstream may have run the call.
   bool ran = false;
   /// Upstreams that ended while they ran the call.
@@ -85,6 +92,11 @@
   static constexpr size_t kWholeBodyBytes = size_t{256} * 1024;
   /// Bytes that wait for a slow caller before its upstream is paused.
   static constexpr size_t kCallerHighWater = size_t{128} * 1024;
+  /// Silence of an upstream after which it is checked. Engines make an event
+  /// every 40 ms or so; a cut connection is told by nothing else.
+  static constexpr std::chrono::milliseconds kFirstSilence{250};
+  /// Silence after an upstream was found reachable.
+  static constexpr std::chrono::milliseconds kNextSilence{600};
   /// Time left below which no further attempt is made.
   static constexpr std::chrono::milliseconds kLeastTimeLeft{20};
   /// Suggested wait after a refusal without a better estimate.
@@ -124,7 +136,7 @@
  private:
   enum class State { kClaiming, kQueued, kRunning, kEnded };
 
-  void OnClaimed(const core::Result<bool>& granted);
+  void OnClaimed(const core::Result<ClaimAnswer>& answer);
   void EnterQueue();
   void BeginExchange(bool must_be_fresh);
   void OnHead(const transport::ResponseHead& head,
@@ -133,6 +145,8 @@
   void OnComplete();
   void OnFailed(LinkFailure failure);
   void OnNotRun();
+  void OnSilence();
+  void OnChecked(const std::string& upstream, bool reachable);
   void ForwardEvents(std::string_view bytes);
   void BeginAnswer();
   void LeaveUpstream(scheduling::CallOutcome outcome);
@@ -151,6 +165,7 @@
   core::TimePoint deadline_;
   core::TimePoint queued_at_;
   QTimer deadline_timer_;
+  QTimer silence_timer_;
   State state_ = State::kClaiming;
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
--- a/relay/token_ledger.h
+++ b/relay/token_ledger.h
@@ -20,12 +20,21 @@
   bool operator==(const TokenClaim&) const = default;
 };
 
+/// What became of a claim.
+struct ClaimAnswer {
+  /// False means that the budget is spent.
+  bool granted = false;
+  /// Tokens of the budget that are neither spent nor claimed.
+  int64_t remaining = 0;
+
+  bool operator==(const ClaimAnswer&) const = default;
+};
+
 /// Where the spending of programs is kept durably.
 class TokenLedger {
  public:
-  /// True if the claim holds, false if the budget is spent, or why neither is
-  /// known.
-  using ClaimCallback = std::function<void(const core::Result<bool>&)>;
+  /// The answer, or why there is none.
+  using ClaimCallback = std::function<void(const core::Result<ClaimAnswer>&)>;
 
   virtual ~TokenLedger() = default;
 
--- a/relay/upstream_link.cpp
+++ b/relay/upstream_link.cpp
@@ -14,6 +14,7 @@
                          [this] {
                            connected_ = true;
                            connect_timer_.stop();
+                           ReportCheck(true);
                          },
                      .on_bytes = [this](std::string_view it) { OnBytes(it); },
                      .on_end = [this](transport::SocketEnd it) { OnEnd(it); },
@@ -22,6 +23,17 @@
   socket_.Connect(address);
 }
 
+void UpstreamLink::CheckConnection(std::function<void(bool)> on_checked) {
+  on_checked_ = std::move(on_checked);
+}
+
+void UpstreamLink::ReportCheck(bool connected) {
+  reusable_ = reusable_ || (connected && !reader_);
+  if (const auto on_checked = std::exchange(on_checked_, nullptr)) {
+    on_checked(connected);
+  }
+}
+
 void UpstreamLink::Start(std::string_view request, Events events) {
   reusable_ = false;
   events_ = std::move(events);
@@ -75,6 +87,7 @@
   connect_timer_.stop();
   reusable_ = false;
   if (!reader_) {
+    ReportCheck(false);
     if (on_idle_end_) {
       on_idle_end_();
     }
@@ -105,7 +118,9 @@
 
 void UpstreamLink::Fail(LinkFailure failure) {
   const Events events = std::exchange(events_, {});
+  const bool connected = connected_;
   Abandon();
+  ReportCheck(connected);
   if (events.on_failed) {
     events.on_failed(failure);
   }
--- a/relay/upstream_link.h
+++ b/relay/upstream_link.h
@@ -44,6 +44,8 @@
 
   UpstreamLink(const transport::SocketAddress& address, QObject* parent);
 
+  /// Calls `on_checked` once with whether the connection came about.
+  void CheckConnection(std::function<void(bool)> on_checked);
   /// Sends a serialized request; the events belong to it alone.
   void Start(std::string_view request, Events events);
   /// Ends the exchange and the connection; no event follows.
@@ -63,6 +65,7 @@
  private:
   void OnBytes(std::string_view bytes);
   void OnEnd(transport::SocketEnd how);
+  void ReportCheck(bool connected);
   void Complete();
   void Fail(LinkFailure failure);
 
@@ -73,6 +76,7 @@
   bool connected_ = false;
   bool reusable_ = false;
   std::function<void()> on_idle_end_;
+  std::function<void(bool)> on_checked_;
 };
 
 }  // namespace hawthorn::relay
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -1,6 +1,7 @@
 #include "relay/upstream_link_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthorn::relay {
 
@@ -41,6 +42,29 @@
   return new UpstreamLink(address, this);
 }
 
+void UpstreamLinkPool::Check(const std::string& upstream,
+                             const transport::SocketAddress& address,
+                             std::function<void(bool)> on_checked) {
+  Links& links = links_[upstream];
+  links.checks.push_back(std::move(on_checked));
+  if (links.checks.size() > 1) {
+    return;
+  }
+  ++links.in_use;
+  ++opened_;
+  auto* link = new UpstreamLink(address, this);
+  link->CheckConnection([this, upstream, link](bool connected) {
+    if (connected) {
+      Release(upstream, link, kDefaultIdleTimeout);
+    } else {
+      Discard(upstream, link);
+    }
+    for (const auto& it : std::exchange(links_[upstream].checks, {})) {
+      it(connected);
+    }
+  });
+}
+
 void UpstreamLinkPool::Release(const std::string& upstream, UpstreamLink* link,
                                std::chrono::milliseconds idle_timeout) {
   Links& links = links_[upstream];
--- a/relay/upstream_link_pool.h
+++ b/relay/upstream_link_pool.h
@@ -3,6 +3,7 @@
 #include <QObject>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,6 +37,12 @@
   UpstreamLink* Acquire(const std::string& upstream,
                         const transport::SocketAddress& address,
                         bool must_be_fresh);
+  /// Connects anew to tell whether the upstream can be reached. A connection
+  /// that comes about is kept. One check of an upstream runs at a time; all
+  /// that ask meanwhile get its outcome.
+  void Check(const std::string& upstream,
+             const transport::SocketAddress& address,
+             std::function<void(bool)> on_checked);
   /// Takes a connection back after its exchange.
   void Release(const std::string& upstream, UpstreamLink* link,
                std::chrono::milliseconds idle_timeout);
@@ -58,6 +65,7 @@
   struct Links {
     std::vector<IdleLink> idle;
     size_t in_use = 0;
+    std::vector<std::function<void(bool)>> checks;
   };
 
   void CloseExpired();
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -84,7 +84,7 @@
   std::vector<const Upstream*> usable;
   for (const bool allow_excluded : {false, true}) {
     for (const auto& [id, upstream] : upstreams_) {
-      if (upstream.TakesCalls(now) &&
+      if (upstream.TakesCalls() &&
           (allow_excluded || !IsExcluded(call, id))) {
         usable.push_back(&upstream);
       }
@@ -151,9 +151,7 @@
     case CallOutcome::kCancelled:
       return;
     case CallOutcome::kUnreachable:
-      ended.suspension = std::clamp(ended.suspension * 2, kFirstSuspension,
-                                    kLongestSuspension);
-      ended.suspended_until = now + ended.suspension;
+      Suspend(upstream, now);
       return;
     case CallOutcome::kFailed:
       ended.failures += kFailureSmoothing * (1 - ended.failures);
@@ -161,8 +159,7 @@
     case CallOutcome::kSucceeded:
       break;
   }
-  ended.suspended_until.reset();
-  ended.suspension = std::chrono::milliseconds(0);
+  Resume(upstream);
   ended.failures *= 1 - kFailureSmoothing;
   mean_run_seconds_ += kRunSmoothing * (ran.count() - mean_run_seconds_);
   if (result.produced && ended.state.cache_tokens > 0) {
@@ -170,10 +167,10 @@
   }
 }
 
-double SharedPool::Slots(core::TimePoint now) const {
+double SharedPool::Slots() const {
   double slots = 0;
   for (const auto& [id, it] : upstreams_) {
-    slots += it.TakesCalls(now) ? it.MaxRunning() : 0;
+    slots += it.TakesCalls() ? it.MaxRunning() : 0;
   }
   return slots;
 }
@@ -181,21 +178,46 @@
 double SharedPool::Load(core::TimePoint now) const {
   double load = 0;
   for (const auto& [id, it] : upstreams_) {
-    load += it.TakesCalls(now) ? it.load.Total(now) : 0;
+    load += it.TakesCalls() ? it.load.Total(now) : 0;
   }
   return load;
 }
 
-std::optional<core::TimePoint> SharedPool::NextSuspensionEnd(
+void SharedPool::Suspend(const core::UpstreamId& upstream,
+                         core::TimePoint now) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  Upstream& suspended = it->second;
+  suspended.suspension = std::clamp(suspended.suspension * 2, kFirstSuspension,
+                                    kLongestSuspension);
+  suspended.check_at = now + suspended.suspension;
+}
+
+void SharedPool::Resume(const core::UpstreamId& upstream) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.check_at.reset();
+    it->second.suspension = std::chrono::milliseconds(0);
+  }
+}
+
+std::vector<core::UpstreamId> SharedPool::DueChecks(
     core::TimePoint now) const {
-  std::optional<core::TimePoint> next;
+  std::vector<core::UpstreamId> due;
   for (const auto& [id, it] : upstreams_) {
-    if (it.suspended_until && *it.suspended_until > now &&
-        (!next || *it.suspended_until < *next)) {
-      next = it.suspended_until;
+    if (it.check_at && *it.check_at <= now) {
+      due.push_back(id);
     }
   }
-  return next;
+  return due;
+}
+
+bool SharedPool::HasSuspended() const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& it) {
+    return it.second.check_at.has_value();
+  });
 }
 
 }  // namespace hawthorn::scheduling
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -41,9 +41,10 @@
   /// Calls above the slots that an upstream may get, as a part of its slots:
   /// reports lag, and an empty slot costs more than a short wait.
   static constexpr double kOverfill = 0.25;
-  /// Time without calls after an upstream could not be reached; doubles.
-  static constexpr std::chrono::milliseconds kFirstSuspension{500};
-  static constexpr std::chrono::milliseconds kLongestSuspension{8000};
+  /// Time after which an upstream that could not be reached is checked again;
+  /// doubles with each check that fails.
+  static constexpr std::chrono::milliseconds kFirstSuspension{250};
+  static constexpr std::chrono::milliseconds kLongestSuspension{2000};
   /// Running calls of an upstream that does not say how many it takes.
   static constexpr uint32_t kDefaultSlots = 8;
 
@@ -63,7 +64,7 @@
            std::chrono::duration<double> ran, core::TimePoint now);
 
   /// Slots of all upstreams that take calls.
-  double Slots(core::TimePoint now) const;
+  double Slots() const;
   /// Calls on all upstreams that take calls.
   double Load(core::TimePoint now) const;
   /// Mean time of a call at an upstream, in seconds.
@@ -72,7 +73,13 @@
   bool Has(const core::UpstreamId& upstream) const {
     return upstreams_.contains(upstream);
   }
-  std::optional<core::TimePoint> NextSuspensionEnd(core::TimePoint now) const;
+  /// Keeps calls away from an upstream that cannot be reached, until Resume.
+  void Suspend(const core::UpstreamId& upstream, core::TimePoint now);
+  /// A check reached the upstream.
+  void Resume(const core::UpstreamId& upstream);
+  /// Suspended upstreams that are due for a check.
+  std::vector<core::UpstreamId> DueChecks(core::TimePoint now) const;
+  bool HasSuspended() const;
 
  private:
   struct Upstream {
@@ -81,15 +88,14 @@
     LoadEstimate load;
     /// Moving share of calls that failed.
     double failures = 0;
-    std::optional<core::TimePoint> suspended_until;
+    /// When a suspended upstream is due for a check.
+    std::optional<core::TimePoint> check_at;
     std::chrono::milliseconds suspension{0};
 
     double MaxRunning() const {
       return state.max_running == 0 ? kDefaultSlots : state.max_running;
     }
-    bool TakesCalls(core::TimePoint now) const {
-      return !state.leaving && (!suspended_until || *suspended_until <= now);
-    }
+    bool TakesCalls() const { return !state.leaving && !check_at; }
   };
 
   double CostOf(const Upstream& upstream, const CallRequest& call,
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -44,7 +44,7 @@
 
 std::chrono::milliseconds SharedScheduler::ExpectedWait(
     const Service& service, core::TimePoint now) const {
-  const double slots = service.pool.Slots(now);
+  const double slots = service.pool.Slots();
   if (slots <= 0) {
     return std::chrono::milliseconds(0);
   }
@@ -119,6 +119,37 @@
   }
 }
 
+void SharedScheduler::Suspend(const core::UpstreamId& upstream,
+                              core::TimePoint now) {
+  const auto it = service_of_.find(upstream);
+  if (it != service_of_.end()) {
+    ServiceOf(it->second).pool.Suspend(upstream, now);
+  }
+}
+
+void SharedScheduler::Resume(const core::UpstreamId& upstream) {
+  const auto it = service_of_.find(upstream);
+  if (it != service_of_.end()) {
+    ServiceOf(it->second).pool.Resume(upstream);
+  }
+}
+
+std::vector<core::UpstreamId> SharedScheduler::DueChecks(
+    core::TimePoint now) const {
+  std::vector<core::UpstreamId> due;
+  for (const auto& [id, service] : services_) {
+    const auto of_service = service.pool.DueChecks(now);
+    due.insert(due.end(), of_service.begin(), of_service.end());
+  }
+  return due;
+}
+
+bool SharedScheduler::HasSuspended() const {
+  return std::any_of(services_.begin(), services_.end(), [](const auto& it) {
+    return it.second.pool.HasSuspended();
+  });
+}
+
 void SharedScheduler::OnFinished(const CallResult& result,
                                  core::TimePoint now) {
   const auto it = running_.find(result.call);
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -55,6 +55,11 @@
   void SetUpstream(const UpstreamState& state, core::TimePoint now);
   void RemoveUpstream(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
+  /// Keeps calls away from an upstream until Resume; see SharedPool.
+  void Suspend(const core::UpstreamId& upstream, core::TimePoint now);
+  void Resume(const core::UpstreamId& upstream);
+  std::vector<core::UpstreamId> DueChecks(core::TimePoint now) const;
+  bool HasSuspended() const;
   void OnFinished(const CallResult& result, core::TimePoint now);
   /// Calls to send now; each counts as running until OnFinished.
   std::vector<Dispatch> Next(core::TimePoint now);
