cluster: Count live voters only when a zone gets another one

Cause: found by the new test 'An empty machine at another address replaces one that is gone'. The dead voter still counted for its zone's bound, so the learner of the same zone was never eligible and the dead one never made way.

Change: only live voters count. Adds tests of the group in one process (formation in any order, a lost disk, a replaced machine, the end of all, a cut leader, an emptied machine, a client through the loss of a leader).

--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -101,6 +101,17 @@
   bool IsCurrent() const;
   bool is_leader() const { return group_ && group_->is_leader(); }
   const control::DeploymentState& state() const { return machine_; }
+  /// This life of the instance's state votes.
+  bool IsVoter() const {
+    return group_->replica().membership().IsVoter(group_->replica().id());
+  }
+  size_t voter_count() const {
+    return group_->replica().membership().voter_count();
+  }
+  /// Whether the instance is a member, in any life of its state.
+  bool IsMember(const std::string& instance) const {
+    return group_->replica().membership().FindInstance(instance) != nullptr;
+  }
 
   /// Adds seeds that the settings name now.
   void AddSeeds(const std::vector<std::string>& seeds);
--- a/cluster/membership_planner.cpp
+++ b/cluster/membership_planner.cpp
@@ -54,11 +54,13 @@
     return zones_.size() < kThreeVoters ? kMaxVoters : (TargetVoters() - 1) / 2;
   }
 
-  size_t VotersIn(const std::string& zone) const {
+  /// Dead voters do not count: they make way for a learner of their zone.
+  size_t LiveVotersIn(const std::string& zone) const {
     size_t n = 0;
     for (const Member& member : view_.membership.members()) {
       const InstanceView* it = ViewOf(member);
-      n += member.voter && it != nullptr && it->zone == zone ? 1 : 0;
+      const bool counts = member.voter && IsLive(member);
+      n += counts && it != nullptr && it->zone == zone ? 1 : 0;
     }
     return n;
   }
@@ -173,7 +175,7 @@
           !it->caught_up || it->id != member.id) {
         continue;
       }
-      const size_t voters = VotersIn(it->zone);
+      const size_t voters = LiveVotersIn(it->zone);
       if (voters < ZoneBound() && (best == nullptr || voters < best_voters)) {
         best = &member;
         best_voters = voters;
--- /dev/null
+++ b/tests/cluster/deployment_fixture.cpp
@@ -0,0 +1,212 @@
+#include "deployment_fixture.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <algorithm>
+#include <utility>
+
+namespace hawthorn::cluster {
+
+namespace {
+
+/// Bound of a wait that ends by an event; only a hang reaches it.
+constexpr int kHangMs = 40000;
+constexpr const char* kZones[] = {"a", "b", "c"};
+
+}  // namespace
+
+bool RunUntil(const std::function<bool()>& done) {
+  QElapsedTimer timer;
+  timer.start();
+  while (!done()) {
+    if (timer.elapsed() > kHangMs) {
+      return false;
+    }
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 50);
+  }
+  return true;
+}
+
+Deployment::Deployment(size_t founders) {
+  for (size_t n = 0; n < founders; ++n) {
+    const std::string id = "127.0.0." + std::to_string(next_ip_++);
+    founders_.push_back(id);
+    Node& node = nodes_[id];
+    node.zone = kZones[n % std::size(kZones)];
+    node.is_founder = true;
+    node.disk = std::make_unique<QTemporaryDir>();
+    // The port is taken now so that the others can be told of it.
+    node.peers = NewTransport(id, 0);
+    node.port = node.peers->port();
+  }
+}
+
+Deployment::~Deployment() {
+  for (auto& [id, node] : nodes_) {
+    node.host.reset();
+    node.peers.reset();
+  }
+}
+
+std::unique_ptr<peer::PeerTransport> Deployment::NewTransport(
+    const std::string& ip, uint16_t port) {
+  peer::PeerOptions options;
+  options.self = core::InstanceId(ip);
+  options.listen_address = ip + ":" + std::to_string(port);
+  options.key = "a key for tests only";
+  options.accept_unnamed = true;
+  options.ping_after = std::chrono::milliseconds(400);
+  options.silence_limit = std::chrono::milliseconds(1000);
+  options.longest_backoff = std::chrono::milliseconds(300);
+  auto peers = std::make_unique<peer::PeerTransport>(std::move(options));
+  peers->Listen();
+  return peers;
+}
+
+std::string Deployment::AddressOf(const std::string& id) const {
+  return id + ":" + std::to_string(nodes_.at(id).port);
+}
+
+std::vector<std::string> Deployment::Seeds() const {
+  std::vector<std::string> seeds;
+  for (const std::string& id : founders_) {
+    seeds.push_back(AddressOf(id));
+  }
+  return seeds;
+}
+
+std::string Deployment::Add(bool serves_control, const std::string& zone) {
+  const std::string id = "127.0.0." + std::to_string(next_ip_++);
+  Node& node = nodes_[id];
+  node.zone = zone;
+  node.serves_control = serves_control;
+  node.disk = std::make_unique<QTemporaryDir>();
+  Start(id);
+  return id;
+}
+
+void Deployment::StartFounders(const std::vector<size_t>& order) {
+  for (const size_t n : order) {
+    Start(founders_.at(n));
+  }
+}
+
+void Deployment::Start(const std::string& id) {
+  Node& node = nodes_.at(id);
+  if (!node.peers) {
+    node.peers = NewTransport(id, node.port);
+    node.port = node.peers->port();
+  }
+  HostOptions options;
+  options.self.set_instance(id);
+  options.self.set_name("machine-" + id);
+  options.self.set_zone(node.zone);
+  options.self.set_serves_control(node.serves_control);
+  options.self.set_peer_address(AddressOf(id));
+  if (node.is_founder && !node.started_before) {
+    options.founders = founders_;
+  }
+  node.started_before = true;
+  options.seeds = Seeds();
+  options.data_folder = node.disk->path().toStdString();
+  options.seed = std::hash<std::string>{}(id);
+  node.host =
+      std::make_unique<DeploymentHost>(options, clock_, metrics_, *node.peers);
+  DeploymentHost* host = node.host.get();
+  node.peers->SetHandler(
+      [host](const schema::PeerMessage& message, const peer::Replier& replier) {
+        if (message.has_group()) {
+          host->OnGroupMessage(message.group());
+          return;
+        }
+        const auto unpacked = Unpack(message);
+        if (core::IsOk(unpacked)) {
+          host->OnMessage(core::Value(unpacked), message.from(), replier);
+        }
+      });
+  host->Start();
+}
+
+void Deployment::Kill(const std::string& id) {
+  Node& node = nodes_.at(id);
+  node.peers.reset();
+  node.host.reset();
+}
+
+void Deployment::LoseDisk(const std::string& id) {
+  nodes_.at(id).disk = std::make_unique<QTemporaryDir>();
+}
+
+void Deployment::Cut(const std::string& id, bool cut) {
+  std::set<core::InstanceId> others;
+  for (auto& [other, node] : nodes_) {
+    if (other == id || !node.peers) {
+      continue;
+    }
+    others.insert(core::InstanceId(other));
+    node.peers->CutLinks(cut ? std::set<core::InstanceId>{core::InstanceId(id)}
+                             : std::set<core::InstanceId>{});
+  }
+  nodes_.at(id).peers->CutLinks(cut ? others : std::set<core::InstanceId>{});
+}
+
+std::string Deployment::Leader() const {
+  for (const auto& [id, node] : nodes_) {
+    if (node.host && node.host->is_leader() && node.host->IsCurrent()) {
+      return id;
+    }
+  }
+  return {};
+}
+
+size_t Deployment::VoterCount() const {
+  const std::string leader = Leader();
+  return leader.empty() ? 0 : nodes_.at(leader).host->voter_count();
+}
+
+bool Deployment::IsMember(const std::string& id) const {
+  const std::string leader = Leader();
+  return !leader.empty() && nodes_.at(leader).host->IsMember(id);
+}
+
+core::Result<schema::DeploymentReply> Deployment::Propose(
+    const std::string& id, const schema::DeploymentCommand& command) {
+  std::optional<core::Result<schema::DeploymentReply>> result;
+  host(id).Propose(command,
+                   [&result](const core::Result<schema::DeploymentReply>& it) {
+                     result = it;
+                   });
+  RunUntil([&result] { return result.has_value(); });
+  return *result;
+}
+
+bool Deployment::Publish(uint64_t version) {
+  schema::DeploymentCommand command;
+  command.mutable_publish()->set_version(version);
+  command.mutable_publish()->set_content("v" + std::to_string(version));
+  QElapsedTimer timer;
+  timer.start();
+  while (timer.elapsed() < kHangMs) {
+    for (const auto& [id, node] : nodes_) {
+      if (node.host && core::IsOk(Propose(id, command))) {
+        return true;
+      }
+    }
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 50);
+  }
+  return false;
+}
+
+core::Result<uint64_t> Deployment::Read(const std::string& id) {
+  std::optional<core::Result<uint64_t>> result;
+  host(id).ReadConfiguration(
+      [&result](const core::Result<schema::PublishedConfiguration>& it) {
+        result = core::IsOk(it)
+                     ? core::Result<uint64_t>(core::Value(it).version())
+                     : core::Result<uint64_t>(core::ErrorOf(it));
+      });
+  RunUntil([&result] { return result.has_value(); });
+  return *result;
+}
+
+}  // namespace hawthorn::cluster
--- /dev/null
+++ b/tests/cluster/deployment_fixture.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <QTemporaryDir>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/deployment_client.h"
+#include "cluster/deployment_host.h"
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "peer/peer_transport.h"
+
+namespace hawthorn::cluster {
+
+/// Runs the event loop until `done` holds; false after a generous time.
+bool RunUntil(const std::function<bool()>& done);
+
+/// Instances with a disk on loopback addresses of their own, in one process.
+class Deployment {
+ public:
+  explicit Deployment(size_t founders);
+  ~Deployment();
+
+  /// Adds an instance with an empty disk and starts it. It knows the founders
+  /// as seeds. Returns its id.
+  std::string Add(bool serves_control, const std::string& zone);
+  /// Starts the founders in the given order.
+  void StartFounders(const std::vector<size_t>& order);
+  void Start(const std::string& id);
+  /// Ends an instance as a kill does; its disk stays.
+  void Kill(const std::string& id);
+  void LoseDisk(const std::string& id);
+  /// Cuts an instance off from all others in both directions, or heals it.
+  void Cut(const std::string& id, bool cut);
+
+  DeploymentHost& host(const std::string& id) { return *nodes_.at(id).host; }
+  const std::string& founder(size_t n) const { return founders_.at(n); }
+  /// Id of the instance that leads; empty if none does.
+  std::string Leader() const;
+  std::vector<std::string> Seeds() const;
+  /// Voters as the leader knows them, once its membership is committed.
+  size_t VoterCount() const;
+  bool IsMember(const std::string& id) const;
+
+  /// Publishes at `id` and waits for the answer.
+  core::Result<schema::DeploymentReply> Propose(
+      const std::string& id, const schema::DeploymentCommand& command);
+  /// Publishes until it is acknowledged, as operators do.
+  bool Publish(uint64_t version);
+  core::Result<uint64_t> Read(const std::string& id);
+
+  const core::Clock& clock() const { return clock_; }
+  core::Metrics& metrics() { return metrics_; }
+  std::unique_ptr<peer::PeerTransport> NewTransport(const std::string& ip,
+                                                    uint16_t port);
+
+ private:
+  struct Node {
+    std::string zone;
+    bool serves_control = true;
+    bool is_founder = false;
+    bool started_before = false;
+    uint16_t port = 0;
+    std::unique_ptr<QTemporaryDir> disk;
+    std::unique_ptr<peer::PeerTransport> peers;
+    std::unique_ptr<DeploymentHost> host;
+  };
+
+  std::string AddressOf(const std::string& id) const;
+
+  core::SystemClock clock_;
+  core::Metrics metrics_;
+  std::vector<std::string> founders_;
+  std::map<std::string, Node> nodes_;
+  int next_ip_ = 11;
+};
+
+}  // namespace hawthorn::cluster
--- /dev/null
+++ b/tests/cluster/deployment_test.cpp
@@ -0,0 +1,166 @@
+#include <QTimer>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "deployment_fixture.h"
+
+namespace hawthorn::cluster {
+namespace {
+
+schema::DeploymentCommand Retire(const std::string& id) {
+  schema::DeploymentCommand command;
+  command.set_retire("machine-" + id);
+  return command;
+}
+
+bool ReadsVersion(Deployment* it, const std::string& id, uint64_t version) {
+  const auto read = it->Read(id);
+  return core::IsOk(read) && core::Value(read) == version;
+}
+
+TEST_CASE("Founders form one group in whatever order they start") {
+  Deployment it(3);
+  it.StartFounders({2, 0, 1});
+  REQUIRE(it.Publish(1));
+  CHECK(it.VoterCount() == 3);
+  for (size_t n = 0; n < 3; ++n) {
+    CHECK(RunUntil([&] { return ReadsVersion(&it, it.founder(n), 1); }));
+  }
+}
+
+TEST_CASE("Instances that join grow the group to five voters") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  it.Add(false, "a");
+  it.Add(false, "b");
+  CHECK(RunUntil([&] { return it.VoterCount() == 5; }));
+}
+
+TEST_CASE("An instance that lost its disk is admitted as a new member") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const std::string lost = it.founder(0);
+  it.Kill(lost);
+  it.LoseDisk(lost);
+  REQUIRE(it.Publish(2));
+  it.Start(lost);
+  REQUIRE(RunUntil(
+      [&] { return it.VoterCount() == 3 && it.host(lost).IsVoter(); }));
+  // The repaired group bears the loss of another disk.
+  it.Kill(it.founder(1));
+  it.LoseDisk(it.founder(1));
+  CHECK(RunUntil([&] { return ReadsVersion(&it, lost, 2); }));
+  CHECK(it.Publish(3));
+}
+
+TEST_CASE("An empty machine at another address replaces one that is gone") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  it.Kill(it.founder(2));
+  const std::string added = it.Add(true, "c");
+  REQUIRE(RunUntil([&] {
+    return it.VoterCount() == 3 && it.IsMember(added) &&
+           !it.IsMember(it.founder(2));
+  }));
+  CHECK(RunUntil([&] { return ReadsVersion(&it, added, 1); }));
+}
+
+TEST_CASE("What was acknowledged survives the end of all processes") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(5));
+  for (size_t n = 0; n < 3; ++n) {
+    it.Kill(it.founder(n));
+  }
+  it.StartFounders({1, 2, 0});
+  CHECK(RunUntil([&] { return ReadsVersion(&it, it.founder(0), 5); }));
+}
+
+TEST_CASE("An instance that is cut off neither reads nor commits") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const std::string isolated = it.Leader();
+  it.Cut(isolated, true);
+  REQUIRE(RunUntil([&] { return !it.host(isolated).IsCurrent(); }));
+  CHECK_FALSE(core::IsOk(it.Read(isolated)));
+  schema::DeploymentCommand command;
+  command.mutable_publish()->set_version(9);
+  CHECK_FALSE(core::IsOk(it.Propose(isolated, command)));
+  REQUIRE(it.Publish(2));
+  it.Cut(isolated, false);
+  CHECK(RunUntil([&] { return ReadsVersion(&it, isolated, 2); }));
+}
+
+TEST_CASE("A machine that is emptied leaves the group before it is reported") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  const std::string store = it.Add(false, "a");
+  const std::string other = it.Add(false, "b");
+  REQUIRE(RunUntil([&] { return it.VoterCount() == 5; }));
+  REQUIRE(RunUntil([&] {
+    const auto reply = it.Propose(it.Leader(), Retire(store));
+    return core::IsOk(reply) && core::Value(reply).known();
+  }));
+  bool completed = false;
+  REQUIRE(RunUntil([&] {
+    if (it.Leader().empty()) {
+      return false;
+    }
+    it.host(it.Leader())
+        .ReadRetirement(
+            "machine-" + store,
+            [&completed](const core::Result<schema::RetirementState>& state) {
+              completed = core::IsOk(state) && core::Value(state).completed();
+            });
+    return completed;
+  }));
+  CHECK_FALSE(it.IsMember(store));
+  CHECK(it.IsMember(other));
+}
+
+TEST_CASE("A client sees changes and claims budgets through any loss") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  uint64_t seen = 0;
+  DeploymentClient client(it.Seeds(), 1, it.clock(), it.metrics(), *peers,
+                          [&seen](const schema::DeploymentUpdate& update) {
+                            if (update.has_configuration()) {
+                              seen = update.configuration().version();
+                            }
+                          });
+  client.Start();
+  REQUIRE(RunUntil([&] { return seen == 1 && client.IsCurrent(); }));
+  const auto claim = [&](const std::string& request, int64_t tokens) {
+    std::optional<core::Result<relay::ClaimAnswer>> answer;
+    client.Claim({"p", request, 100, tokens}, std::chrono::milliseconds(1500),
+                 [&answer](const core::Result<relay::ClaimAnswer>& got) {
+                   answer = got;
+                 });
+    RunUntil([&answer] { return answer.has_value(); });
+    return *answer;
+  };
+  const auto first = claim("r1", 60);
+  REQUIRE(core::IsOk(first));
+  CHECK(core::Value(first).granted);
+  const auto second = claim("r2", 60);
+  REQUIRE(core::IsOk(second));
+  CHECK_FALSE(core::Value(second).granted);
+  client.Settle({"p", "r1", 100, 60}, 20);
+  const std::string leader = it.Leader();
+  it.Kill(leader);
+  REQUIRE(it.Publish(2));
+  REQUIRE(RunUntil([&] { return seen == 2 && client.IsCurrent(); }));
+  REQUIRE(RunUntil([&] {
+    const auto again = claim("r3", 80);
+    return core::IsOk(again) && core::Value(again).granted;
+  }));
+  CHECK(RunUntil([&] { return client.open_settlements() == 0; }));
+}
+
+}  // namespace
+}  // namespace hawthorn::cluster
--- a/tests/cluster/membership_planner_test.cpp
+++ b/tests/cluster/membership_planner_test.cpp
@@ -100,6 +100,19 @@
   CHECK(change.id == Id("core-c"));
 }
 
+TEST_CASE("A machine replaces a dead one of its own zone") {
+  GroupView view = WholeGroup();
+  view.membership =
+      Membership({Voter("core-a"), Voter("core-b"), Voter("core-c"),
+                  Voter("store-c"), Voter("store-b"), Learner("core-c2")});
+  view.instances.push_back(Live("core-c2", "c"));
+  Find(&view, "store-a").alive = false;
+  Find(&view, "core-c").alive = false;
+  const MembershipChange change = Change(PlanMembership(view));
+  CHECK(change.kind == Kind::kRemove);
+  CHECK(change.id == Id("core-c"));
+}
+
 TEST_CASE("A dead voter stays while no learner could replace it") {
   GroupView view = WholeGroup();
   Find(&view, "core-c").alive = false;
