logging: Bound records and follow a request through them

Records of a second are bounded, failures apart from the rest, and what is left out is counted and said. Decisions about a call that is not over (sent again, moved, not run), unreachable upstreams and new watches get a record. 'hawthornctl explain ID FILE...' prints in order what any number of log files say about a request, program, upstream or machine.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -81,6 +81,7 @@
     OnWatchPiece(piece);
   };
   callbacks.on_end = [this](const core::Status& status) { OnWatchEnd(status); };
+  Log(LogLevel::kInfo, "watch started", {{"source", source_}});
   watch_ = peers_.OpenStream(core::InstanceId(source_), Pack(message),
                              kUpdateTimeout, std::move(callbacks));
 }
--- a/logging/log.cpp
+++ b/logging/log.cpp
@@ -7,7 +7,10 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
 
+#include <atomic>
+#include <chrono>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace hawthorn::logging {
@@ -62,11 +65,33 @@
 
 bool IsLogged(LogLevel level) { return Logger()->isEnabledFor(ToLevel(level)); }
 
-void Log(LogLevel level, const std::string& message, LogFields fields) {
-  const log4cxx::LevelPtr severity = ToLevel(level);
-  if (!Logger()->isEnabledFor(severity)) {
-    return;
+bool RecordLimit::Admit(LogLevel level, int64_t second) {
+  const std::lock_guard lock(mutex_);
+  if (second > second_) {
+    second_ = second;
+    routine_ = 0;
+    failures_ = 0;
+  }
+  const bool failure = level == LogLevel::kWarn || level == LogLevel::kError;
+  uint64_t& count = failure ? failures_ : routine_;
+  const uint64_t limit = failure ? kFailuresPerSecond : kRoutinePerSecond;
+  if (count >= limit) {
+    ++left_out_;
+    return false;
   }
+  ++count;
+  return true;
+}
+
+uint64_t RecordLimit::TakeLeftOut() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(left_out_, 0);
+}
+
+namespace {
+
+void Write(const log4cxx::LevelPtr& severity, const std::string& message,
+           LogFields fields) {
   std::vector<std::unique_ptr<log4cxx::MDC>> context;
   for (const auto& [name, value] : fields) {
     context.push_back(std::make_unique<log4cxx::MDC>(name, value));
@@ -74,4 +99,28 @@
   Logger()->forcedLog(severity, message);
 }
 
+}  // namespace
+
+void Log(LogLevel level, const std::string& message, LogFields fields) {
+  static RecordLimit limit;
+  static std::atomic<int64_t> reported_second{0};
+  const log4cxx::LevelPtr severity = ToLevel(level);
+  if (!Logger()->isEnabledFor(severity)) {
+    return;
+  }
+  const int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count();
+  if (reported_second.exchange(second) != second) {
+    if (const uint64_t left_out = limit.TakeLeftOut(); left_out > 0) {
+      Write(log4cxx::Level::getWarn(), "records left out",
+            {{"count", std::to_string(left_out)}});
+    }
+  }
+  if (limit.Admit(level, second)) {
+    Write(severity, message, fields);
+  }
+}
+
 }  // namespace hawthorn::logging
--- a/logging/log.h
+++ b/logging/log.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -34,7 +36,32 @@
 /// Whether records of `level` are written.
 bool IsLogged(LogLevel level);
 
-/// Writes one record. Thread-safe.
+/// Bounds the records of each second. Failures have a share of their own, so
+/// that a flood of ordinary records never leaves them out. Thread-safe.
+class RecordLimit {
+ public:
+  /// Ordinary records a second: about what an entry instance writes at its
+  /// usual load, four times over.
+  static constexpr uint64_t kRoutinePerSecond = 400;
+  /// Records of warnings and errors a second.
+  static constexpr uint64_t kFailuresPerSecond = 1000;
+
+  /// Whether a record may be written in the second `second`, which never goes
+  /// back.
+  bool Admit(LogLevel level, int64_t second);
+  /// Records left out since the last call.
+  uint64_t TakeLeftOut();
+
+ private:
+  std::mutex mutex_;
+  int64_t second_ = 0;
+  uint64_t routine_ = 0;
+  uint64_t failures_ = 0;
+  uint64_t left_out_ = 0;
+};
+
+/// Writes one record, unless the limit of this second is reached; how many
+/// were left out is said by a record of its own. Thread-safe, never waits.
 void Log(LogLevel level, const std::string& message, LogFields fields = {});
 
 }  // namespace hawthorn::logging
--- a/main/ctl/commands.cpp
+++ b/main/ctl/commands.cpp
@@ -9,6 +9,7 @@
 
 #include "control/key.h"
 #include "main/ctl/configuration_commands.h"
+#include "main/ctl/explain_command.h"
 #include "main/ctl/operator_client.h"
 #include "main/ctl/policy_command.h"
 #include "main/ctl/report.h"
@@ -168,8 +169,16 @@
   return text;
 }
 
-size_t ArgumentCount(const Command& command) {
-  return command.arguments.empty() ? 0 : 1;
+/// Whether a verb takes `n` arguments. Those that end with "..." take any
+/// number beyond the named ones.
+bool TakesArguments(const Command& command, size_t n) {
+  const std::string& names = command.arguments;
+  if (names.empty()) {
+    return n == 0;
+  }
+  const auto named =
+      static_cast<size_t>(std::count(names.begin(), names.end(), ' ') + 1);
+  return names.ends_with("...") ? n >= named : n == named;
 }
 
 }  // namespace
@@ -214,7 +223,11 @@
       {{"policy", "compare"},
        "",
        "compare policies (--traffic, --policy A,B, --seed, --out SVG)",
-       ComparePolicies}};
+       ComparePolicies},
+      {{"explain"},
+       "ID FILE...",
+       "records about a request, program or upstream in log files (--json)",
+       Explain}};
   return commands;
 }
 
@@ -240,7 +253,7 @@
     }
     const Arguments arguments(
         words.begin() + static_cast<ptrdiff_t>(it.words.size()), words.end());
-    if (arguments.size() != ArgumentCount(it)) {
+    if (!TakesArguments(it, arguments.size())) {
       std::cerr << "usage: hawthornctl " << Joined(it.words) << it.arguments
                 << "\n";
       return kExitUsage;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -294,6 +294,9 @@
 
 void Relay::OnUnreachable(const std::string& upstream) {
   parts_.metrics.Count("relay_unreachable");
+  logging::Log(
+      logging::LogLevel::kWarn, "upstream unreachable",
+      {{"upstream", upstream}, {"reason", "a call could not reach it"}});
   if (!checks_.isActive()) {
     checks_.start(kCheckInterval);
   }
@@ -309,6 +312,8 @@
     }
     CheckUpstream(id, [this, id = id](bool reachable) {
       if (!reachable) {
+        logging::Log(logging::LogLevel::kWarn, "upstream unreachable",
+                     {{"upstream", id}, {"reason", "its zone was checked"}});
         scheduler_.Suspend(core::UpstreamId(id), parts_.clock.Now());
       }
     });
@@ -321,6 +326,8 @@
     scheduler_.Suspend(id, parts_.clock.Now());
     CheckUpstream(id.text(), [this, id](bool reachable) {
       if (reachable) {
+        logging::Log(logging::LogLevel::kInfo, "upstream reachable again",
+                     {{"upstream", id.text()}});
         scheduler_.Resume(id);
         SchedulePump();
       }
@@ -371,6 +378,20 @@
   wake_up_.start(std::max(wait, std::chrono::milliseconds(1)));
 }
 
+void Relay::OnDecision(const RelayCall& call, const char* decision,
+                       const std::string& reason) {
+  std::string counter = std::string("relay_") + decision;
+  std::replace(counter.begin(), counter.end(), ' ', '_');
+  parts_.metrics.Count(counter);
+  logging::Log(logging::LogLevel::kWarn, decision,
+               {{"request", call.head().request_id},
+                {"program", call.head().program},
+                {"reason", reason},
+                {"upstream", call.summary().last_upstream},
+                {"attempts", std::to_string(call.summary().attempts)},
+                {"events", std::to_string(call.summary().events)}});
+}
+
 void Relay::OnCallEnded(RelayCall& call) {
   scheduled_.erase(call.schedule_id());
   if (calls_.erase(&call) == 0) {
@@ -388,24 +409,25 @@
 void Relay::LogEnd(const RelayCall& call) const {
   const CallSummary& it = call.summary();
   const bool failed = !it.reason.empty();
-  logging::Log(failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
-               "call ended",
-               {{"request", call.head().request_id},
-                {"program", call.head().program},
-                {"route", call.route().name},
-                {"service", call.service()},
-                {"status", std::to_string(it.status)},
-                {"reason", it.reason},
-                {"upstream", it.last_upstream},
-                {"attempts", std::to_string(it.attempts)},
-                {"budget", std::to_string(call.head().token_budget.value_or(-1))},
+  logging::Log(
+      failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
+      "call ended",
+      {{"request", call.head().request_id},
+       {"program", call.head().program},
+       {"route", call.route().name},
+       {"service", call.service()},
+       {"status", std::to_string(it.status)},
+       {"reason", it.reason},
+       {"upstream", it.last_upstream},
+       {"attempts", std::to_string(it.attempts)},
+       {"budget", std::to_string(call.head().token_budget.value_or(-1))},
        {"budget_remaining", std::to_string(it.budget_remaining)},
        {"most_tokens", std::to_string(call.head().max_output_tokens)},
        {"events", std::to_string(it.events)},
-                {"queued_ms", std::to_string(it.queued.count())},
-                {"first_event_ms", std::to_string(it.to_first_event.count())},
-                {"total_ms", std::to_string(it.total.count())},
-                {"configuration", std::to_string(table_->version())}});
+       {"queued_ms", std::to_string(it.queued.count())},
+       {"first_event_ms", std::to_string(it.to_first_event.count())},
+       {"total_ms", std::to_string(it.total.count())},
+       {"configuration", std::to_string(table_->version())}});
 }
 
 }  // namespace hawthorn::relay
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -83,6 +83,8 @@
   void CheckUpstream(const std::string& upstream,
                      std::function<void(bool)> on_checked) override;
   void OnWrongUpstream(const std::string& upstream) override;
+  void OnDecision(const RelayCall& call, const char* decision,
+                  const std::string& reason) override;
   void OnCallEnded(RelayCall& call) override;
 
   void Announce(const Upstream& upstream);
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -73,14 +73,13 @@
                       *parts_.head.token_budget, parts_.head.max_output_tokens};
   const auto patience = std::min(kLongestClaim, allowed / kClaimShare);
   // A claim that outlives its call is settled by End().
-  parts_.host.ledger().Claim(
-      *claim_, patience,
-      [guard = QPointer<RelayCall>(this)](
-          const core::Result<ClaimAnswer>& answer) {
-        if (guard) {
-          guard->OnClaimed(answer);
-        }
-      });
+  parts_.host.ledger().Claim(*claim_, patience,
+                             [guard = QPointer<RelayCall>(this)](
+                                 const core::Result<ClaimAnswer>& answer) {
+                               if (guard) {
+                                 guard->OnClaimed(answer);
+                               }
+                             });
 }
 
 void RelayCall::OnClaimed(const core::Result<ClaimAnswer>& answer) {
@@ -295,6 +294,10 @@
 }
 
 void RelayCall::OnNotRun() {
+  parts_.host.OnDecision(*this, "call not run",
+                         answer_head_.wrong_upstream
+                             ? "another upstream has the address"
+                             : "the upstream refused");
   if (answer_head_.wrong_upstream) {
     parts_.host.OnWrongUpstream(upstream_);
   }
@@ -339,13 +342,13 @@
   if (state_ != State::kRunning) {
     return;
   }
-  parts_.host.CheckUpstream(
-      upstream_, [guard = QPointer<RelayCall>(this), link = link_,
-                  upstream = upstream_](bool reachable) {
-        if (guard && guard->link_ == link && !guard->silence_timer_.isActive()) {
-          guard->OnChecked(upstream, reachable);
-        }
-      });
+  parts_.host.CheckUpstream(upstream_, [guard = QPointer<RelayCall>(this),
+                                        link = link_,
+                                        upstream = upstream_](bool reachable) {
+    if (guard && guard->link_ == link && !guard->silence_timer_.isActive()) {
+      guard->OnChecked(upstream, reachable);
+    }
+  });
 }
 
 void RelayCall::OnChecked(const std::string& upstream, bool reachable) {
@@ -360,6 +363,7 @@
   // the connection ends.
   summary_.ran = true;
   ran_at_.erase(upstream_);
+  parts_.host.OnDecision(*this, "call moved", "the upstream is cut off");
   excluded_.emplace_back(upstream_);
   LeaveUpstream(scheduling::CallOutcome::kUnreachable);
   if (TimeLeft() > kLeastTimeLeft && ++not_run_ <= kMaxNotRun) {
@@ -377,6 +381,7 @@
     return false;
   }
   if (ran_at_.size() < parts_.route.max_upstreams) {
+    parts_.host.OnDecision(*this, "call sent again", "another upstream");
     excluded_.emplace_back(upstream_);
     LeaveUpstream(scheduling::CallOutcome::kFailed);
     EnterQueue();
@@ -384,6 +389,7 @@
   }
   // The limit of upstreams is reached: only one that has run it already may
   // run it once more.
+  parts_.host.OnDecision(*this, "call sent again", "same upstream");
   parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr), {});
   BeginExchange(true);
   return true;
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -3,8 +3,8 @@
 #include <QObject>
 #include <QTimer>
 #include <chrono>
-#include <functional>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -52,6 +52,9 @@
                              std::function<void(bool)> on_checked) = 0;
   /// Another upstream answers at the address of this one.
   virtual void OnWrongUpstream(const std::string& upstream) = 0;
+  /// Records a decision about a call that is not over.
+  virtual void OnDecision(const RelayCall& call, const char* decision,
+                          const std::string& reason) = 0;
   /// The call is over; it will be deleted.
   virtual void OnCallEnded(RelayCall& call) = 0;
 };
