relay: Suggest a wait that the outage lasts and callers follow

The caller's retry and two more sends of the turn ended before the platform sent it to another zone.

Change: an instance that is cut off suggests 2 s, the time the platform takes to send callers elsewhere; every suggestion is cut to a third of the caller's time left, which is as far as callers follow it.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-DeploymentClient::DeploymentClient(std::vector<std::string> seeds,
+DeploymentClient::DeploymentClient(const std::vector<std::string>& seeds,
                                    uint64_t seed, const core::Clock& clock,
                                    core::Metrics& metrics,
                                    peer::PeerTransport& peers,
@@ -140,10 +140,11 @@
       claim->deadline - clock_.Now());
   if (left <= kClaimRetry || leader_.empty() || !IsCurrent()) {
     metrics_.Count("claims_unanswered");
-    FinishClaim(claim,
-                core::Error{core::ErrorCode::kUnavailable,
-                            "no answer from the leader " + leader_,
-                            core::Execution::kNotRun, kNoLeaderRetryAfter});
+    FinishClaim(claim, core::Error{core::ErrorCode::kUnavailable,
+                                   "no answer from the leader " + leader_,
+                                   core::Execution::kNotRun,
+                                   IsCurrent() ? kNoLeaderRetryAfter
+                                               : kCutOffRetryAfter});
     return;
   }
   claims_.insert(claim);
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -35,6 +35,9 @@
   /// Wait that is suggested while no leader can be reached: an election takes
   /// about as long.
   static constexpr std::chrono::milliseconds kNoLeaderRetryAfter{600};
+  /// Wait that is suggested while this instance is cut off: the platform sends
+  /// callers elsewhere after two missed questions a second apart.
+  static constexpr std::chrono::milliseconds kCutOffRetryAfter{2000};
   static constexpr std::chrono::milliseconds kClaimAttempt{400};
   static constexpr std::chrono::milliseconds kClaimRetry{60};
   /// Settlements wait so long for a claim that takes them along. Well within
@@ -42,7 +45,7 @@
   static constexpr std::chrono::milliseconds kSettleDelay{150};
   static constexpr std::chrono::milliseconds kSettleRetry{200};
 
-  DeploymentClient(std::vector<std::string> seeds, uint64_t seed,
+  DeploymentClient(const std::vector<std::string>& seeds, uint64_t seed,
                    const core::Clock& clock, core::Metrics& metrics,
                    peer::PeerTransport& peers, UpdateHandler on_update);
 
--- a/cluster/membership_planner.cpp
+++ b/cluster/membership_planner.cpp
@@ -27,7 +27,7 @@
          {&Planner::RemoveLostIdentity, &Planner::Retire, &Planner::Promote,
           &Planner::RemoveDeadVoter, &Planner::RemoveDeadLearner,
           &Planner::AddLearner}) {
-      const PlannedStep planned = (this->*step)();
+      PlannedStep planned = (this->*step)();
       if (!std::holds_alternative<std::monostate>(planned)) {
         return planned;
       }
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -55,7 +55,7 @@
         }
         host_.OnMessage(core::Value(unpacked), message.from(), replier);
       });
-  const core::Status status = host_.Start();
+  core::Status status = host_.Start();
   if (!core::IsOk(status) || settings_.control_address.empty()) {
     return status;
   }
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -52,7 +52,7 @@
 }
 
 core::Status EntryRole::Start() {
-  const core::Status status = ListenOn(callers_, settings_.caller_address);
+  core::Status status = ListenOn(callers_, settings_.caller_address);
   if (!core::IsOk(status)) {
     return status;
   }
--- a/relay/event_framer.cpp
+++ b/relay/event_framer.cpp
@@ -34,7 +34,10 @@
     uint64_t id = 0;
     const auto [rest, ec] =
         std::from_chars(line.data(), line.data() + line.size(), id);
-    return ec == std::errc() ? std::optional(id) : std::nullopt;
+    if (ec != std::errc()) {
+      return std::nullopt;
+    }
+    return id;
   }
   return std::nullopt;
 }
@@ -46,7 +49,8 @@
   std::vector<StreamEvent> events;
   size_t start = 0;
   while (true) {
-    const std::string_view rest = std::string_view(buffer_).substr(start);
+    const std::string_view whole(buffer_);
+    const std::string_view rest = whole.substr(start);
     const size_t end = EventEnd(rest);
     if (end == std::string_view::npos) {
       break;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -198,7 +198,7 @@
       begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
   request.deadline = call.deadline();
   request.excluded = call.excluded();
-  const core::Status status = scheduler_.Enqueue(request, parts_.clock.Now());
+  core::Status status = scheduler_.Enqueue(request, parts_.clock.Now());
   if (core::IsOk(status)) {
     call.set_schedule_id(request.id);
     scheduled_[request.id] = &call;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -437,7 +437,9 @@
   summary_.reason = std::move(reason);
   transport::HeaderList fields;
   if (retry_after) {
-    fields.push_back({"Retry-After", Seconds(*retry_after)});
+    const auto longest =
+        std::max(TimeLeft() / kLongestWaitShare, kLeastTimeLeft);
+    fields.push_back({"Retry-After", Seconds(std::min(*retry_after, longest))});
   }
   parts_.session.Respond(status, std::move(fields), summary_.reason);
   End();
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -102,6 +102,8 @@
   static constexpr std::chrono::milliseconds kNextSilence{600};
   /// Time left below which no further attempt is made.
   static constexpr std::chrono::milliseconds kLeastTimeLeft{20};
+  /// Part of the time left up to which callers follow a suggested wait.
+  static constexpr int kLongestWaitShare = 3;
   /// Suggested wait after a refusal without a better estimate.
   static constexpr std::chrono::milliseconds kRetryAfter{100};
 
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -84,8 +84,7 @@
   std::vector<const Upstream*> usable;
   for (const bool allow_excluded : {false, true}) {
     for (const auto& [id, upstream] : upstreams_) {
-      if (upstream.TakesCalls() &&
-          (allow_excluded || !IsExcluded(call, id))) {
+      if (upstream.TakesCalls() && (allow_excluded || !IsExcluded(call, id))) {
         usable.push_back(&upstream);
       }
     }
@@ -203,8 +202,7 @@
   }
 }
 
-std::vector<core::UpstreamId> SharedPool::DueChecks(
-    core::TimePoint now) const {
+std::vector<core::UpstreamId> SharedPool::DueChecks(core::TimePoint now) const {
   std::vector<core::UpstreamId> due;
   for (const auto& [id, it] : upstreams_) {
     if (it.check_at && *it.check_at <= now) {
