--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -18,7 +18,7 @@
 /// Longest wait for a claim; an election takes about as long.
 constexpr std::chrono::milliseconds kLongestClaim{1500};
 /// Upstreams that one call may crash before it is given up.
-constexpr int kMaxCrashes = 2;
+constexpr int kMaxCrashes = 3;
 
 std::chrono::milliseconds Elapsed(core::TimePoint from, core::TimePoint to) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
