tests: Make sure that each plan of the log's fault runs has its faults

The generator now makes the first loss, delay and doubling sure after as many messages as the rate expects; the guard stays.

--- a/tests/consensus/fault_property_test.cpp
+++ b/tests/consensus/fault_property_test.cpp
@@ -63,6 +63,19 @@
   rc::prop("plan", [] { RunPlan({5, 2, true}); });
 }
 
+TEST_CASE("a plan that lost no message before loses one") {
+  SimulationOptions options;
+  options.lost = 1;
+  options.seed = 7;
+  Simulation simulation(options);
+  REQUIRE(simulation.WaitUntilWhole(30000));
+  for (int n = 0; n < 10; ++n) {
+    simulation.Apply({FaultKind::kHandOver, 0, 2500});
+  }
+  simulation.Finish();
+  CHECK(simulation.counts().lost > 0U);
+}
+
 TEST_CASE("a second loss right after a repair loses nothing") {
   rc::prop("losses", [] {
     SimulationOptions options;
--- a/tests/consensus/simulation.cpp
+++ b/tests/consensus/simulation.cpp
@@ -145,18 +145,26 @@
   }
 }
 
+bool Simulation::Strikes(int per_mille, uint64_t struck) {
+  // A plan without the fault would show nothing, so the first one is sure.
+  const bool due = per_mille > 0 && struck == 0 &&
+                   posted_ > static_cast<uint64_t>(1000 / per_mille);
+  return Draw(1000) < per_mille || due;
+}
+
 void Simulation::Post(size_t to, const schema::ConsensusMessage& message) {
-  if (Draw(1000) < options_.lost) {
+  ++posted_;
+  if (Strikes(options_.lost, counts_.lost)) {
     ++counts_.lost;
     return;
   }
   int delay = 1 + Draw(10);
-  if (Draw(1000) < options_.late) {
+  if (Strikes(options_.late, counts_.late)) {
     ++counts_.late;
     delay += Draw(2000);
   }
   network_.emplace(now_ms_ + delay, Letter{message, to});
-  if (Draw(1000) < options_.doubled) {
+  if (Strikes(options_.doubled, counts_.doubled)) {
     ++counts_.doubled;
     network_.emplace(now_ms_ + delay + Draw(500), Letter{message, to});
   }
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -161,10 +161,13 @@
   bool IsWhole() const;
   size_t Pick(int target);
   int Draw(int below);
+  /// Whether a fault of the network hits this message.
+  bool Strikes(int per_mille, uint64_t struck);
 
   SimulationOptions options_;
   std::mt19937_64 random_;
   int64_t now_ms_ = 1000;
+  uint64_t posted_ = 0;
   uint64_t last_incarnation_ = 0;
   std::vector<Node> nodes_;
   std::multimap<int64_t, Letter> network_;
