--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -66,6 +66,11 @@
          clock_.Now() - last_update_ < kUpdateTimeout;
 }
 
+bool DeploymentClient::IsCutOff() const {
+  return last_update_ != core::TimePoint() &&
+         clock_.Now() - last_update_ > kCutOffAfter;
+}
+
 void DeploymentClient::Watch() {
   if (sources_.empty()) {
     retry_.start(kWatchRetry);
@@ -143,8 +148,8 @@
     FinishClaim(claim, core::Error{core::ErrorCode::kUnavailable,
                                    "no answer from the leader " + leader_,
                                    core::Execution::kNotRun,
-                                   IsCurrent() ? kNoLeaderRetryAfter
-                                               : kCutOffRetryAfter});
+                                   IsCutOff() ? kCutOffRetryAfter
+                                              : kNoLeaderRetryAfter});
     return;
   }
   claims_.insert(claim);
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -38,6 +38,8 @@
   /// Wait that is suggested while this instance is cut off: the platform sends
   /// callers elsewhere after two missed questions a second apart.
   static constexpr std::chrono::milliseconds kCutOffRetryAfter{2000};
+  /// Time without an update after which no election explains the silence.
+  static constexpr std::chrono::milliseconds kCutOffAfter{1500};
   static constexpr std::chrono::milliseconds kClaimAttempt{400};
   static constexpr std::chrono::milliseconds kClaimRetry{60};
   /// Settlements wait so long for a claim that takes them along. Well within
@@ -72,6 +74,7 @@
   };
   using ClaimPtr = std::shared_ptr<PendingClaim>;
 
+  bool IsCutOff() const;
   void Watch();
   void OnWatchPiece(const schema::PeerMessage& piece);
   void OnWatchEnd(const core::Status& status);
