main: Leave rotation after 450 ms without an update

Cause: a cut zone refuses turns for 2.7 to 3.7 s, until two questions for readiness a second apart were missed; the first of them came only after 700 ms without an update.

Change: not ready after 450 ms; claims and watches keep their 700 ms.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -61,9 +61,9 @@
 
 void DeploymentClient::Start() { Watch(); }
 
-bool DeploymentClient::IsCurrent() const {
+bool DeploymentClient::HeardWithin(std::chrono::milliseconds time) const {
   return last_update_ != core::TimePoint() &&
-         clock_.Now() - last_update_ < kUpdateTimeout;
+         clock_.Now() - last_update_ < time;
 }
 
 bool DeploymentClient::IsCutOff() const {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -59,7 +59,8 @@
   void Settle(const relay::TokenClaim& claim, int64_t used) override;
 
   /// An update arrived lately, so that what is known here is current.
-  bool IsCurrent() const;
+  bool IsCurrent() const { return HeardWithin(kUpdateTimeout); }
+  bool HeardWithin(std::chrono::milliseconds time) const;
   /// Settlements that are not durable yet.
   size_t open_settlements() const { return settlements_.size(); }
 
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -66,7 +66,7 @@
 
 bool EntryRole::IsReady() const {
   return !draining_ && relay_.table() != nullptr && table_complete_ &&
-         client_.IsCurrent();
+         client_.HeardWithin(kReadyContact);
 }
 
 void EntryRole::OnUpdate(const schema::DeploymentUpdate& update) {
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -24,6 +24,9 @@
   /// Time for the platform to stop sending callers: two missed questions a
   /// second apart, and their way.
   static constexpr std::chrono::milliseconds kLeaveRotation{2500};
+  /// Time without an update after which this instance is not ready. Shorter
+  /// than the loss of contact, since only two answers in a row count.
+  static constexpr std::chrono::milliseconds kReadyContact{450};
   static constexpr std::chrono::milliseconds kDrainPoll{50};
   /// Time before the platform's own limit at which the process ends anyway.
   static constexpr std::chrono::milliseconds kDrainReserve{400};
