main: Give the flat folder rooms

main/ had 41 files side by side. http/ holds what callers, upstreams and operators speak, calls/ the way of a call, groups/ the replicated groups, threads/ the threads and what joins them; roles/ and ctl/ stood before. No code changed.

--- a/main/calls/call.h
+++ b/main/calls/call.h
@@ -9,7 +9,7 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "ledger.pb.h"
-#include "main/event_stream_parser.h"
+#include "main/http/event_stream_parser.h"
 #include "scheduling/call.h"
 #include "transport/http_server.h"
 
--- a/main/calls/call_attempts.cpp
+++ b/main/calls/call_attempts.cpp
@@ -2,9 +2,9 @@
 #include <QJsonDocument>
 #include <algorithm>
 
-#include "main/call_controller.h"
-#include "main/json.h"
-#include "main/ledger_messages.h"
+#include "main/calls/call_controller.h"
+#include "main/groups/ledger_messages.h"
+#include "main/http/json.h"
 
 // Attempts of a call: queued, dispatched, answered or retried.
 namespace hawthorn::main {
--- a/main/calls/call_controller.cpp
+++ b/main/calls/call_controller.cpp
@@ -1,9 +1,9 @@
-#include "main/call_controller.h"
+#include "main/calls/call_controller.h"
 
 #include <algorithm>
 
-#include "main/json.h"
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/calls/call_controller.h
+++ b/main/calls/call_controller.h
@@ -9,12 +9,12 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
-#include "main/answer_writer.h"
-#include "main/call.h"
-#include "main/catalog.h"
-#include "main/group_client.h"
-#include "main/sinks.h"
-#include "main/timers.h"
+#include "main/calls/call.h"
+#include "main/calls/catalog.h"
+#include "main/groups/group_client.h"
+#include "main/http/answer_writer.h"
+#include "main/threads/sinks.h"
+#include "main/threads/timers.h"
 #include "scheduling/scheduler.h"
 
 namespace hawthorn::main {
--- a/main/calls/catalog.cpp
+++ b/main/calls/catalog.cpp
@@ -1,4 +1,4 @@
-#include "main/catalog.h"
+#include "main/calls/catalog.h"
 
 #include <unordered_map>
 #include <utility>
--- a/main/calls/upstream_registry.cpp
+++ b/main/calls/upstream_registry.cpp
@@ -1,4 +1,4 @@
-#include "main/upstream_registry.h"
+#include "main/calls/upstream_registry.h"
 
 #include <set>
 
--- a/main/calls/upstream_registry.h
+++ b/main/calls/upstream_registry.h
@@ -6,7 +6,7 @@
 
 #include "core/clock.h"
 #include "core/id.h"
-#include "main/call_controller.h"
+#include "main/calls/call_controller.h"
 #include "membership/upstream_directory.h"
 #include "scheduling/scheduler.h"
 
--- a/main/ctl/commands.cpp
+++ b/main/ctl/commands.cpp
@@ -14,7 +14,7 @@
 #include "main/ctl/policy_command.h"
 #include "main/ctl/report.h"
 #include "main/ctl/table.h"
-#include "main/json.h"
+#include "main/http/json.h"
 #include "questionnaire/questionnaire.h"
 #include "settings/reference.h"
 #include "settings/settings.h"
--- a/main/ctl/configuration_commands.cpp
+++ b/main/ctl/configuration_commands.cpp
@@ -14,7 +14,7 @@
 #include "main/ctl/operator_client.h"
 #include "main/ctl/report.h"
 #include "main/ctl/table.h"
-#include "main/json.h"
+#include "main/http/json.h"
 #include "settings/settings.h"
 
 namespace hawthorn::ctl {
--- a/main/ctl/operator_client.cpp
+++ b/main/ctl/operator_client.cpp
@@ -6,7 +6,7 @@
 #include <QUrl>
 #include <memory>
 
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::ctl {
 
--- a/main/groups/configuration_keeper.cpp
+++ b/main/groups/configuration_keeper.cpp
@@ -1,4 +1,4 @@
-#include "main/configuration_keeper.h"
+#include "main/groups/configuration_keeper.h"
 
 #include <utility>
 
--- a/main/groups/configuration_keeper.h
+++ b/main/groups/configuration_keeper.h
@@ -6,10 +6,10 @@
 #include "control/control_state.h"
 #include "core/clock.h"
 #include "core/id.h"
-#include "main/group_client.h"
-#include "main/hosted_group.h"
+#include "main/groups/group_client.h"
+#include "main/groups/hosted_group.h"
 #include "main/node.h"
-#include "main/sinks.h"
+#include "main/threads/sinks.h"
 #include "membership/instance_directory.h"
 
 namespace hawthorn::main {
--- a/main/groups/hosted_group.h
+++ b/main/groups/hosted_group.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "consensus/group.h"
-#include "main/group_client.h"
+#include "main/groups/group_client.h"
 #include "storage/log_store.h"
 
 namespace hawthorn::main {
--- a/main/groups/ledger_keeper.cpp
+++ b/main/groups/ledger_keeper.cpp
@@ -1,8 +1,8 @@
-#include "main/ledger_keeper.h"
+#include "main/groups/ledger_keeper.h"
 
 #include <cstdlib>
 
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
 
 namespace hawthorn::main {
 
--- a/main/groups/ledger_keeper.h
+++ b/main/groups/ledger_keeper.h
@@ -7,8 +7,8 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
-#include "main/group_client.h"
-#include "main/hosted_group.h"
+#include "main/groups/group_client.h"
+#include "main/groups/hosted_group.h"
 #include "membership/instance_directory.h"
 #include "programs/ledger.h"
 
--- a/main/groups/ledger_messages.cpp
+++ b/main/groups/ledger_messages.cpp
@@ -1,4 +1,4 @@
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
 
 #include <xxhash.h>
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <array>
 
-#include "main/json.h"
+#include "main/http/json.h"
 #include "programs/fingerprint.h"
 #include "query.pb.h"
 
--- a/main/groups/ledger_messages.h
+++ b/main/groups/ledger_messages.h
@@ -9,7 +9,7 @@
 #include "core/error.h"
 #include "core/id.h"
 #include "ledger.pb.h"
-#include "main/call.h"
+#include "main/calls/call.h"
 
 // Commands and queries that the daemon sends to a ledger, and how it reads
 // the replies.
--- a/main/groups/ledger_query.cpp
+++ b/main/groups/ledger_query.cpp
@@ -1,8 +1,8 @@
-#include "main/ledger_query.h"
+#include "main/groups/ledger_query.h"
 
 #include <algorithm>
 
-#include "main/json.h"
+#include "main/http/json.h"
 #include "query.pb.h"
 
 namespace hawthorn::main {
--- a/main/groups/replicated_groups.cpp
+++ b/main/groups/replicated_groups.cpp
@@ -1,9 +1,9 @@
-#include "main/replicated_groups.h"
+#include "main/groups/replicated_groups.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/groups/replicated_groups.h
+++ b/main/groups/replicated_groups.h
@@ -9,10 +9,10 @@
 
 #include "core/clock.h"
 #include "core/id.h"
-#include "main/group_client.h"
-#include "main/hosted_group.h"
-#include "main/sinks.h"
-#include "main/timers.h"
+#include "main/groups/group_client.h"
+#include "main/groups/hosted_group.h"
+#include "main/threads/sinks.h"
+#include "main/threads/timers.h"
 #include "peer.pb.h"
 
 namespace hawthorn::main {
--- a/main/http/answer_writer.cpp
+++ b/main/http/answer_writer.cpp
@@ -1,10 +1,10 @@
-#include "main/answer_writer.h"
+#include "main/http/answer_writer.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 
-#include "main/json.h"
-#include "main/json_fields.h"
+#include "main/http/json.h"
+#include "main/http/json_fields.h"
 
 namespace hawthorn::main {
 
--- a/main/http/answer_writer.h
+++ b/main/http/answer_writer.h
@@ -3,8 +3,8 @@
 #include <string>
 
 #include "core/error.h"
-#include "main/call.h"
-#include "main/sinks.h"
+#include "main/calls/call.h"
+#include "main/threads/sinks.h"
 
 namespace hawthorn::main {
 
--- a/main/http/caller_api.cpp
+++ b/main/http/caller_api.cpp
@@ -1,12 +1,12 @@
-#include "main/caller_api.h"
+#include "main/http/caller_api.h"
 
 #include <QJsonArray>
 #include <cinttypes>
 #include <cstdio>
 
-#include "main/json.h"
-#include "main/json_fields.h"
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
+#include "main/http/json.h"
+#include "main/http/json_fields.h"
 
 namespace hawthorn::main {
 
--- a/main/http/caller_api.h
+++ b/main/http/caller_api.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <string>
 
-#include "main/call_controller.h"
-#include "main/catalog.h"
-#include "main/group_client.h"
-#include "main/sinks.h"
+#include "main/calls/call_controller.h"
+#include "main/calls/catalog.h"
+#include "main/groups/group_client.h"
+#include "main/threads/sinks.h"
 #include "transport/http_server.h"
 
 namespace hawthorn::main {
--- a/main/http/chat_delta.cpp
+++ b/main/http/chat_delta.cpp
@@ -2,9 +2,9 @@
 #include <QJsonDocument>
 #include <algorithm>
 
-#include "main/caller_api.h"
-#include "main/json.h"
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
+#include "main/http/caller_api.h"
+#include "main/http/json.h"
 #include "query.pb.h"
 
 namespace hawthorn::main {
--- a/main/http/event_stream_parser.cpp
+++ b/main/http/event_stream_parser.cpp
@@ -1,4 +1,4 @@
-#include "main/event_stream_parser.h"
+#include "main/http/event_stream_parser.h"
 
 #include <QJsonDocument>
 
--- a/main/http/json.cpp
+++ b/main/http/json.cpp
@@ -1,4 +1,4 @@
-#include "main/json.h"
+#include "main/http/json.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/main/http/json_fields.cpp
+++ b/main/http/json_fields.cpp
@@ -1,8 +1,8 @@
-#include "main/json_fields.h"
+#include "main/http/json_fields.h"
 
 #include <QJsonDocument>
 
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/http/operator_api.cpp
+++ b/main/http/operator_api.cpp
@@ -1,7 +1,7 @@
-#include "main/operator_api.h"
+#include "main/http/operator_api.h"
 
 #include "control/key.h"
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/http/operator_api.h
+++ b/main/http/operator_api.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "core/metrics.h"
-#include "main/sinks.h"
+#include "main/threads/sinks.h"
 #include "transport/http_server.h"
 
 namespace hawthorn::main {
--- a/main/http/operator_readouts.cpp
+++ b/main/http/operator_readouts.cpp
@@ -1,12 +1,12 @@
-#include "main/operator_readouts.h"
+#include "main/http/operator_readouts.h"
 
 #include <QJsonArray>
 #include <algorithm>
 
 #include "control/operation_id.h"
-#include "main/json.h"
-#include "main/json_fields.h"
-#include "main/ledger_messages.h"
+#include "main/groups/ledger_messages.h"
+#include "main/http/json.h"
+#include "main/http/json_fields.h"
 #include "query.pb.h"
 #include "settings/settings.h"
 
--- a/main/http/operator_readouts.h
+++ b/main/http/operator_readouts.h
@@ -4,8 +4,8 @@
 #include <functional>
 
 #include "core/clock.h"
+#include "main/groups/replicated_groups.h"
 #include "main/node.h"
-#include "main/replicated_groups.h"
 #include "membership/membership.h"
 #include "settings.pb.h"
 
--- a/main/http/upstream_api.cpp
+++ b/main/http/upstream_api.cpp
@@ -1,11 +1,11 @@
-#include "main/upstream_api.h"
+#include "main/http/upstream_api.h"
 
 #include <QJsonArray>
 #include <algorithm>
 
 #include "control/key.h"
-#include "main/json.h"
-#include "main/json_fields.h"
+#include "main/http/json.h"
+#include "main/http/json_fields.h"
 
 namespace hawthorn::main {
 
--- a/main/http/upstream_api.h
+++ b/main/http/upstream_api.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "core/clock.h"
-#include "main/sinks.h"
+#include "main/threads/sinks.h"
 #include "membership/upstream_directory.h"
 #include "scheduling/scheduler.h"
 #include "transport/http_server.h"
--- a/main/instance.cpp
+++ b/main/instance.cpp
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "main/json.h"
-#include "main/ledger_query.h"
-#include "main/operator_readouts.h"
+#include "main/groups/ledger_query.h"
+#include "main/http/json.h"
+#include "main/http/operator_readouts.h"
 #include "programs/program_id.h"
 
 namespace hawthorn::main {
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/threads/http_thread.cpp
+++ b/main/threads/http_thread.cpp
@@ -1,11 +1,11 @@
-#include "main/http_thread.h"
+#include "main/threads/http_thread.h"
 
 #include <QCoreApplication>
 #include <cstdlib>
 #include <thread>
 #include <utility>
 
-#include "main/json.h"
+#include "main/http/json.h"
 
 namespace hawthorn::main {
 
--- a/main/threads/http_thread.h
+++ b/main/threads/http_thread.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "core/clock.h"
-#include "main/events.h"
-#include "main/mailbox.h"
-#include "main/sinks.h"
+#include "main/threads/events.h"
+#include "main/threads/mailbox.h"
+#include "main/threads/sinks.h"
 #include "transport/http_server.h"
 
 namespace hawthorn::main {
--- a/main/threads/peer_thread.cpp
+++ b/main/threads/peer_thread.cpp
@@ -1,4 +1,4 @@
-#include "main/peer_thread.h"
+#include "main/threads/peer_thread.h"
 
 #include <utility>
 
--- a/main/threads/peer_thread.h
+++ b/main/threads/peer_thread.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "core/clock.h"
-#include "main/events.h"
-#include "main/mailbox.h"
-#include "main/sinks.h"
+#include "main/threads/events.h"
+#include "main/threads/mailbox.h"
+#include "main/threads/sinks.h"
 #include "peer/peer_transport.h"
 #include "settings.pb.h"
 
--- a/main/threads/upstream_thread.cpp
+++ b/main/threads/upstream_thread.cpp
@@ -1,4 +1,4 @@
-#include "main/upstream_thread.h"
+#include "main/threads/upstream_thread.h"
 
 #include <utility>
 
--- a/main/threads/upstream_thread.h
+++ b/main/threads/upstream_thread.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <memory>
 
-#include "main/events.h"
-#include "main/mailbox.h"
-#include "main/sinks.h"
+#include "main/threads/events.h"
+#include "main/threads/mailbox.h"
+#include "main/threads/sinks.h"
 
 namespace hawthorn::main {
 
--- a/tests/main/chat_delta_test.cpp
+++ b/tests/main/chat_delta_test.cpp
@@ -2,8 +2,8 @@
 #include <QJsonObject>
 #include <catch2/catch.hpp>
 
-#include "main/caller_api.h"
-#include "main/json.h"
+#include "main/http/caller_api.h"
+#include "main/http/json.h"
 #include "query.pb.h"
 
 namespace hawthorn::main {
--- a/tests/main/deployment.cpp
+++ b/tests/main/deployment.cpp
@@ -10,7 +10,7 @@
 #include <fstream>
 
 #include "control/key.h"
-#include "main/json.h"
+#include "main/http/json.h"
 #include "tests/support/event_loop.h"
 
 namespace hawthorn::test {
