--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -28,7 +28,7 @@
   using UpdateHandler = std::function<void(const schema::DeploymentUpdate&)>;
 
   /// Time without an update after which another instance is watched. Updates
-  /// come at least every DeploymentHost::kKeepAlive.
+  /// come at least every WatchBoard::kKeepAlive.
   static constexpr std::chrono::milliseconds kUpdateTimeout{700};
   /// Wait between two attempts to watch.
   static constexpr std::chrono::milliseconds kWatchRetry{80};
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -33,6 +33,20 @@
                      core::Execution::kNotRun, kRetryAfter};
 }
 
+/// Hands one field of a leader's reply on, or the error in its place.
+template <typename T>
+auto TakeField(std::function<void(const core::Result<T>&)> callback,
+               const T& (schema::DeploymentMessage::*field)() const) {
+  return [callback = std::move(callback),
+          field](const core::Result<schema::DeploymentMessage>& reply) {
+    if (!core::IsOk(reply)) {
+      callback(core::ErrorOf(reply));
+      return;
+    }
+    callback((core::Value(reply).*field)());
+  };
+}
+
 }  // namespace
 
 schema::PeerMessage Pack(const schema::DeploymentMessage& message) {
@@ -63,7 +77,8 @@
     : options_(std::move(options)),
       clock_(clock),
       metrics_(metrics),
-      peers_(peers) {
+      peers_(peers),
+      watches_(machine_, clock) {
   connect(&tick_, &QTimer::timeout, this, &DeploymentHost::Tick);
 }
 
@@ -159,7 +174,17 @@
     ReportHeard();
   }
   Flush();
-  UpdateWatchers();
+  UpdateWatches();
+}
+
+void DeploymentHost::UpdateWatches() {
+  if (IsCurrent()) {
+    watches_.Update(group_->replica().leader().instance);
+  } else if (!watches_.empty()) {
+    Log(LogLevel::kWarn, "lost contact to a leader",
+        {{"watchers", std::to_string(watches_.size())}});
+    watches_.End(Unavailable("no contact to a leader"));
+  }
 }
 
 void DeploymentHost::Flush() {
@@ -214,7 +239,7 @@
   for (const auto& [id, record] : machine_.instances()) {
     Dial(id, record.peer_address());
   }
-  UpdateWatchers();
+  UpdateWatches();
 }
 
 bool DeploymentHost::IsCurrent() const {
@@ -294,17 +319,10 @@
   schema::DeploymentMessage reply;
   reply.mutable_instances()->set_leader(
       IsCurrent() ? group_->replica().leader().instance : std::string());
-  FillInstances(reply.mutable_instances()->mutable_instances());
+  AppendInstances(machine_, reply.mutable_instances()->mutable_instances());
   replier.Reply(Pack(reply));
 }
 
-void DeploymentHost::FillInstances(
-    google::protobuf::RepeatedPtrField<schema::InstanceRecord>* out) const {
-  for (const auto& [id, record] : machine_.instances()) {
-    *out->Add() = record;
-  }
-}
-
 void DeploymentHost::OnGroupMessage(const schema::GroupMessage& message) {
   schema::ConsensusMessage parsed;
   if (!group_ || !parsed.ParseFromString(message.payload())) {
@@ -335,7 +353,12 @@
       OnAnnouncement(message.announcement(), replier);
       return;
     case schema::DeploymentMessage::kWatch:
-      AddWatcher(message.watch(), from, replier);
+      if (!IsCurrent()) {
+        replier.Fail(Unavailable("no contact to a leader"));
+        return;
+      }
+      watches_.Add(message.watch(), from, replier,
+                   group_->replica().leader().instance);
       return;
     case schema::DeploymentMessage::kPropose: {
       schema::DeploymentCommand command;
@@ -444,14 +467,7 @@
   schema::DeploymentMessage message;
   command.SerializeToString(message.mutable_propose());
   AskLeader(message, kProposeTimeout,
-            [callback = std::move(callback)](
-                const core::Result<schema::DeploymentMessage>& reply) {
-              if (!core::IsOk(reply)) {
-                callback(core::ErrorOf(reply));
-                return;
-              }
-              callback(core::Value(reply).reply());
-            });
+            TakeField(std::move(callback), &schema::DeploymentMessage::reply));
 }
 
 void DeploymentHost::ReadHere(ReadCallback callback) {
@@ -479,14 +495,8 @@
   schema::DeploymentMessage message;
   message.mutable_read();
   AskLeader(message, kProposeTimeout,
-            [callback = std::move(callback)](
-                const core::Result<schema::DeploymentMessage>& reply) {
-              if (!core::IsOk(reply)) {
-                callback(core::ErrorOf(reply));
-                return;
-              }
-              callback(core::Value(reply).configuration());
-            });
+            TakeField(std::move(callback),
+                      &schema::DeploymentMessage::configuration));
 }
 
 core::Result<schema::RetirementState> DeploymentHost::RetirementHere(
@@ -526,96 +536,8 @@
   schema::DeploymentMessage message;
   message.mutable_retirement()->set_name(name);
   AskLeader(message, kProposeTimeout,
-            [callback = std::move(callback)](
-                const core::Result<schema::DeploymentMessage>& reply) {
-              if (!core::IsOk(reply)) {
-                callback(core::ErrorOf(reply));
-                return;
-              }
-              callback(core::Value(reply).retirement_state());
-            });
-}
-
-void DeploymentHost::AddWatcher(const schema::WatchRequest& request,
-                                const std::string& from,
-                                const peer::Replier& replier) {
-  if (!IsCurrent()) {
-    replier.Fail(Unavailable("no contact to a leader"));
-    return;
-  }
-  Watcher watcher;
-  watcher.replier = replier;
-  watcher.instance = from;
-  watcher.configuration_version = request.configuration_version();
-  watchers_.remove_if(
-      [&from](const Watcher& it) { return it.instance == from; });
-  watchers_.push_back(std::move(watcher));
-  SendUpdate(&watchers_.back(), Now());
-}
-
-void DeploymentHost::UpdateWatchers() {
-  if (watchers_.empty()) {
-    return;
-  }
-  if (!IsCurrent()) {
-    EndWatches();
-    return;
-  }
-  watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
-  const core::TimePoint now = Now();
-  const std::string& leader = group_->replica().leader().instance;
-  for (Watcher& it : watchers_) {
-    const bool due =
-        it.configuration_version < machine_.configuration().version() ||
-        it.upstream_revision < machine_.upstream_revision() ||
-        it.last_leader != leader ||
-        it.last_instances != machine_.instances().size() ||
-        it.last_sent + kKeepAlive <= now;
-    if (due) {
-      SendUpdate(&it, now);
-    }
-  }
-}
-
-void DeploymentHost::EndWatches() {
-  Log(LogLevel::kWarn, "lost contact to a leader",
-      {{"watchers", std::to_string(watchers_.size())}});
-  for (const Watcher& it : std::exchange(watchers_, {})) {
-    it.replier.Fail(Unavailable("no contact to a leader"));
-  }
-}
-
-void DeploymentHost::SendUpdate(Watcher* watcher, core::TimePoint now) {
-  schema::DeploymentMessage message;
-  schema::DeploymentUpdate* update = message.mutable_update();
-  if (machine_.configuration().version() > watcher->configuration_version) {
-    *update->mutable_configuration() = machine_.configuration();
-  }
-  update->set_whole_table(!watcher->sent_table);
-  for (const auto& [id, entry] : machine_.upstreams()) {
-    const bool news = !watcher->sent_table
-                          ? !entry.gone()
-                          : entry.revision() > watcher->upstream_revision;
-    if (news) {
-      *update->add_upstreams() = entry;
-    }
-  }
-  update->set_leader(group_->replica().leader().instance);
-  if (watcher->last_instances != machine_.instances().size() ||
-      !watcher->sent_table) {
-    FillInstances(update->mutable_instances());
-  }
-  update->set_watchers(static_cast<uint32_t>(watchers_.size()));
-  if (!core::IsOk(watcher->replier.SendPiece(Pack(message)))) {
-    return;
-  }
-  watcher->sent_table = true;
-  watcher->configuration_version = std::max<uint64_t>(
-      watcher->configuration_version, machine_.configuration().version());
-  watcher->upstream_revision = machine_.upstream_revision();
-  watcher->last_leader = update->leader();
-  watcher->last_instances = machine_.instances().size();
-  watcher->last_sent = now;
+            TakeField(std::move(callback),
+                      &schema::DeploymentMessage::retirement_state));
 }
 
 GroupView DeploymentHost::View() const {
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -5,13 +5,13 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "cluster/membership_planner.h"
+#include "cluster/watch_board.h"
 #include "consensus/group.h"
 #include "control/deployment_state.h"
 #include "core/clock.h"
@@ -68,8 +68,6 @@
   /// Time without an announcement after which an instance counts as dead.
   static constexpr std::chrono::milliseconds kDeadAfter{2000};
   static constexpr std::chrono::milliseconds kAnnounceInterval{400};
-  /// Interval of updates that say only that this instance is current.
-  static constexpr std::chrono::milliseconds kKeepAlive{250};
   /// Time without an announcement after which an upstream is forgotten. Long:
   /// one that is cut off from this instance may still serve others.
   static constexpr std::chrono::milliseconds kUpstreamSilence{45000};
@@ -119,16 +117,6 @@
   void HandOver();
 
  private:
-  struct Watcher {
-    peer::Replier replier;
-    std::string instance;
-    uint64_t configuration_version = 0;
-    uint64_t upstream_revision = 0;
-    bool sent_table = false;
-    core::TimePoint last_sent;
-    std::string last_leader;
-    size_t last_instances = 0;
-  };
   struct Announced {
     schema::InstanceAnnouncement announcement;
     core::TimePoint at;
@@ -145,11 +133,7 @@
                       const peer::Replier& replier);
   void LearnInstances(const schema::InstanceList& list);
   void Dial(const std::string& instance, const std::string& address);
-  void AddWatcher(const schema::WatchRequest& request, const std::string& from,
-                  const peer::Replier& replier);
-  void UpdateWatchers();
-  void EndWatches();
-  void SendUpdate(Watcher* watcher, core::TimePoint now);
+  void UpdateWatches();
   void PlanStep();
   GroupView View() const;
   void RecordInstances();
@@ -166,8 +150,6 @@
       std::function<void(const core::Result<schema::DeploymentMessage>&)>
           callback);
   std::string LeaderElsewhere() const;
-  void FillInstances(
-      google::protobuf::RepeatedPtrField<schema::InstanceRecord>* out) const;
   core::TimePoint Now() const { return clock_.Now(); }
 
   HostOptions options_;
@@ -191,7 +173,7 @@
   std::map<std::string, Announced> announced_;
   /// Peer addresses by instance.
   std::map<std::string, std::string> dialled_;
-  std::list<Watcher> watchers_;
+  WatchBoard watches_;
   std::map<std::string, core::TimePoint> heard_;
   core::TimePoint leader_since_;
 };
--- /dev/null
+++ b/cluster/watch_board.cpp
@@ -0,0 +1,86 @@
+#include "cluster/watch_board.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/deployment_host.h"
+
+namespace hawthorn::cluster {
+
+void AppendInstances(
+    const control::DeploymentState& state,
+    google::protobuf::RepeatedPtrField<schema::InstanceRecord>* out) {
+  for (const auto& [id, record] : state.instances()) {
+    *out->Add() = record;
+  }
+}
+
+void WatchBoard::Add(const schema::WatchRequest& request,
+                     const std::string& instance, const peer::Replier& replier,
+                     const std::string& leader) {
+  watchers_.remove_if(
+      [&instance](const Watcher& it) { return it.instance == instance; });
+  Watcher watcher;
+  watcher.replier = replier;
+  watcher.instance = instance;
+  watcher.configuration_version = request.configuration_version();
+  watchers_.push_back(std::move(watcher));
+  Send(&watchers_.back(), leader);
+}
+
+void WatchBoard::Update(const std::string& leader) {
+  watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
+  const core::TimePoint now = clock_.Now();
+  for (Watcher& it : watchers_) {
+    const bool due =
+        it.configuration_version < state_.configuration().version() ||
+        it.upstream_revision < state_.upstream_revision() ||
+        it.last_leader != leader ||
+        it.last_instances != state_.instances().size() ||
+        it.last_sent + kKeepAlive <= now;
+    if (due) {
+      Send(&it, leader);
+    }
+  }
+}
+
+void WatchBoard::End(const core::Error& reason) {
+  for (const Watcher& it : std::exchange(watchers_, {})) {
+    it.replier.Fail(reason);
+  }
+}
+
+void WatchBoard::Send(Watcher* watcher, const std::string& leader) {
+  schema::DeploymentMessage message;
+  schema::DeploymentUpdate* update = message.mutable_update();
+  if (state_.configuration().version() > watcher->configuration_version) {
+    *update->mutable_configuration() = state_.configuration();
+  }
+  update->set_whole_table(!watcher->sent_table);
+  for (const auto& [id, entry] : state_.upstreams()) {
+    const bool news = !watcher->sent_table
+                          ? !entry.gone()
+                          : entry.revision() > watcher->upstream_revision;
+    if (news) {
+      *update->add_upstreams() = entry;
+    }
+  }
+  update->set_leader(leader);
+  if (watcher->last_instances != state_.instances().size() ||
+      !watcher->sent_table) {
+    AppendInstances(state_, update->mutable_instances());
+  }
+  update->set_watchers(static_cast<uint32_t>(watchers_.size()));
+  if (!core::IsOk(watcher->replier.SendPiece(Pack(message)))) {
+    return;
+  }
+  watcher->sent_table = true;
+  watcher->configuration_version = std::max<uint64_t>(
+      watcher->configuration_version, state_.configuration().version());
+  watcher->upstream_revision = state_.upstream_revision();
+  watcher->last_leader = leader;
+  watcher->last_instances = state_.instances().size();
+  watcher->last_sent = clock_.Now();
+}
+
+}  // namespace hawthorn::cluster
--- /dev/null
+++ b/cluster/watch_board.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <string>
+
+#include "control/deployment_state.h"
+#include "core/clock.h"
+#include "core/error.h"
+#include "peer/replier.h"
+#include "schema/generated/deployment.pb.h"
+
+namespace hawthorn::cluster {
+
+/// Instances that follow the deployment's state here, and what each was sent.
+class WatchBoard {
+ public:
+  /// Interval of updates that say only that this instance is current.
+  static constexpr std::chrono::milliseconds kKeepAlive{250};
+
+  /// Both outlive the board.
+  WatchBoard(const control::DeploymentState& state, const core::Clock& clock)
+      : state_(state), clock_(clock) {}
+
+  /// Takes an instance in and sends it the whole table. An earlier watch of
+  /// the same instance is forgotten.
+  void Add(const schema::WatchRequest& request, const std::string& instance,
+           const peer::Replier& replier, const std::string& leader);
+  /// Sends what changed, and a sign of life where it is due.
+  void Update(const std::string& leader);
+  /// Ends all watches, so that the instances follow another one.
+  void End(const core::Error& reason);
+
+  bool empty() const { return watchers_.empty(); }
+  size_t size() const { return watchers_.size(); }
+
+ private:
+  struct Watcher {
+    peer::Replier replier;
+    std::string instance;
+    uint64_t configuration_version = 0;
+    uint64_t upstream_revision = 0;
+    bool sent_table = false;
+    core::TimePoint last_sent;
+    std::string last_leader;
+    size_t last_instances = 0;
+  };
+
+  void Send(Watcher* watcher, const std::string& leader);
+
+  const control::DeploymentState& state_;
+  const core::Clock& clock_;
+  std::list<Watcher> watchers_;
+};
+
+/// Appends the records of all instances with a disk.
+void AppendInstances(
+    const control::DeploymentState& state,
+    google::protobuf::RepeatedPtrField<schema::InstanceRecord>* out);
+
+}  // namespace hawthorn::cluster
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -11,6 +11,17 @@
 rm -f /tmp/hawthorn-setup.$$
 tools/build.sh || exit 1
 tools/lint.sh || exit 1
+# The build of the users' platform must pass too; its line stands in the
+# deploy file.
+platform_build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+[ -n "$platform_build" ] || {
+  echo "deploy/system.toml names no build"
+  exit 1
+}
+sh -c "$platform_build" > build/platform-build.log 2>&1 || {
+  tail -n 40 build/platform-build.log
+  exit 1
+}
 export RC_PARAMS="seed=2026"
 log=build/test.log
 ctest --test-dir build -j "$(nproc)" --output-on-failure \
