cluster: Drop a second copy of taking settlements off

Found by the closing read: SendSettlements had its own loop beside OnSettled, and TryAgain a parameter that nothing read.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -261,9 +261,7 @@
                      settle_timer_.start(kSettleRetry);
                      return;
                    }
-                   for (const auto& it : command.settle().settlements()) {
-                     settlements_.erase(it.request());
-                   }
+                   OnSettled(command.settle().settlements());
                    if (!settlements_.empty()) {
                      settle_timer_.start(kSettleDelay);
                    }
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -275,8 +275,7 @@
   const bool failed = answer_.status >= kFirstServerError;
   if (failed && !answer_begun_) {
     ran_at_.insert(upstream_);
-    if (ran_at_.size() < parts_.route.max_upstreams &&
-        TryAgain(LinkFailure::kClosed)) {
+    if (ran_at_.size() < parts_.route.max_upstreams && TryAgain()) {
       return;
     }
   }
@@ -317,7 +316,7 @@
   }
   if (failure != LinkFailure::kUnreachable) {
     ran_at_.insert(upstream_);
-    if (!TryAgain(failure)) {
+    if (!TryAgain()) {
       LeaveUpstream(scheduling::CallOutcome::kFailed);
       Fail(kBadGateway, "the upstream broke its answer off");
     }
@@ -373,7 +372,7 @@
   Fail(kBadGateway, "the upstream was cut off");
 }
 
-bool RelayCall::TryAgain(LinkFailure /*failure*/) {
+bool RelayCall::TryAgain() {
   summary_.ran = true;
   const bool raw_begun = answer_begun_ && !streaming_ && !last_event_;
   if (!parts_.route.MayRepeat() || raw_begun ||
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -156,7 +156,7 @@
   void BeginAnswer();
   void LeaveUpstream(scheduling::CallOutcome outcome);
   /// Tries again where the kind of call allows it; false if it does not.
-  bool TryAgain(LinkFailure failure);
+  bool TryAgain();
   void OnCallerLeft();
   void OnDeadline();
   void Refuse(int status, std::string reason,
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -139,7 +139,7 @@
   // claim is granted once.
   const auto claim = [&](const std::string& request, int64_t tokens) {
     std::optional<core::Result<relay::ClaimAnswer>> answer;
-    const bool answered = WaitFor([&] {
+    REQUIRE(WaitFor([&] {
       answer.reset();
       client.Claim({"p", request, 100, tokens}, std::chrono::milliseconds(1500),
                    [&answer](const core::Result<relay::ClaimAnswer>& got) {
@@ -147,8 +147,8 @@
                    });
       WaitFor([&answer] { return answer.has_value(); });
       return answer && core::IsOk(*answer);
-    });
-    return answered && core::Value(*answer).granted;
+    }));
+    return core::Value(*answer).granted;
   };
   CHECK(claim("r1", 60));
   CHECK_FALSE(claim("r2", 60));
