consensus: Replace the only disk of a group that needs one

Cause: with a durable copy required, no entry commits once the only voter with a disk has lost it, and the change of membership that admits its successor is such an entry.

Now the successor joins beside the lost identity as a learner, whose disk counts as a durable copy; a change of membership may begin once a majority holds the change before it, which is what the safety of changes one at a time rests on. The lost identity is removed after the successor was promoted.

Ruled out: dropping the durable copy for changes of membership, because a loss of power right after it could leave no copy at all.

--- a/consensus/leader_state.cpp
+++ b/consensus/leader_state.cpp
@@ -52,19 +52,19 @@
   std::vector<uint64_t> matches;
   uint64_t durable = 0;
   for (const Member& member : membership.members()) {
-    if (!member.voter) {
-      continue;
-    }
     uint64_t match = 0;
     if (member.id == self_) {
       match = own_persisted;
     } else if (const auto it = others_.find(member.id); it != others_.end()) {
       match = it->second.match;
     }
-    matches.push_back(match);
+    // A learner's disk counts: it takes the place of a voter's lost one.
     if (member.durable) {
       durable = std::max(durable, match);
     }
+    if (member.voter) {
+      matches.push_back(match);
+    }
   }
   if (matches.empty()) {
     return 0;
--- a/consensus/membership.cpp
+++ b/consensus/membership.cpp
@@ -60,7 +60,11 @@
       return Refuse(core::ErrorCode::kInvalidArgument,
                     "a replica needs an instance and an incarnation");
     }
-    if (FindInstance(change.id.instance) != nullptr) {
+    const Member* old = FindInstance(change.id.instance);
+    const bool replaces_last_disk =
+        old != nullptr && old->durable && old->voter && change.durable &&
+        old->id != change.id && durable_voter_count() == 1 && voter_count() > 1;
+    if (old != nullptr && !replaces_last_disk) {
       return Refuse(
           core::ErrorCode::kConflict,
           change.id.instance + " is a member; remove its old identity first");
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -119,7 +119,7 @@
   const auto refuse = [](core::ErrorCode code, std::string message) {
     return core::Error{code, std::move(message), core::Execution::kNotRun, {}};
   };
-  if (!membership_committed() || !CommittedInTerm()) {
+  if (!MembershipSettled()) {
     return refuse(core::ErrorCode::kConflict,
                   "another change of membership is under way");
   }
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -194,6 +194,7 @@
   void ContinueTransfer();
   const ReplicaId* FurthestVoter() const;
   bool CommittedInTerm() const;
+  bool MembershipSettled() const;
 
   // replica_admission.cpp
   void TickAdmission();
@@ -203,6 +204,7 @@
   void TryFormGroup();
   void RepairMembership();
   bool AdmitAnnounced(const Announced& announced);
+  bool RemoveReplacedVoter();
 
   ReplicaOptions options_;
   ReplicaLog log_;
--- a/consensus/replica_admission.cpp
+++ b/consensus/replica_admission.cpp
@@ -118,7 +118,7 @@
 
 void Replica::RepairMembership() {
   if (role_ != Role::kLeader || options_.instances.empty() ||
-      !membership_committed() || !CommittedInTerm() || !accepts_proposals()) {
+      !MembershipSettled() || !accepts_proposals()) {
     return;
   }
   for (const Member& member : membership().members()) {
@@ -128,6 +128,9 @@
       return;
     }
   }
+  if (RemoveReplacedVoter()) {
+    return;
+  }
   for (const auto& [instance, announced] : announced_) {
     const bool current = announced.term == term() &&
                          announced.at + options_.election_timeout > now_;
@@ -142,12 +145,33 @@
     return false;
   }
   const Member* old = membership().FindInstance(announced.id.instance);
-  const MembershipChange change =
-      old != nullptr
-          ? MembershipChange{MembershipChange::Kind::kRemove, old->id, false}
-          : MembershipChange{MembershipChange::Kind::kAddLearner, announced.id,
-                             announced.durable};
-  return core::IsOk(ProposeMembership(change, now_));
+  if (old != nullptr &&
+      core::IsOk(ProposeMembership(
+          {MembershipChange::Kind::kRemove, old->id, false}, now_))) {
+    return true;
+  }
+  // The last voter with a disk has lost it: its successor joins beside it.
+  return core::IsOk(ProposeMembership(
+      {MembershipChange::Kind::kAddLearner, announced.id, announced.durable},
+      now_));
+}
+
+bool Replica::RemoveReplacedVoter() {
+  const std::vector<Member>& members = membership().members();
+  for (const Member& old : members) {
+    // The new identity was admitted because the old one has ended.
+    const bool replaced =
+        std::any_of(members.begin(), members.end(), [&](const Member& member) {
+          return member.voter && member.id.instance == old.id.instance &&
+                 member.id != old.id &&
+                 (member.id == options_.id || HasCaughtUp(member.id));
+        });
+    if (replaced && old.id != options_.id && !HasCaughtUp(old.id)) {
+      return core::IsOk(ProposeMembership(
+          {MembershipChange::Kind::kRemove, old.id, false}, now_));
+    }
+  }
+  return false;
 }
 
 }  // namespace hawthorn::consensus
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -198,6 +198,15 @@
   return log_.TermAt(commit_index_) == term();
 }
 
+bool Replica::MembershipSettled() const {
+  // What a majority holds cannot be lost by an election. The durable copy that
+  // a commit may need as well must not be asked for here: a change of
+  // membership replaces it when it is lost.
+  const uint64_t held =
+      leading_->CommittableIndex(membership(), queue_.persisted_index(), false);
+  return log_.membership_index() <= held && log_.TermAt(held) == term();
+}
+
 void Replica::UpdateCommit() {
   const uint64_t index = leading_->CommittableIndex(
       membership(), queue_.persisted_index(), options_.require_durable_copy);
--- a/tests/consensus/fault_property_test.cpp
+++ b/tests/consensus/fault_property_test.cpp
@@ -63,9 +63,25 @@
   rc::prop("plan", [] { RunPlan({5, 2, true}); });
 }
 
+TEST_CASE("one required durable copy is kept under faults") {
+  rc::prop("plan", [] { RunPlan({3, 1, true}); });
+}
+
+TEST_CASE("the only disk that is lost is replaced") {
+  SimulationOptions options{3, 1, true};
+  options.seed = 14;
+  Simulation simulation(options);
+  REQUIRE(simulation.WaitUntilWhole(30000));
+  // Target 3 is the first replica, whoever leads.
+  REQUIRE(simulation.Apply({FaultKind::kLoseState, 3, 1000}));
+  simulation.Finish();
+  REQUIRE(simulation.breach().empty());
+}
+
 TEST_CASE("drawn plans that once left a group without all its voters") {
-  // A learner was sent one snapshot after the other.
-  const uint64_t seed = GENERATE(519, 1067, 1279);
+  // 14, 1194: the only disk was lost. 519, 1067, 1279: a learner was sent one
+  // snapshot after the other. 1182: the successor of the only disk led.
+  const uint64_t seed = GENERATE(14, 519, 1067, 1182, 1194, 1279);
   CAPTURE(seed);
   Simulation simulation(DrawnOptions(seed));
   simulation.RunDrawnPlan(seed);
