main: Export metrics of every role and log claims at the leader

The platform's roles had a handful of counters; on-call engineers could not see how long calls wait, what a commit or sync takes, who leads, or how old what an instance knows is. Histograms now name what they time. Claims on budgets have a record of their own at the leader: refused ones always, granted ones at debug level.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -73,6 +73,16 @@
          clock_.Now() - last_update_ > kCutOffAfter;
 }
 
+void DeploymentClient::UpdateGauges() const {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.Now() - last_update_);
+  const bool heard = last_update_ != core::TimePoint();
+  metrics_.Gauge("update_age_ms",
+                 heard ? static_cast<double>(age.count()) : -1);
+  metrics_.Gauge("open_claims", static_cast<double>(claims_.size()));
+  metrics_.Gauge("open_settlements", static_cast<double>(settlements_.size()));
+}
+
 void DeploymentClient::Watch() {
   if (sources_.empty()) {
     retry_.start(kWatchRetry);
@@ -134,7 +144,8 @@
   auto pending = std::make_shared<PendingClaim>();
   pending->claim = claim;
   pending->callback = std::move(callback);
-  pending->deadline = clock_.Now() + timeout;
+  pending->begun = clock_.Now();
+  pending->deadline = pending->begun + timeout;
   QMetaObject::invokeMethod(
       this, [this, pending] { TryClaim(pending); }, Qt::QueuedConnection);
 }
@@ -198,9 +209,15 @@
 void DeploymentClient::FinishClaim(
     const ClaimPtr& claim, const core::Result<relay::ClaimAnswer>& answer) {
   claims_.erase(claim);
-  if (!std::exchange(claim->done, true)) {
-    claim->callback(answer);
+  if (std::exchange(claim->done, true)) {
+    return;
   }
+  const char* outcome = !core::IsOk(answer)           ? "unanswered"
+                        : core::Value(answer).granted ? "granted"
+                                                      : "refused";
+  metrics_.Observe({core::OrganisationId("deployment"), outcome, "claim"},
+                   clock_.Now() - claim->begun);
+  claim->callback(answer);
 }
 
 void DeploymentClient::RepeatClaims() {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -54,6 +54,8 @@
   ~DeploymentClient() override;
 
   void Start();
+  /// Sets the gauges of the metrics to what holds now.
+  void UpdateGauges() const;
   void AddSeeds(const std::vector<std::string>& seeds);
 
   void Claim(const relay::TokenClaim& claim, std::chrono::milliseconds timeout,
@@ -70,6 +72,7 @@
   struct PendingClaim {
     relay::TokenClaim claim;
     ClaimCallback callback;
+    core::TimePoint begun;
     core::TimePoint deadline;
     /// Leader that was asked last.
     std::string asked;
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -24,6 +24,8 @@
 /// calls any of them silent.
 constexpr std::chrono::milliseconds kSettleTime{3000};
 constexpr std::chrono::milliseconds kRetryAfter{300};
+/// Organisation under which the deployment's own work is timed.
+const core::OrganisationId kOwnWork("deployment");
 /// Instances that must remain when one is emptied: enough for a group that
 /// bears a loss.
 constexpr size_t kLeastInstances = 3;
@@ -33,6 +35,65 @@
                      core::Execution::kNotRun, kRetryAfter};
 }
 
+const char* KindOf(const schema::DeploymentCommand& command) {
+  using Command = schema::DeploymentCommand;
+  switch (command.body_case()) {
+    case Command::kPublish:
+      return "publish";
+    case Command::kUpstream:
+      return "upstream";
+    case Command::kReserve:
+      return "claim";
+    case Command::kSettle:
+      return "settle";
+    case Command::kInstance:
+    case Command::kForgetInstance:
+    case Command::kRetire:
+      return "instance";
+    case Command::kForgetUpstream:
+      return "forget_upstream";
+    case Command::BODY_NOT_SET:
+      break;
+  }
+  return "none";
+}
+
+/// The claim in a command, without the settlements that travel with it.
+std::optional<schema::TokenReservation> ClaimOf(
+    const schema::DeploymentCommand& command) {
+  if (!command.has_reserve()) {
+    return std::nullopt;
+  }
+  schema::TokenReservation claim;
+  claim.set_program(command.reserve().program());
+  claim.set_request(command.reserve().request());
+  claim.set_budget(command.reserve().budget());
+  claim.set_tokens(command.reserve().tokens());
+  return claim;
+}
+
+void LogClaim(const schema::TokenReservation& claim,
+              const core::Result<schema::DeploymentReply>& result) {
+  const bool known = core::IsOk(result);
+  const bool granted = known && core::Value(result).granted();
+  const LogLevel level = granted ? LogLevel::kDebug
+                         : known ? LogLevel::kInfo
+                                 : LogLevel::kWarn;
+  if (!logging::IsLogged(level)) {
+    return;
+  }
+  Log(level, granted ? "claim granted" : "claim refused",
+      {{"request", claim.request()},
+       {"program", claim.program()},
+       {"budget", std::to_string(claim.budget())},
+       {"most_tokens", std::to_string(claim.tokens())},
+       {"budget_remaining",
+        known ? std::to_string(core::Value(result).remaining()) : "unknown"},
+       {"reason", granted ? ""
+                  : known ? "budget spent"
+                          : core::ErrorOf(result).message}});
+}
+
 /// Hands one field of a leader's reply on, or the error in its place.
 template <typename T>
 auto TakeField(std::function<void(const core::Result<T>&)> callback,
@@ -140,6 +201,33 @@
   return std::monostate{};
 }
 
+void DeploymentHost::UpdateGauges() const {
+  if (!group_) {
+    return;
+  }
+  const auto set = [this](const char* name, auto value) {
+    metrics_.Gauge(name, static_cast<double>(value));
+  };
+  const auto contact = group_->replica().LastContact();
+  set("is_leader", is_leader() ? 1 : 0);
+  set("term", group_->replica().term());
+  set("voters", voter_count());
+  set("members", group_->replica().membership().members().size());
+  // -1 before the first contact.
+  set("leader_contact_age_ms",
+      contact ? std::chrono::duration_cast<std::chrono::milliseconds>(Now() -
+                                                                      *contact)
+                    .count()
+              : -1);
+  set("applied_index", group_->applied_index());
+  set("configuration_version", machine_.configuration().version());
+  set("upstreams_known", machine_.upstreams().size());
+  set("upstream_revision", machine_.upstream_revision());
+  set("instances_known", machine_.instances().size());
+  set("programs_known", machine_.program_count());
+  set("watchers", watches_.size());
+}
+
 void DeploymentHost::AddSeeds(const std::vector<std::string>& seeds) {
   for (const std::string& address : seeds) {
     Dial(HostOf(address), address);
@@ -203,12 +291,14 @@
     peers_.Send(core::InstanceId(to), std::move(out));
   }
   if (std::optional<storage::LogBatch> batch = group_->TakeBatch(now)) {
+    sync_began_ = now;
     journal_->Write(kDeploymentGroup, *store_, std::move(*batch));
   }
   AfterApply();
 }
 
 void DeploymentHost::OnWritten(const storage::JournalWritten& written) {
+  metrics_.Observe({kOwnWork, "journal", "sync"}, Now() - sync_began_);
   if (!core::IsOk(written.status)) {
     metrics_.Count("journal_errors");
     Log(LogLevel::kError, "the journal failed",
@@ -222,6 +312,7 @@
   const std::string leader = group_->replica().leader().instance;
   if (leader != known_leader_) {
     known_leader_ = leader;
+    metrics_.Count("leader_changes");
     Log(LogLevel::kInfo, "leader changed",
         {{"leader", leader},
          {"term", std::to_string(group_->replica().term())}});
@@ -412,14 +503,21 @@
   }
   group_->Propose(
       command.SerializeAsString(),
-      [callback = std::move(callback)](const core::Result<std::string>& it) {
-        if (!core::IsOk(it)) {
-          callback(core::ErrorOf(it));
-          return;
+      [this, callback = std::move(callback), now, kind = KindOf(command),
+       claim = ClaimOf(command)](const core::Result<std::string>& it) {
+        core::Result<schema::DeploymentReply> result{schema::DeploymentReply()};
+        if (core::IsOk(it)) {
+          std::get<schema::DeploymentReply>(result).ParseFromString(
+              core::Value(it));
+          metrics_.Observe({kOwnWork, kind, "commit"}, Now() - now);
+        } else {
+          result = core::ErrorOf(it);
+          metrics_.Count("commands_failed");
+        }
+        if (claim) {
+          LogClaim(*claim, result);
         }
-        schema::DeploymentReply reply;
-        reply.ParseFromString(core::Value(it));
-        callback(reply);
+        callback(result);
       },
       now);
   // Commands of one turn of the event loop share a batch.
@@ -578,6 +676,7 @@
   }
   const auto& change = std::get<consensus::MembershipChange>(step);
   const core::Status status = group_->ChangeMembership(change, now);
+  metrics_.Count("membership_changes");
   using Kind = consensus::MembershipChange::Kind;
   Log(LogLevel::kInfo, "membership change",
       {{"member", consensus::ToString(change.id)},
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -111,6 +111,8 @@
     return group_->replica().membership().FindInstance(instance) != nullptr;
   }
 
+  /// Sets the gauges of the metrics to what holds now.
+  void UpdateGauges() const;
   /// Adds seeds that the settings name now.
   void AddSeeds(const std::vector<std::string>& seeds);
   /// Hands leadership over before the process ends.
@@ -163,6 +165,8 @@
   std::unique_ptr<storage::JournalThread> journal_;
   QTimer tick_;
   bool flush_scheduled_ = false;
+  /// When the batch that is being synced was handed over.
+  core::TimePoint sync_began_;
   uint64_t seen_applied_ = 0;
   bool was_leader_ = false;
   std::string known_leader_;
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,5 +1,6 @@
 #include "core/metrics.h"
 
+#include <set>
 #include <sstream>
 
 namespace hawthorn::core {
@@ -25,9 +26,13 @@
   return escaped;
 }
 
+std::string NameOf(const std::string& measure) {
+  return kPrefix + measure + "_latency_ms";
+}
+
 void WriteHistogram(const LatencyKey& key, const Histogram& histogram,
                     std::ostream& out) {
-  const std::string name = std::string(kPrefix) + "call_latency_ms";
+  const std::string name = NameOf(key.measure);
   const std::string labels = "organisation=\"" +
                              Escape(key.organisation.text()) + "\",class=\"" +
                              Escape(key.service_class) + "\"";
@@ -60,7 +65,7 @@
   auto it = histograms_.find(key);
   if (it == histograms_.end()) {
     const bool full = histograms_.size() >= kMaxHistograms;
-    const LatencyKey shared{OrganisationId(kOther), kOther};
+    const LatencyKey shared{OrganisationId(kOther), kOther, key.measure};
     it = histograms_.try_emplace(full ? shared : key).first;
   }
   it->second.Add(latency);
@@ -88,11 +93,18 @@
     out << "# TYPE " << kPrefix << name << " gauge\n";
     out << kPrefix << name << " " << value << "\n";
   }
-  if (!histograms_.empty()) {
-    out << "# TYPE " << kPrefix << "call_latency_ms histogram\n";
-  }
+  std::set<std::string> measures;
   for (const auto& [key, histogram] : histograms_) {
-    WriteHistogram(key, histogram, out);
+    measures.insert(key.measure);
+  }
+  // The format wants all lines of a metric together.
+  for (const std::string& measure : measures) {
+    out << "# TYPE " << NameOf(measure) << " histogram\n";
+    for (const auto& [key, histogram] : histograms_) {
+      if (key.measure == measure) {
+        WriteHistogram(key, histogram, out);
+      }
+    }
   }
   return out.str();
 }
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -16,6 +16,8 @@
 struct LatencyKey {
   OrganisationId organisation;
   std::string service_class;
+  /// What was timed, in lower case and underscores; part of the metric's name.
+  std::string measure = "call";
 
   auto operator<=>(const LatencyKey&) const = default;
 };
--- a/logging/log.cpp
+++ b/logging/log.cpp
@@ -63,6 +63,10 @@
 
 void StopLog() { Logger()->removeAllAppenders(); }
 
+bool IsLogLevel(std::string_view name) {
+  return name == "debug" || name == "info" || name == "warn" || name == "error";
+}
+
 bool IsLogged(LogLevel level) { return Logger()->isEnabledFor(ToLevel(level)); }
 
 bool RecordLimit::Admit(LogLevel level, int64_t second) {
@@ -99,8 +103,12 @@
   Logger()->forcedLog(severity, message);
 }
 
+std::atomic<uint64_t> records_left_out{0};
+
 }  // namespace
 
+uint64_t RecordsLeftOut() { return records_left_out.load(); }
+
 void Log(LogLevel level, const std::string& message, LogFields fields) {
   static RecordLimit limit;
   static std::atomic<int64_t> reported_second{0};
@@ -120,6 +128,8 @@
   }
   if (limit.Admit(level, second)) {
     Write(severity, message, fields);
+  } else {
+    ++records_left_out;
   }
 }
 
--- a/logging/log.h
+++ b/logging/log.h
@@ -4,6 +4,7 @@
 #include <initializer_list>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 
 // Log records in JSON, one a line, written by a thread of their own.
@@ -33,6 +34,9 @@
 /// Writes what is queued.
 void StopLog();
 
+/// Whether `name` is a level that LogOptions takes.
+bool IsLogLevel(std::string_view name);
+
 /// Whether records of `level` are written.
 bool IsLogged(LogLevel level);
 
@@ -60,6 +64,9 @@
   uint64_t left_out_ = 0;
 };
 
+/// Records left out since the start because of the limit. Thread-safe.
+uint64_t RecordsLeftOut();
+
 /// Writes one record, unless the limit of this second is reached; how many
 /// were left out is said by a record of its own. Thread-safe, never waits.
 void Log(LogLevel level, const std::string& message, LogFields fields = {});
--- a/main/hawthornd.cpp
+++ b/main/hawthornd.cpp
@@ -55,6 +55,11 @@
   }
   options.metrics_port = absl::GetFlag(FLAGS_metrics_port);
   options.log_level = absl::GetFlag(FLAGS_log_level);
+  if (!logging::IsLogLevel(options.log_level)) {
+    std::cerr << "--log_level: \"" << options.log_level
+              << "\" is none of debug, info, warn and error\n";
+    return kExitSettings;
+  }
   return RunPlatformProcess(argc, argv, options);
 }
 
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -70,6 +70,8 @@
   host_.AddSeeds(seeds);
 }
 
+void ControlRole::UpdateGauges() { host_.UpdateGauges(); }
+
 void ControlRole::Drain(std::function<void()> on_done) {
   if (std::exchange(draining_, true)) {
     return;
--- a/main/roles/control_role.h
+++ b/main/roles/control_role.h
@@ -32,6 +32,7 @@
 
   core::Status Start() override;
   void AddSeeds(const std::vector<std::string>& seeds) override;
+  void UpdateGauges() override;
   void Drain(std::function<void()> on_done) override;
 
  private:
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -30,6 +30,7 @@
                      core::Metrics& metrics, peer::PeerTransport& peers)
     : settings_(std::move(settings)),
       clock_(clock),
+      metrics_(metrics),
       client_(settings_.SeedPeers(), std::hash<std::string>{}(settings_.ip),
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
@@ -100,6 +101,14 @@
   relay_.SetInstanceCount(update.watchers());
 }
 
+void EntryRole::UpdateGauges() {
+  relay_.UpdateGauges();
+  client_.UpdateGauges();
+  metrics_.Gauge("ready", IsReady() ? 1 : 0);
+  metrics_.Gauge("caller_connections",
+                 static_cast<double>(callers_.session_count()));
+}
+
 void EntryRole::Drain(std::function<void()> on_done) {
   if (std::exchange(draining_, true)) {
     return;
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -36,6 +36,7 @@
 
   core::Status Start() override;
   void AddSeeds(const std::vector<std::string>& seeds) override;
+  void UpdateGauges() override;
   void Drain(std::function<void()> on_done) override;
 
  private:
@@ -45,6 +46,7 @@
 
   platform::BootSettings settings_;
   const core::Clock& clock_;
+  core::Metrics& metrics_;
   platform::PlatformCallCodec codec_;
   cluster::DeploymentClient client_;
   relay::Relay relay_;
--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -64,6 +64,9 @@
         peers_(PeerOptionsOf(settings_)),
         metrics_endpoint_([this](transport::HttpSession& session,
                                  const transport::RelayRequest&) {
+          role_->UpdateGauges();
+          metrics_.Gauge("log_records_left_out",
+                         static_cast<double>(logging::RecordsLeftOut()));
           session.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                           metrics_.Exposition());
         }) {
--- a/main/roles/role.h
+++ b/main/roles/role.h
@@ -17,6 +17,8 @@
   virtual core::Status Start() = 0;
   /// Takes peer addresses that the settings name now.
   virtual void AddSeeds(const std::vector<std::string>& seeds) = 0;
+  /// Sets the gauges of the metrics to what holds now.
+  virtual void UpdateGauges() = 0;
   /// Ends in order: nothing that was read stays unanswered. `on_done` is
   /// called once, never inside this call.
   virtual void Drain(std::function<void()> on_done) = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -30,6 +30,15 @@
   return settings;
 }
 
+/// A text as part of a metric's name. What follows a colon varies too much.
+std::string MetricWord(const std::string& text) {
+  std::string word = text.substr(0, text.find(':'));
+  std::replace_if(
+      word.begin(), word.end(),
+      [](unsigned char c) { return std::isalnum(c) == 0; }, '_');
+  return word;
+}
+
 /// Hash of the prompt up to each part.
 std::vector<scheduling::PrefixSegment> Segments(const CallHead& head) {
   std::vector<scheduling::PrefixSegment> segments;
@@ -158,6 +167,19 @@
   }
 }
 
+void Relay::UpdateGauges() const {
+  const auto set = [this](const char* name, auto value) {
+    parts_.metrics.Gauge(name, static_cast<double>(value));
+  };
+  set("open_calls", calls_.size());
+  set("queued_calls", scheduler_.queued());
+  set("upstreams_known", upstreams_.size());
+  set("upstream_links_idle", links_.TotalIdle());
+  set("upstream_links_in_use", links_.TotalInUse());
+  set("upstream_links_opened", links_.opened());
+  set("configuration_version", table_ ? table_->version() : 0);
+}
+
 void Relay::SetInstanceCount(size_t instances) {
   if (instances_ == instances || instances == 0) {
     return;
@@ -380,9 +402,7 @@
 
 void Relay::OnDecision(const RelayCall& call, const char* decision,
                        const std::string& reason) {
-  std::string counter = std::string("relay_") + decision;
-  std::replace(counter.begin(), counter.end(), ' ', '_');
-  parts_.metrics.Count(counter);
+  parts_.metrics.Count("relay_" + MetricWord(decision));
   logging::Log(logging::LogLevel::kWarn, decision,
                {{"request", call.head().request_id},
                 {"program", call.head().program},
@@ -399,9 +419,24 @@
   }
   const CallSummary& summary = call.summary();
   parts_.metrics.Count("relay_calls_" + std::to_string(summary.status));
-  parts_.metrics.Observe(
-      {core::OrganisationId(call.route().host), call.route().name},
-      summary.total);
+  if (!summary.reason.empty()) {
+    parts_.metrics.Count("relay_ended_" + MetricWord(summary.reason));
+  }
+  parts_.metrics.Count("relay_attempts",
+                       static_cast<uint64_t>(summary.attempts));
+  core::LatencyKey key{core::OrganisationId(call.route().host),
+                       call.route().name};
+  parts_.metrics.Observe(key, summary.total);
+  if (summary.attempts > 0) {
+    key.measure = "queue";
+    parts_.metrics.Observe(key, summary.queued);
+  }
+  if (summary.events > 0) {
+    key.measure = "first_event";
+    parts_.metrics.Observe(key, summary.to_first_event);
+    key.measure = "longest_pause";
+    parts_.metrics.Observe(key, summary.longest_pause);
+  }
   LogEnd(call);
   call.deleteLater();
 }
@@ -426,6 +461,7 @@
        {"events", std::to_string(it.events)},
        {"queued_ms", std::to_string(it.queued.count())},
        {"first_event_ms", std::to_string(it.to_first_event.count())},
+       {"longest_pause_ms", std::to_string(it.longest_pause.count())},
        {"total_ms", std::to_string(it.total.count())},
        {"configuration", std::to_string(table_->version())}});
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -58,6 +58,8 @@
   /// Interval at which suspended upstreams that are due are checked.
   static constexpr std::chrono::milliseconds kCheckInterval{100};
 
+  /// Sets the gauges of the metrics to what holds now.
+  void UpdateGauges() const;
   size_t open_calls() const { return calls_.size(); }
   size_t upstream_count() const { return upstreams_.size(); }
 
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -219,6 +219,7 @@
 }
 
 void RelayCall::ForwardEvents(std::string_view bytes) {
+  const core::TimePoint now = parts_.host.clock().Now();
   std::string out;
   for (StreamEvent& event : framer_.Feed(bytes)) {
     if (event.id && last_event_ && *event.id <= *last_event_) {
@@ -228,8 +229,12 @@
       last_event_ = event.id;
     }
     if (summary_.events++ == 0) {
-      summary_.to_first_event = Elapsed(started_, parts_.host.clock().Now());
+      summary_.to_first_event = Elapsed(started_, now);
+    } else {
+      summary_.longest_pause =
+          std::max(summary_.longest_pause, Elapsed(last_event_at_, now));
     }
+    last_event_at_ = now;
     out += event.bytes;
   }
   if (framer_.overflowed()) {
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -69,6 +69,8 @@
   std::string last_upstream;
   std::chrono::milliseconds queued{0};
   std::chrono::milliseconds to_first_event{0};
+  /// Longest wait between two events that were handed to the caller.
+  std::chrono::milliseconds longest_pause{0};
   std::chrono::milliseconds total{0};
   uint64_t events = 0;
   /// Tokens of the program's budget that were left at the claim; -1 without a
@@ -188,6 +190,7 @@
   std::string whole_body_;
   EventFramer framer_;
   std::optional<uint64_t> last_event_;
+  core::TimePoint last_event_at_;
   CallSummary summary_;
 };
 
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -120,6 +120,22 @@
   return it == links_.end() ? 0 : it->second.idle.size();
 }
 
+size_t UpstreamLinkPool::TotalIdle() const {
+  size_t total = 0;
+  for (const auto& [id, links] : links_) {
+    total += links.idle.size();
+  }
+  return total;
+}
+
+size_t UpstreamLinkPool::TotalInUse() const {
+  size_t total = 0;
+  for (const auto& [id, links] : links_) {
+    total += links.in_use;
+  }
+  return total;
+}
+
 void UpstreamLinkPool::CloseExpired() {
   const core::TimePoint now = clock_.Now();
   bool any = false;
--- a/relay/upstream_link_pool.h
+++ b/relay/upstream_link_pool.h
@@ -54,6 +54,8 @@
   /// Connections to `upstream`, idle and in use.
   size_t OpenCount(const std::string& upstream) const;
   size_t IdleCount(const std::string& upstream) const;
+  size_t TotalIdle() const;
+  size_t TotalInUse() const;
   uint64_t opened() const { return opened_; }
 
  private:
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -67,6 +67,20 @@
   CHECK(WaitFor([&] { return ReadsVersion(&it, added, 1); }));
 }
 
+TEST_CASE("Metrics of a group tell who leads and how long a commit takes") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  it.host(it.Leader()).UpdateGauges();
+  const std::string text = it.metrics().Exposition();
+  CAPTURE(text);
+  CHECK(text.find("class=\"publish\"") != std::string::npos);
+  CHECK(text.find("hawthorn_commit_latency_ms_count") != std::string::npos);
+  CHECK(text.find("hawthorn_sync_latency_ms_count") != std::string::npos);
+  CHECK(text.find("hawthorn_is_leader 1") != std::string::npos);
+  CHECK(text.find("hawthorn_configuration_version 1") != std::string::npos);
+}
+
 TEST_CASE("What was acknowledged survives the end of all processes") {
   Deployment it(3);
   it.StartFounders({0, 1, 2});
--- a/tests/logging/record_limit_test.cpp
+++ b/tests/logging/record_limit_test.cpp
@@ -29,5 +29,13 @@
   CHECK(limit.Admit(LogLevel::kInfo, 2));
 }
 
+TEST_CASE("Only the names of levels are levels") {
+  for (const char* name : {"debug", "info", "warn", "error"}) {
+    CHECK(IsLogLevel(name));
+  }
+  CHECK_FALSE(IsLogLevel("verbose"));
+  CHECK_FALSE(IsLogLevel(""));
+}
+
 }  // namespace
 }  // namespace hawthorn::logging
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -114,6 +114,7 @@
 
   MemoryLedger ledger;
   Relay& relay() { return relay_; }
+  core::Metrics& metrics() { return metrics_; }
 
  private:
   core::SystemClock clock_;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -43,6 +43,36 @@
   CHECK(caller.received().find("e2") != std::string::npos);
 }
 
+TEST_CASE("Metrics tell how long calls waited and why they failed") {
+  RelayFixture it;
+  ScriptedUpstream upstream([](const std::string& request) -> Step {
+    if (request.find("/once/") != std::string::npos) {
+      return {"", true};
+    }
+    return {StreamHead(request) + EventChunk(1) + EventChunk(2) + "0\r\n\r\n"};
+  });
+  it.AddUpstream("u", upstream.address());
+  Caller caller(it.port());
+  caller.Send(RelayFixture::Request("/turn/x", "r1"));
+  REQUIRE(
+      WaitFor([&] { return caller.received().ends_with("\r\n0\r\n\r\n"); }));
+  Caller failing(it.port());
+  failing.Send(RelayFixture::Request("/once/x", "r2"));
+  REQUIRE(WaitFor([&] { return !failing.received().empty(); }));
+  it.relay().UpdateGauges();
+  const std::string text = it.metrics().Exposition();
+  CAPTURE(text);
+  for (const char* measure :
+       {"call", "queue", "first_event", "longest_pause"}) {
+    CHECK(text.find("# TYPE hawthorn_" + std::string(measure) +
+                    "_latency_ms histogram") != std::string::npos);
+  }
+  CHECK(it.metrics().CounterValue("relay_attempts") == 2);
+  CHECK(it.metrics().CounterValue(
+            "relay_ended_the_upstream_broke_its_answer_off") == 1);
+  CHECK(text.find("hawthorn_upstreams_known 1") != std::string::npos);
+}
+
 TEST_CASE(
     "A stream that breaks in mid event goes on after the last whole one") {
   RelayFixture it;
