consensus: Find a leader sooner after a restart of all

Each kept a promise to the lost leader, which only leases need, and waited a whole election time-out before its first pre-vote and before each repetition.

Now a restarted replica asks after one to two heartbeats' time twice over, and a pre-candidate asks again after a heartbeat; pre-votes disturb no live leader. Groups with leases keep the promise. The last contact to a leader is kept apart from the belief in it, so that a host does not call itself cut off in the moment in which it campaigns.

--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -11,7 +11,8 @@
       log_({}, Membership()),
       queue_(0),
       random_(options_.seed),
-      now_(now) {
+      now_(now),
+      started_at_(now) {
   const bool first_start = state.empty();
   hard_state_ = state.hard_state;
   log_ = ReplicaLog(std::move(state), Membership());
@@ -27,12 +28,17 @@
     queue_.MarkHardState();
     AppendEntry(storage::EntryKind::kMembership, initial.Serialize());
   }
-  if (!first_start) {
+  if (!first_start && options_.lease_reads) {
     // The promise not to vote against a live leader outlives a restart.
     leader_heard_ = now;
   }
   next_announce_ = now;
   ResetElectionTimer();
+  if (!first_start) {
+    // A live leader is heard within a heartbeat, and a pre-vote against one
+    // does no harm.
+    election_deadline_ = SoonAfter(options_.heartbeat_interval * 2);
+  }
 }
 
 void Replica::Step(const schema::ConsensusMessage& message,
@@ -233,7 +239,7 @@
   if (role_ == Role::kLeader) {
     return leading_->ConfirmedSince(membership());
   }
-  return leader_.empty() ? std::nullopt : leader_heard_;
+  return last_contact_;
 }
 
 bool Replica::fresh() const { return membership().empty() && term() == 0; }
@@ -264,14 +270,20 @@
   incoming_.reset();
   transfer_.reset();
   FailReads();
+  if (leading_) {
+    last_contact_ = leading_->ConfirmedSince(membership());
+  }
   leading_.reset();
   ResetElectionTimer();
 }
 
 void Replica::ResetElectionTimer() {
-  const auto base = options_.election_timeout;
+  election_deadline_ = SoonAfter(options_.election_timeout);
+}
+
+core::TimePoint Replica::SoonAfter(std::chrono::nanoseconds base) {
   std::uniform_int_distribution<int64_t> spread(0, base.count());
-  election_deadline_ = now_ + base + std::chrono::nanoseconds(spread(random_));
+  return now_ + base + std::chrono::nanoseconds(spread(random_));
 }
 
 void Replica::AppendEntry(storage::EntryKind kind, std::string data) {
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -119,8 +119,8 @@
   bool HasLease(core::TimePoint now) const;
   /// End of the lease; nothing without one.
   std::optional<core::TimePoint> LeaseEnd() const;
-  /// Time at which a leader was last heard, or a majority for a leader itself;
-  /// nothing before the first contact.
+  /// Time at which a leader was last heard, or a majority for a leader itself,
+  /// in this life of the process; nothing before the first contact.
   std::optional<core::TimePoint> LastContact() const;
   /// The last write failed and none has succeeded since.
   bool storage_failed() const { return storage_failed_; }
@@ -154,6 +154,8 @@
   void Send(schema::ConsensusMessage message);
   void BecomeFollower(uint64_t term, const ReplicaId& leader);
   void ResetElectionTimer();
+  /// A random time between once and twice `base` from now.
+  core::TimePoint SoonAfter(std::chrono::nanoseconds base);
   void AppendEntry(storage::EntryKind kind, std::string data);
   void AdvanceCommit(uint64_t index);
   void FailReads();
@@ -219,6 +221,9 @@
   bool storage_failed_ = false;
   core::TimePoint election_deadline_;
   std::optional<core::TimePoint> leader_heard_;
+  /// As leader_heard_, but of this life of the process only.
+  std::optional<core::TimePoint> last_contact_;
+  core::TimePoint started_at_;
   bool transfer_campaign_ = false;
   std::map<ReplicaId, bool> votes_;
   /// Highest index known to be equal to the current leader's log.
--- a/consensus/replica_admission.cpp
+++ b/consensus/replica_admission.cpp
@@ -16,9 +16,8 @@
 
 void Replica::TickAdmission() {
   const bool member = membership().Find(options_.id) != nullptr;
-  const bool silent =
-      leader_heard_ &&
-      now_ > *leader_heard_ + options_.election_timeout * kSilentTimeouts;
+  const bool silent = now_ > leader_heard_.value_or(started_at_) +
+                                 options_.election_timeout * kSilentTimeouts;
   const bool needed = !member || (silent && role_ != Role::kLeader);
   if (options_.instances.empty() || !needed || now_ < next_announce_) {
     return;
--- a/consensus/replica_election.cpp
+++ b/consensus/replica_election.cpp
@@ -32,6 +32,8 @@
     Send(std::move(message));
   }
   if (pre_vote) {
+    // Asking again costs little and disturbs nobody, unlike a real election.
+    election_deadline_ = SoonAfter(options_.heartbeat_interval);
     CountVote(options_.id, true);
   }
 }
--- a/consensus/replica_follower.cpp
+++ b/consensus/replica_follower.cpp
@@ -27,6 +27,7 @@
     BecomeFollower(term(), from);
   }
   leader_heard_ = now_;
+  last_contact_ = now_;
   ResetElectionTimer();
 }
 
--- a/tests/consensus/fault_property_test.cpp
+++ b/tests/consensus/fault_property_test.cpp
@@ -96,6 +96,28 @@
   });
 }
 
+TEST_CASE("without leases a leader is found at once after a restart of all") {
+  const uint64_t seed = GENERATE(range(1, 21));
+  CAPTURE(seed);
+  SimulationOptions options{3, 3, false, seed, 0, 0, 0};
+  options.lease_reads = false;
+  Simulation simulation(options);
+  REQUIRE(simulation.WaitUntilWhole(30000));
+  for (size_t n = 0; n < simulation.size(); ++n) {
+    simulation.Crash(n, false);
+  }
+  for (size_t n = 0; n < simulation.size(); ++n) {
+    simulation.Restart(n);
+    simulation.Run(150);
+  }
+  // No promise to a lost leader has to run out first.
+  int waited_ms = 0;
+  for (; !simulation.Leader(); waited_ms += 5) {
+    simulation.Run(5);
+  }
+  CHECK(waited_ms < 600);
+}
+
 TEST_CASE("a plan that lost no message before loses one") {
   SimulationOptions options;
   options.lost = 1;
--- a/tests/consensus/group_test.cpp
+++ b/tests/consensus/group_test.cpp
@@ -163,6 +163,25 @@
   REQUIRE(next != leader);
 }
 
+TEST_CASE("the last contact outlives the belief in the leader") {
+  Trio trio({"a", "b", "c"});
+  trio.Run(milliseconds(2500));
+  Node* leader = trio.Leader();
+  REQUIRE(leader != nullptr);
+  leader->group.reset();
+  const core::TimePoint lost = trio.now();
+  while (trio.Leader() == nullptr) {
+    for (const auto& [name, node] : trio.nodes()) {
+      if (node.group) {
+        const auto contact = node.group->replica().LastContact();
+        REQUIRE(contact);
+        REQUIRE(*contact <= lost);
+      }
+    }
+    trio.Run(milliseconds(10));
+  }
+}
+
 TEST_CASE("a replica answers each challenge of a leader once") {
   ReplicaOptions options;
   options.id = ReplicaId{"b", 2};
