cluster: Hold claims through an election and leave silent sources sooner

After the loss of power of all, attempts at machines that were still dark took 500 ms each.

The first update of a watch must now come within 250 ms, doubling for slow sources; a claim without a known leader waits for one within its own time while updates arrive; a handshake between instances may take 250 ms.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -32,6 +32,9 @@
   AddSeeds(seeds);
   retry_.setSingleShot(true);
   connect(&retry_, &QTimer::timeout, this, &DeploymentClient::Watch);
+  first_update_.setSingleShot(true);
+  connect(&first_update_, &QTimer::timeout, this,
+          &DeploymentClient::OnFirstUpdateLate);
   settle_timer_.setSingleShot(true);
   connect(&settle_timer_, &QTimer::timeout, this,
           &DeploymentClient::SendSettlements);
@@ -101,6 +104,7 @@
   Log(LogLevel::kInfo, "watch started", {{"source", source_}});
   watch_ = peers_.OpenStream(core::InstanceId(source_), Pack(message),
                              kUpdateTimeout, std::move(callbacks));
+  first_update_.start(first_update_limit_);
 }
 
 void DeploymentClient::OnWatchPiece(const schema::PeerMessage& piece) {
@@ -111,6 +115,8 @@
   }
   const schema::DeploymentUpdate& update = core::Value(message).update();
   last_update_ = clock_.Now();
+  first_update_.stop();
+  first_update_limit_ = kFirstUpdate;
   if (update.leader() != leader_) {
     leader_ = update.leader();
     Log(LogLevel::kInfo, "leader changed",
@@ -129,7 +135,17 @@
   on_update_(update);
 }
 
+void DeploymentClient::OnFirstUpdateLate() {
+  peers_.CancelStream(watch_);
+  first_update_limit_ = std::min(first_update_limit_ * 2, kUpdateTimeout);
+  OnWatchEnd(core::Error{core::ErrorCode::kDeadlineExceeded,
+                         "no first update in time",
+                         core::Execution::kUnknown,
+                         {}});
+}
+
 void DeploymentClient::OnWatchEnd(const core::Status& status) {
+  first_update_.stop();
   metrics_.Count("watch_ended");
   Log(LogLevel::kWarn, "watch ended",
       {{"source", source_},
@@ -156,17 +172,27 @@
   }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       claim->deadline - clock_.Now());
-  if (left <= kClaimRetry || leader_.empty() || !IsCurrent()) {
+  if (left <= kClaimRetry || !IsCurrent()) {
     metrics_.Count("claims_unanswered");
-    FinishClaim(claim, core::Error{core::ErrorCode::kUnavailable,
-                                   "no answer from the leader " + leader_,
-                                   core::Execution::kNotRun,
-                                   IsCutOff() ? kCutOffRetryAfter
-                                              : kNoLeaderRetryAfter});
+    FinishClaim(
+        claim,
+        core::Error{core::ErrorCode::kUnavailable,
+                    leader_.empty() ? "no leader is known"
+                                    : "no answer from the leader " + leader_,
+                    core::Execution::kNotRun,
+                    IsCutOff() ? kCutOffRetryAfter : kNoLeaderRetryAfter});
     return;
   }
   claims_.insert(claim);
   claim->asked = leader_;
+  if (leader_.empty()) {
+    QTimer::singleShot(kClaimRetry, this, [this, claim] {
+      if (claim->asked.empty()) {
+        TryClaim(claim);
+      }
+    });
+    return;
+  }
   schema::DeploymentCommand command;
   schema::TokenReservation* reserve = command.mutable_reserve();
   reserve->set_program(claim->claim.program);
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -30,6 +30,10 @@
   /// Time without an update after which another instance is watched. Updates
   /// come at least every WatchBoard::kKeepAlive.
   static constexpr std::chrono::milliseconds kUpdateTimeout{700};
+  /// Time for the first update of a watch: several round trips. It doubles
+  /// with each source that exceeds it, up to kUpdateTimeout, so that slow
+  /// sources are heard in the end.
+  static constexpr std::chrono::milliseconds kFirstUpdate{250};
   /// Wait between two attempts to watch.
   static constexpr std::chrono::milliseconds kWatchRetry{80};
   /// Wait that is suggested while no leader can be reached: an election takes
@@ -84,6 +88,7 @@
   void Watch();
   void OnWatchPiece(const schema::PeerMessage& piece);
   void OnWatchEnd(const core::Status& status);
+  void OnFirstUpdateLate();
   void TryClaim(const ClaimPtr& claim);
   void OnClaimReply(const ClaimPtr& claim,
                     const core::Result<schema::PeerMessage>& reply);
@@ -116,6 +121,8 @@
   core::TimePoint last_update_;
   peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
+  QTimer first_update_;
+  std::chrono::milliseconds first_update_limit_{kFirstUpdate};
   QTimer retry_;
   QTimer settle_timer_;
   std::map<std::string, schema::TokenSettlement> settlements_;
--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -49,7 +49,8 @@
   // left to connect anew.
   options.ping_after = std::chrono::milliseconds(400);
   options.silence_limit = std::chrono::milliseconds(1000);
-  options.handshake_timeout = std::chrono::milliseconds(500);
+  // A machine without power answers nothing; the next attempt may find it up.
+  options.handshake_timeout = std::chrono::milliseconds(250);
   options.first_backoff = std::chrono::milliseconds(30);
   options.longest_backoff = std::chrono::milliseconds(300);
   options.seed = std::hash<std::string>{}(settings.ip);
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -178,5 +178,89 @@
   CHECK(WaitFor([&] { return client.open_settlements() == 0; }));
 }
 
+/// A source of updates that does what a test says.
+struct ScriptedSource {
+  ScriptedSource(Deployment& deployment, const std::string& ip)
+      : id(ip), peers(deployment.NewTransport(ip, 0)) {
+    peers->SetHandler([this](const schema::PeerMessage& message,
+                             const peer::Replier& replier) {
+      const auto unpacked = Unpack(message);
+      if (!core::IsOk(unpacked)) {
+        return;
+      }
+      if (core::Value(unpacked).has_watch()) {
+        ++watches;
+        watcher = replier;
+        return;
+      }
+      ++claims;
+      schema::DeploymentMessage reply;
+      reply.mutable_reply()->set_granted(true);
+      replier.Reply(Pack(reply));
+    });
+  }
+
+  void Update(const std::string& leader) const {
+    schema::DeploymentMessage message;
+    message.mutable_update()->set_leader(leader);
+    REQUIRE(core::IsOk(watcher->SendPiece(Pack(message))));
+  }
+  std::string address() const {
+    return id + ":" + std::to_string(peers->port());
+  }
+
+  std::string id;
+  std::unique_ptr<peer::PeerTransport> peers;
+  std::optional<peer::Replier> watcher;
+  int watches = 0;
+  int claims = 0;
+};
+
+TEST_CASE("A claim waits while the group elects a leader") {
+  Deployment it(1);
+  ScriptedSource source(it, "127.0.0.71");
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  DeploymentClient client({source.address()}, 1, it.clock(), it.metrics(),
+                          *peers, [](const schema::DeploymentUpdate&) {});
+  client.Start();
+  REQUIRE(WaitFor([&] { return source.watcher.has_value(); }));
+  source.Update("");
+  REQUIRE(WaitFor([&] { return client.IsCurrent(); }));
+  std::optional<core::Result<relay::ClaimAnswer>> answer;
+  client.Claim(
+      {"p", "r1", 100, 10}, std::chrono::milliseconds(60000),
+      [&answer](const core::Result<relay::ClaimAnswer>& got) { answer = got; });
+  // Updates keep the client in contact while there is no leader.
+  for (int n = 0; n < 3; ++n) {
+    bool passed = false;
+    QTimer::singleShot(100, [&passed] { passed = true; });
+    REQUIRE(WaitFor([&] { return passed; }));
+    source.Update("");
+    CHECK_FALSE(answer);
+  }
+  source.Update(source.id);
+  REQUIRE(WaitFor([&] { return answer.has_value(); }));
+  REQUIRE(core::IsOk(*answer));
+  CHECK(core::Value(*answer).granted);
+  CHECK(source.claims == 1);
+}
+
+TEST_CASE("A source that sends nothing is left for another one") {
+  Deployment it(1);
+  ScriptedSource silent(it, "127.0.0.71");
+  ScriptedSource other(it, "127.0.0.72");
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  // Sources are asked in the order of their ids.
+  DeploymentClient client({silent.address(), other.address()}, 0, it.clock(),
+                          it.metrics(), *peers,
+                          [](const schema::DeploymentUpdate&) {});
+  client.Start();
+  REQUIRE(WaitFor([&] { return other.watcher.has_value(); }));
+  CHECK(silent.watches == 1);
+  other.Update(other.id);
+  CHECK(WaitFor([&] { return client.IsCurrent(); }));
+  CHECK_FALSE(silent.watcher->IsOpen());
+}
+
 }  // namespace
 }  // namespace hawthorn::cluster
