cluster: Share limits of connections among all entry instances

Each entry instance took its share of an upstream's connections from the number that watches at the same control instance as itself, which is a part of them: with several control instances the shares added up to a multiple of the limit. Control instances now tell the leader how many watch at them and hear the sum. A test has three clients at three sources; each heard of 1 before.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -357,10 +357,12 @@
   *it->mutable_instance() = options_.self;
   it->set_incarnation(store_->incarnation());
   it->set_joining(!group_->replica().membership().Find(group_->replica().id()));
+  it->set_watchers(static_cast<uint32_t>(watches_.size()));
   if (is_leader()) {
     Announced& self = announced_[options_.self.instance()];
     self.announcement = *it;
     self.at = Now();
+    watches_.SetTotal(CountWatchers());
     return;
   }
   std::string to = IsCurrent() ? LeaderElsewhere() : std::string();
@@ -386,7 +388,20 @@
                  });
 }
 
+size_t DeploymentHost::CountWatchers() const {
+  size_t total = watches_.size();
+  for (const auto& [id, it] : announced_) {
+    const bool counts =
+        id != options_.self.instance() && it.at + kDeadAfter > Now();
+    total += counts ? it.announcement.watchers() : 0;
+  }
+  return total;
+}
+
 void DeploymentHost::LearnInstances(const schema::InstanceList& list) {
+  if (list.watchers() > 0) {
+    watches_.SetTotal(list.watchers());
+  }
   for (const schema::InstanceRecord& record : list.instances()) {
     Dial(record.instance(), record.peer_address());
   }
@@ -415,6 +430,10 @@
   schema::DeploymentMessage reply;
   reply.mutable_instances()->set_leader(
       IsCurrent() ? group_->replica().leader().instance : std::string());
+  if (is_leader()) {
+    reply.mutable_instances()->set_watchers(
+        static_cast<uint32_t>(CountWatchers()));
+  }
   AppendInstances(machine_, reply.mutable_instances()->mutable_instances());
   replier.Reply(Pack(reply));
 }
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -134,6 +134,8 @@
   void OnAnnouncement(const schema::InstanceAnnouncement& announcement,
                       const peer::Replier& replier);
   void LearnInstances(const schema::InstanceList& list);
+  /// Instances that watch here and at all that announced themselves here.
+  size_t CountWatchers() const;
   void Dial(const std::string& instance, const std::string& address);
   void UpdateWatches();
   void PlanStep();
--- a/cluster/watch_board.cpp
+++ b/cluster/watch_board.cpp
@@ -70,7 +70,8 @@
       !watcher->sent_table) {
     AppendInstances(state_, update->mutable_instances());
   }
-  update->set_watchers(static_cast<uint32_t>(watchers_.size()));
+  update->set_watchers(
+      static_cast<uint32_t>(std::max(watchers_.size(), total_)));
   if (!core::IsOk(watcher->replier.SendPiece(Pack(message)))) {
     return;
   }
--- a/cluster/watch_board.h
+++ b/cluster/watch_board.h
@@ -27,6 +27,8 @@
   /// the same instance is forgotten.
   void Add(const schema::WatchRequest& request, const std::string& instance,
            const peer::Replier& replier, const std::string& leader);
+  /// Sets how many instances watch anywhere, this board's among them.
+  void SetTotal(size_t total) { total_ = total; }
   /// Sends what changed, and a sign of life where it is due.
   void Update(const std::string& leader);
   /// Ends all watches, so that the instances follow another one.
@@ -52,6 +54,7 @@
   const control::DeploymentState& state_;
   const core::Clock& clock_;
   std::list<Watcher> watchers_;
+  size_t total_ = 0;
 };
 
 /// Appends the records of all instances with a disk.
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -178,6 +178,29 @@
   CHECK(WaitFor([&] { return client.open_settlements() == 0; }));
 }
 
+TEST_CASE("Clients hear how many watch at all instances together") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  std::vector<std::unique_ptr<peer::PeerTransport>> transports;
+  std::vector<std::unique_ptr<DeploymentClient>> clients;
+  std::vector<uint32_t> heard(3);
+  for (size_t n = 0; n < heard.size(); ++n) {
+    transports.push_back(
+        it.NewTransport("127.0.0." + std::to_string(60 + n), 0));
+    // One client at each source.
+    clients.push_back(std::make_unique<DeploymentClient>(
+        std::vector<std::string>{it.Seeds().at(n)}, 1, it.clock(), it.metrics(),
+        *transports.back(),
+        [&heard, n](const schema::DeploymentUpdate& update) {
+          heard[n] = update.watchers();
+        }));
+    clients.back()->Start();
+  }
+  CHECK(WaitFor([&] { return heard == std::vector<uint32_t>{3, 3, 3}; }));
+  clients.clear();
+}
+
 /// A source of updates that does what a test says.
 struct ScriptedSource {
   ScriptedSource(Deployment& deployment, const std::string& ip)
