scheduling: Judge the load of a pool by all reports of it

As a report grows old, the mean load of all recent reports of the pool takes its place, which each instance hears 20 times a second. By itself it never makes an upstream full, so that one that nothing is known of is tried.

Ruled out: gossip of reports, whose messages cost more than the answers that carry them already.

--- /dev/null
+++ b/scheduling/decaying_mean.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <cmath>
+
+#include "core/clock.h"
+
+namespace hawthorn::scheduling {
+
+/// Mean of recent samples; each loses half of its weight in a half-life. It
+/// tends to zero when no sample comes.
+class DecayingMean {
+ public:
+  /// Weight of the assumption that the value is zero. Small against a sample.
+  static constexpr double kZeroWeight = 0.2;
+
+  explicit DecayingMean(std::chrono::duration<double> half_life)
+      : half_life_(half_life) {}
+
+  void Add(double sample, core::TimePoint now) {
+    const double kept = Kept(now);
+    sum_ = sum_ * kept + sample;
+    weight_ = weight_ * kept + 1;
+    at_ = now;
+  }
+
+  double Value(core::TimePoint now) const {
+    const double kept = Kept(now);
+    return sum_ * kept / (weight_ * kept + kZeroWeight);
+  }
+
+ private:
+  double Kept(core::TimePoint now) const {
+    const std::chrono::duration<double> age = now - at_;
+    return age.count() <= 0 ? 1 : std::exp2(-age / half_life_);
+  }
+
+  std::chrono::duration<double> half_life_;
+  double sum_ = 0;
+  double weight_ = 0;
+  core::TimePoint at_;
+};
+
+}  // namespace hawthorn::scheduling
--- a/scheduling/load_estimate.cpp
+++ b/scheduling/load_estimate.cpp
@@ -31,10 +31,11 @@
   others_ = total > own ? total - own : 0;
 }
 
-double LoadEstimate::Total(core::TimePoint now) const {
+double LoadEstimate::Total(core::TimePoint now, double usual_others) const {
   const std::chrono::duration<double> age = now - reported_at_;
   const std::chrono::duration<double> half = kHalfLife;
-  return own_ + others_ * std::exp2(-age / half);
+  const double weight = std::exp2(-age / half);
+  return own_ + others_ * weight + usual_others * (1 - weight);
 }
 
 void LoadEstimate::Remember(core::TimePoint now) {
--- a/scheduling/load_estimate.h
+++ b/scheduling/load_estimate.h
@@ -13,8 +13,8 @@
 /// known, and those of the others, which reports tell late.
 class LoadEstimate {
  public:
-  /// Time in which the other instances' part of a report loses half of its
-  /// weight: calls of programs last some hundred ms.
+  /// Time in which a report loses half of its weight against what is usual at
+  /// the time: calls of programs last some hundred ms.
   static constexpr std::chrono::milliseconds kHalfLife{400};
 
   void OnStart(core::TimePoint now);
@@ -22,8 +22,11 @@
   void OnReport(const LoadReport& report);
 
   uint32_t own() const { return own_; }
-  /// Calls on the upstream, own and others', running or waiting.
-  double Total(core::TimePoint now) const;
+  /// Calls of the other instances at the time of the last report.
+  double others() const { return others_; }
+  /// Calls on the upstream, own and others', running or waiting. As a report
+  /// grows old, `usual_others` takes its place.
+  double Total(core::TimePoint now, double usual_others) const;
 
  private:
   uint32_t OwnAt(core::TimePoint time) const;
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -55,13 +55,21 @@
                           const LoadReport& report) {
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
-    it->second.load.OnReport(report);
+    Upstream& reporting = it->second;
+    reporting.load.OnReport(report);
+    others_per_slot_.Add(reporting.load.others() / reporting.MaxRunning(),
+                         report.taken_at);
   }
 }
 
+double SharedPool::LoadOf(const Upstream& upstream, core::TimePoint now) const {
+  return upstream.load.Total(
+      now, others_per_slot_.Value(now) * upstream.MaxRunning());
+}
+
 double SharedPool::CostOf(const Upstream& upstream, const CallRequest& call,
                           core::TimePoint now) const {
-  const double total = upstream.load.Total(now);
+  const double total = LoadOf(upstream, now);
   if (placement_ == SharedPlacement::kLeastLoaded) {
     return total / upstream.MaxRunning();
   }
@@ -92,8 +100,12 @@
       break;
     }
   }
-  std::erase_if(usable, [now](const Upstream* it) {
-    return it->load.Total(now) + 1 > it->MaxRunning() * (1 + kOverfill);
+  std::erase_if(usable, [this, now](const Upstream* it) {
+    // What is usual elsewhere never makes an upstream full by itself: one that
+    // nothing is known of is tried.
+    const double usual = std::min(others_per_slot_.Value(now), 1.0);
+    const double total = it->load.Total(now, usual * (it->MaxRunning() - 1));
+    return total + 1 > it->MaxRunning() * (1 + kOverfill);
   });
   if (usable.empty()) {
     return std::nullopt;
@@ -177,7 +189,7 @@
 double SharedPool::Load(core::TimePoint now) const {
   double load = 0;
   for (const auto& [id, it] : upstreams_) {
-    load += it.TakesCalls() ? it.load.Total(now) : 0;
+    load += it.TakesCalls() ? LoadOf(it, now) : 0;
   }
   return load;
 }
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -11,6 +11,7 @@
 #include "core/id.h"
 #include "scheduling/cache_index.h"
 #include "scheduling/call.h"
+#include "scheduling/decaying_mean.h"
 #include "scheduling/load_estimate.h"
 #include "scheduling/upstream.h"
 
@@ -45,6 +46,9 @@
   /// doubles with each check that fails.
   static constexpr std::chrono::milliseconds kFirstSuspension{250};
   static constexpr std::chrono::milliseconds kLongestSuspension{2000};
+  /// Half-life of what is known of the other instances' load on the pool. As
+  /// long as a call, so that it follows a burst.
+  static constexpr std::chrono::milliseconds kOthersHalfLife{250};
   /// Running calls of an upstream that does not say how many it takes.
   static constexpr uint32_t kDefaultSlots = 8;
 
@@ -98,6 +102,8 @@
     bool TakesCalls() const { return !state.leaving && !check_at; }
   };
 
+  /// Calls on an upstream, of all instances.
+  double LoadOf(const Upstream& upstream, core::TimePoint now) const;
   double CostOf(const Upstream& upstream, const CallRequest& call,
                 core::TimePoint now) const;
   uint64_t NextRandom();
@@ -109,6 +115,10 @@
   SharedPlacement placement_ = SharedPlacement::kCost;
   uint64_t random_;
   double mean_run_seconds_ = 0.1;
+  /// Load that other instances put on upstreams, as a part of their slots. One
+  /// of many instances hears of most upstreams too rarely to know each by
+  /// itself.
+  DecayingMean others_per_slot_{kOthersHalfLife};
 };
 
 }  // namespace hawthorn::scheduling
--- a/tests/scheduling/shared_scheduler_test.cpp
+++ b/tests/scheduling/shared_scheduler_test.cpp
@@ -89,6 +89,31 @@
   CHECK(dispatches[0].upstream.text() == "far");
 }
 
+TEST_CASE("Overload of a pool is known from a few of its upstreams") {
+  Fixture it;
+  for (int n = 0; n < 10; ++n) {
+    it.AddUpstream("u" + std::to_string(n), "a");
+  }
+  REQUIRE(core::IsOk(it.scheduler.Enqueue(it.Call(1, 0), it.now)));
+  CHECK(it.scheduler.Next(it.now).size() == 1);
+  // A burst that other instances let in; this one hears of three upstreams.
+  it.now += milliseconds(100);
+  for (const char* id : {"u0", "u1", "u2"}) {
+    LoadReport report;
+    report.taken_at = it.now;
+    report.running = 4;
+    report.waiting = 20;
+    it.scheduler.OnReport(core::UpstreamId(id), report);
+  }
+  const auto refused = it.scheduler.Enqueue(it.Call(2, 0), it.now);
+  REQUIRE_FALSE(core::IsOk(refused));
+  CHECK(core::ErrorOf(refused).code == core::ErrorCode::kOverloaded);
+  CHECK(core::ErrorOf(refused).execution == core::Execution::kNotRun);
+  // What was heard says nothing of a later time.
+  it.now += milliseconds(5000);
+  CHECK(core::IsOk(it.scheduler.Enqueue(it.Call(3, 0), it.now)));
+}
+
 TEST_CASE("Begun programs go before new ones, then the urgent kinds") {
   Fixture it;
   it.AddUpstream("only", "a", 1);
