relay: Refuse requests that ended three upstreams, everywhere

A request that ends each upstream that runs it was given up after three within one call, but its next attempt, at any instance, ended three more. After a broken answer the upstream is now checked; if it has ended, a digest of what was asked and by whom is committed, and from three on every instance refuses such a request with the time to come back. The table is bounded and forgets after ten minutes.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -255,6 +255,33 @@
   }
 }
 
+void DeploymentClient::ReportCrash(uint64_t digest) {
+  SendCrash(digest, kCrashTries);
+}
+
+void DeploymentClient::SendCrash(uint64_t digest, int tries_left) {
+  if (tries_left == 0) {
+    metrics_.Count("crash_reports_lost");
+    Log(LogLevel::kWarn, "crash report lost",
+        {{"digest", std::to_string(digest)}, {"leader", leader_}});
+    return;
+  }
+  schema::DeploymentCommand command;
+  command.set_crashed_request(digest);
+  schema::DeploymentMessage message;
+  command.SerializeToString(message.mutable_propose());
+  // A report that was committed but not answered counts twice at the worst.
+  peers_.Request(core::InstanceId(leader_), Pack(message), kClaimAttempt,
+                 [this, guard = QPointer<DeploymentClient>(this), digest,
+                  tries_left](const core::Result<schema::PeerMessage>& reply) {
+                   if (guard && !core::IsOk(reply)) {
+                     QTimer::singleShot(kCrashRetry, this, [=, this] {
+                       SendCrash(digest, tries_left - 1);
+                     });
+                   }
+                 });
+}
+
 void DeploymentClient::Settle(const relay::TokenClaim& claim, int64_t used) {
   schema::TokenSettlement settlement;
   settlement.set_program(claim.program);
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -50,6 +50,9 @@
   /// the second in which a deployment counts an ended turn at its most.
   static constexpr std::chrono::milliseconds kSettleDelay{150};
   static constexpr std::chrono::milliseconds kSettleRetry{200};
+  /// Tries and pauses that outlast an election.
+  static constexpr int kCrashTries = 5;
+  static constexpr std::chrono::milliseconds kCrashRetry{300};
 
   DeploymentClient(const std::vector<std::string>& seeds, uint64_t seed,
                    const core::Clock& clock, core::Metrics& metrics,
@@ -66,6 +69,10 @@
              ClaimCallback callback) override;
   void Settle(const relay::TokenClaim& claim, int64_t used) override;
 
+  /// Tells the group that an upstream ended while it ran the request with this
+  /// digest. Repeated a few times; lost if no leader is found meanwhile.
+  void ReportCrash(uint64_t digest);
+
   /// An update arrived lately, so that what is known here is current.
   bool IsCurrent() const { return HeardWithin(kUpdateTimeout); }
   bool HeardWithin(std::chrono::milliseconds time) const;
@@ -85,6 +92,7 @@
   using ClaimPtr = std::shared_ptr<PendingClaim>;
 
   bool IsCutOff() const;
+  void SendCrash(uint64_t digest, int tries_left);
   void Watch();
   void OnWatchPiece(const schema::PeerMessage& piece);
   void OnWatchEnd(const core::Status& status);
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -55,6 +55,8 @@
       return "instance";
     case Command::kForgetUpstream:
       return "forget_upstream";
+    case Command::kCrashedRequest:
+      return "crashed_request";
     case Command::BODY_NOT_SET:
       break;
   }
--- a/cluster/watch_board.cpp
+++ b/cluster/watch_board.cpp
@@ -35,6 +35,7 @@
     const bool due =
         it.configuration_version < state_.configuration().version() ||
         it.upstream_revision < state_.upstream_revision() ||
+        it.crash_revision != state_.crashes().revision() ||
         it.last_leader != leader ||
         it.last_instances != state_.instances().size() ||
         it.last_sent + kKeepAlive <= now;
@@ -65,6 +66,13 @@
       *update->add_upstreams() = entry;
     }
   }
+  if (!watcher->sent_table ||
+      watcher->crash_revision != state_.crashes().revision()) {
+    schema::HarmfulRequests* harmful = update->mutable_harmful();
+    for (const uint64_t digest : state_.crashes().Harmful()) {
+      harmful->add_digests(digest);
+    }
+  }
   update->set_leader(leader);
   if (watcher->last_instances != state_.instances().size() ||
       !watcher->sent_table) {
@@ -79,6 +87,7 @@
   watcher->configuration_version = std::max<uint64_t>(
       watcher->configuration_version, state_.configuration().version());
   watcher->upstream_revision = state_.upstream_revision();
+  watcher->crash_revision = state_.crashes().revision();
   watcher->last_leader = leader;
   watcher->last_instances = state_.instances().size();
   watcher->last_sent = clock_.Now();
--- a/cluster/watch_board.h
+++ b/cluster/watch_board.h
@@ -43,6 +43,7 @@
     std::string instance;
     uint64_t configuration_version = 0;
     uint64_t upstream_revision = 0;
+    uint64_t crash_revision = 0;
     bool sent_table = false;
     core::TimePoint last_sent;
     std::string last_leader;
--- /dev/null
+++ b/control/crash_table.cpp
@@ -0,0 +1,63 @@
+#include "control/crash_table.h"
+
+#include <algorithm>
+
+namespace hawthorn::control {
+
+void CrashTable::Report(uint64_t digest, int64_t now_ms) {
+  Crashed& crashed = requests_[digest];
+  crashed.last_ms = now_ms;
+  if (++crashed.upstreams == kCrashLimit) {
+    ++revision_;
+  }
+  if (requests_.size() > kMaxRequests) {
+    Erase(std::min_element(requests_.begin(), requests_.end(),
+                           [](const auto& a, const auto& b) {
+                             return a.second.last_ms < b.second.last_ms;
+                           }));
+  }
+}
+
+void CrashTable::Forget(int64_t now_ms) {
+  for (auto it = requests_.begin(); it != requests_.end();) {
+    const auto next = std::next(it);
+    if (it->second.last_ms + kMemoryMs < now_ms) {
+      Erase(it);
+    }
+    it = next;
+  }
+}
+
+void CrashTable::Erase(std::map<uint64_t, Crashed>::iterator it) {
+  revision_ += it->second.upstreams >= kCrashLimit ? 1 : 0;
+  requests_.erase(it);
+}
+
+std::vector<uint64_t> CrashTable::Harmful() const {
+  std::vector<uint64_t> harmful;
+  for (const auto& [digest, crashed] : requests_) {
+    if (crashed.upstreams >= kCrashLimit) {
+      harmful.push_back(digest);
+    }
+  }
+  return harmful;
+}
+
+void CrashTable::Save(schema::DeploymentSnapshot* snapshot) const {
+  for (const auto& [digest, crashed] : requests_) {
+    schema::CrashedRequest* out = snapshot->add_crashed();
+    out->set_digest(digest);
+    out->set_upstreams(crashed.upstreams);
+    out->set_last_ms(crashed.last_ms);
+  }
+  snapshot->set_crash_revision(revision_);
+}
+
+void CrashTable::Load(const schema::DeploymentSnapshot& snapshot) {
+  for (const schema::CrashedRequest& it : snapshot.crashed()) {
+    requests_[it.digest()] = {it.upstreams(), it.last_ms()};
+  }
+  revision_ = snapshot.crash_revision();
+}
+
+}  // namespace hawthorn::control
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -75,6 +75,9 @@
     case schema::DeploymentCommand::kForgetUpstream:
       ForgetUpstream(parsed.forget_upstream());
       break;
+    case schema::DeploymentCommand::kCrashedRequest:
+      crashes_.Report(parsed.crashed_request(), clock_ms_);
+      break;
     case schema::DeploymentCommand::BODY_NOT_SET:
       break;
   }
@@ -106,6 +109,7 @@
   for (const auto& [id, record] : instances_) {
     *snapshot.add_instances() = record;
   }
+  crashes_.Save(&snapshot);
   snapshot.set_clock_ms(clock_ms_);
   return snapshot.SerializeAsString();
 }
@@ -137,6 +141,7 @@
   for (const schema::InstanceRecord& record : parsed.instances()) {
     instances_[record.instance()] = record;
   }
+  crashes_.Load(parsed);
   clock_ms_ = parsed.clock_ms();
   return std::monostate{};
 }
@@ -271,6 +276,7 @@
     return;
   }
   next_sweep_ms_ = clock_ms_ + kSweepIntervalMs;
+  crashes_.Forget(clock_ms_);
   std::erase_if(programs_, [this](const auto& it) {
     return it.second.last_used_ms + kProgramRetentionMs < clock_ms_;
   });
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "control/crash_table.h"
 #include "core/error.h"
 #include "schema/generated/deployment.pb.h"
 
@@ -47,6 +48,7 @@
   const schema::InstanceRecord* FindByName(std::string_view name) const;
   /// Whether applying `entry` would change the table of upstreams.
   bool WouldChange(const schema::UpstreamEntry& entry) const;
+  const CrashTable& crashes() const { return crashes_; }
   size_t program_count() const { return programs_.size(); }
 
  private:
@@ -74,6 +76,7 @@
   uint64_t upstream_revision_ = 0;
   std::map<std::string, Spending> programs_;
   std::map<std::string, schema::InstanceRecord> instances_;
+  CrashTable crashes_;
   int64_t clock_ms_ = 0;
   int64_t next_sweep_ms_ = 0;
 };
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -35,7 +35,8 @@
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
       relay_({clock, codec_, client_, metrics, settings_.zone,
-              std::hash<std::string>{}(settings_.ip)}),
+              std::hash<std::string>{}(settings_.ip),
+              [this](uint64_t digest) { client_.ReportCrash(digest); }}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -98,6 +99,10 @@
   for (const schema::UpstreamEntry& entry : update.upstreams()) {
     relay_.SetUpstream(entry);
   }
+  if (update.has_harmful()) {
+    relay_.SetHarmful(
+        {update.harmful().digests().begin(), update.harmful().digests().end()});
+  }
   relay_.SetInstanceCount(update.watchers());
 }
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -16,6 +16,9 @@
 constexpr int kUnavailable = 503;
 /// Wait that is suggested while no configuration is known, in seconds.
 constexpr const char* kUnconfiguredRetryAfter = "0.3";
+/// Wait that is suggested for a request that ends upstreams, in seconds: as
+/// long as it is remembered.
+constexpr const char* kHarmfulRetryAfter = "600";
 /// Connections to one upstream that every instance may have, whatever its
 /// share of the limit is.
 constexpr size_t kLeastConnections = 4;
@@ -52,6 +55,18 @@
   return segments;
 }
 
+/// Digest of what a request asks for and who asks. Its id differs each time.
+uint64_t DigestOf(const transport::RelayRequest& request,
+                  const CallHead& head) {
+  uint64_t hash = 0;
+  for (const std::string* part :
+       {&request.method, &request.host, &request.target, &head.program,
+        &request.body}) {
+    hash = XXH64(part->data(), part->size(), hash + part->size());
+  }
+  return hash;
+}
+
 }  // namespace
 
 Relay::Relay(Parts parts, QObject* parent)
@@ -90,6 +105,16 @@
     session.Respond(kBadRequest, {}, "the request id is missing");
     return;
   }
+  if (!harmful_.empty() && harmful_.contains(DigestOf(request, head))) {
+    parts_.metrics.Count("relay_refused_harmful");
+    logging::Log(logging::LogLevel::kWarn, "call refused",
+                 {{"request", head.request_id},
+                  {"program", head.program},
+                  {"reason", "the request ends upstreams that run it"}});
+    session.Respond(kUnavailable, {{"Retry-After", kHarmfulRetryAfter}},
+                    "the request ends upstreams that run it");
+    return;
+  }
   const std::string& key =
       head.program.empty() ? head.request_id : head.program;
   std::string service = RouteTable::PickService(*route, key);
@@ -180,6 +205,15 @@
   set("configuration_version", table_ ? table_->version() : 0);
 }
 
+void Relay::SetHarmful(std::set<uint64_t> digests) {
+  if (digests == harmful_) {
+    return;
+  }
+  harmful_ = std::move(digests);
+  logging::Log(logging::LogLevel::kInfo, "harmful requests changed",
+               {{"count", std::to_string(harmful_.size())}});
+}
+
 void Relay::SetInstanceCount(size_t instances) {
   if (instances_ == instances || instances == 0) {
     return;
@@ -360,6 +394,24 @@
   }
 }
 
+void Relay::OnBroken(const RelayCall& call, const std::string& upstream) {
+  if (!parts_.on_crash) {
+    return;
+  }
+  CheckUpstream(upstream, [this, upstream, id = call.head().request_id,
+                           digest = DigestOf(call.request(), call.head())](
+                              bool reachable) {
+    if (reachable) {
+      return;
+    }
+    logging::Log(logging::LogLevel::kWarn, "upstream ended during a call",
+                 {{"request", id},
+                  {"upstream", upstream},
+                  {"digest", std::to_string(digest)}});
+    parts_.on_crash(digest);
+  });
+}
+
 void Relay::OnWrongUpstream(const std::string& upstream) {
   parts_.metrics.Count("relay_wrong_upstream");
   RemoveUpstream(upstream);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -35,6 +35,8 @@
     /// Availability zone of this instance.
     std::string zone;
     uint64_t seed = 1;
+    /// Takes the digest of a request whose upstream ended while it ran it.
+    std::function<void(uint64_t)> on_crash = {};
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -52,6 +54,8 @@
   void SetUpstream(const schema::UpstreamEntry& entry);
   /// Removes every upstream that is not in `known`.
   void RetainUpstreams(const std::set<std::string>& known);
+  /// Sets the digests of requests that are refused because they end upstreams.
+  void SetHarmful(std::set<uint64_t> digests);
   /// Sets how many instances share the upstreams.
   void SetInstanceCount(size_t instances);
 
@@ -85,6 +89,7 @@
   void CheckUpstream(const std::string& upstream,
                      std::function<void(bool)> on_checked) override;
   void OnWrongUpstream(const std::string& upstream) override;
+  void OnBroken(const RelayCall& call, const std::string& upstream) override;
   void OnDecision(const RelayCall& call, const char* decision,
                   const std::string& reason) override;
   void OnCallEnded(RelayCall& call) override;
@@ -107,6 +112,7 @@
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
   size_t instances_ = 1;
+  std::set<uint64_t> harmful_;
   bool pump_scheduled_ = false;
   QTimer wake_up_;
   QTimer checks_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -320,6 +320,7 @@
     return;
   }
   if (failure != LinkFailure::kUnreachable) {
+    parts_.host.OnBroken(*this, upstream_);
     ran_at_.insert(upstream_);
     if (!TryAgain()) {
       LeaveUpstream(scheduling::CallOutcome::kFailed);
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -50,6 +50,8 @@
   /// Tells whether the upstream can be reached; never inside this call.
   virtual void CheckUpstream(const std::string& upstream,
                              std::function<void(bool)> on_checked) = 0;
+  /// The upstream broke an answer off; it may have ended.
+  virtual void OnBroken(const RelayCall& call, const std::string& upstream) = 0;
   /// Another upstream answers at the address of this one.
   virtual void OnWrongUpstream(const std::string& upstream) = 0;
   /// Records a decision about a call that is not over.
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -201,6 +201,32 @@
   clients.clear();
 }
 
+TEST_CASE("Every client hears of a request that ended three upstreams") {
+  Deployment it(3);
+  it.StartFounders({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const auto reporting = it.NewTransport("127.0.0.60", 0);
+  const auto hearing = it.NewTransport("127.0.0.61", 0);
+  std::vector<uint64_t> heard;
+  DeploymentClient reporter(it.Seeds(), 1, it.clock(), it.metrics(), *reporting,
+                            [](const schema::DeploymentUpdate&) {});
+  DeploymentClient hearer(it.Seeds(), 2, it.clock(), it.metrics(), *hearing,
+                          [&heard](const schema::DeploymentUpdate& update) {
+                            if (update.has_harmful()) {
+                              heard.assign(update.harmful().digests().begin(),
+                                           update.harmful().digests().end());
+                            }
+                          });
+  reporter.Start();
+  hearer.Start();
+  REQUIRE(WaitFor([&] { return reporter.IsCurrent() && hearer.IsCurrent(); }));
+  for (int n = 0; n < 3; ++n) {
+    CHECK(heard.empty());
+    reporter.ReportCrash(77);
+  }
+  CHECK(WaitFor([&] { return heard == std::vector<uint64_t>{77}; }));
+}
+
 /// A source of updates that does what a test says.
 struct ScriptedSource {
   ScriptedSource(Deployment& deployment, const std::string& ip)
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -150,6 +150,42 @@
   CHECK(state.upstreams().at("u").draining());
 }
 
+schema::DeploymentCommand Crashed(uint64_t digest, int64_t elapsed_ms = 0) {
+  schema::DeploymentCommand command;
+  command.set_crashed_request(digest);
+  command.set_elapsed_ms(elapsed_ms);
+  return command;
+}
+
+TEST_CASE("A request is harmful once it has ended three upstreams") {
+  DeploymentState state;
+  Run(&state, Crashed(7));
+  Run(&state, Crashed(7));
+  Run(&state, Crashed(8));
+  CHECK(state.crashes().Harmful().empty());
+  const uint64_t revision = state.crashes().revision();
+  Run(&state, Crashed(7));
+  CHECK(state.crashes().Harmful() == std::vector<uint64_t>{7});
+  CHECK(state.crashes().revision() > revision);
+  DeploymentState restored;
+  REQUIRE(core::IsOk(restored.Restore(state.Snapshot())));
+  CHECK(restored.crashes().Harmful() == std::vector<uint64_t>{7});
+  CHECK(restored.crashes().revision() == state.crashes().revision());
+  Run(&restored, Crashed(8, CrashTable::kMemoryMs + 1));
+  CHECK(restored.crashes().Harmful().empty());
+}
+
+TEST_CASE("The table of crashes is bounded") {
+  CrashTable table;
+  for (uint64_t digest = 0; digest < 3 * CrashTable::kMaxRequests; ++digest) {
+    for (uint32_t n = 0; n < CrashTable::kCrashLimit; ++n) {
+      table.Report(digest, static_cast<int64_t>(digest));
+    }
+  }
+  CHECK(table.Harmful().size() == CrashTable::kMaxRequests);
+  CHECK(table.Harmful().front() == 2 * CrashTable::kMaxRequests);
+}
+
 TEST_CASE("Only a known machine is emptied, and it stays so") {
   DeploymentState state;
   schema::DeploymentCommand command;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -117,7 +117,8 @@
 void Caller::Send(const std::string& bytes) { socket_.Write(bytes); }
 
 RelayFixture::RelayFixture()
-    : relay_({clock_, codec_, ledger, metrics_, "a", 1}),
+    : relay_({clock_, codec_, ledger, metrics_, "a", 1,
+              [this](uint64_t digest) { crashes.push_back(digest); }}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -113,6 +113,8 @@
   uint16_t port() const { return endpoint_.port(); }
 
   MemoryLedger ledger;
+  /// Digests of requests whose upstream ended.
+  std::vector<uint64_t> crashes;
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,3 +1,4 @@
+#include <QTimer>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -113,6 +114,55 @@
   CHECK(other.requests().empty());
 }
 
+TEST_CASE("A request that ends its upstream is reported and then refused") {
+  RelayFixture it;
+  ScriptedUpstream* ending = nullptr;
+  ScriptedUpstream upstream([&ending](const std::string&) -> Step {
+    ending->Stop();
+    return {"", true};
+  });
+  ending = &upstream;
+  it.AddUpstream("u", upstream.address());
+  Caller caller(it.port());
+  caller.Send(RelayFixture::Request("/once/x", "r1"));
+  REQUIRE(WaitFor([&] { return it.crashes.size() == 1; }));
+  REQUIRE(WaitFor([&] { return !caller.received().empty(); }));
+  CHECK(caller.received().starts_with("HTTP/1.1 502 "));
+
+  ScriptedUpstream other([](const std::string& request) -> Step {
+    return {SignedAnswer(request, "fine")};
+  });
+  it.AddUpstream("v", other.address());
+  it.relay().SetHarmful({it.crashes[0]});
+  // The same request under another id, and a different one.
+  Caller again(it.port());
+  again.Send(RelayFixture::Request("/once/x", "r2"));
+  REQUIRE(WaitFor([&] { return !again.received().empty(); }));
+  CHECK(again.received().starts_with("HTTP/1.1 503 "));
+  CHECK(again.received().find("Retry-After: ") != std::string::npos);
+  Caller different(it.port());
+  different.Send(RelayFixture::Request("/once/y", "r3"));
+  REQUIRE(WaitFor([&] { return !different.received().empty(); }));
+  CHECK(different.received().starts_with("HTTP/1.1 200 "));
+  CHECK(other.requests().size() == 1);
+}
+
+TEST_CASE("An upstream that only breaks an answer off has not ended") {
+  RelayFixture it;
+  ScriptedUpstream upstream([](const std::string&) -> Step {
+    return {"", true};
+  });
+  it.AddUpstream("u", upstream.address());
+  Caller caller(it.port());
+  caller.Send(RelayFixture::Request("/once/x", "r1"));
+  REQUIRE(WaitFor([&] { return !caller.received().empty(); }));
+  REQUIRE(WaitFor([&] { return upstream.connections() >= 2; }));
+  bool passed = false;
+  QTimer::singleShot(50, [&passed] { passed = true; });
+  REQUIRE(WaitFor([&] { return passed; }));
+  CHECK(it.crashes.empty());
+}
+
 TEST_CASE("An idempotent call is repeated at another upstream") {
   RelayFixture it;
   ScriptedUpstream good([](const std::string& request) -> Step {
