scheduling: Take back the trial on new programs

The trial kept new programs out above 1.15 calls for each slot.

Conclusion: a limit by load helps where upstreams are shared by 69 instances and hurts where a rush after an outage should be let in; a longer time to come back lets programs in late that earn nothing more.

--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -11,9 +11,6 @@
 constexpr int64_t kFirstCallRank = 1000;
 constexpr std::chrono::milliseconds kLeastRetryAfter{100};
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{300};
-/// Calls that a begun program still makes, on average: overload lasts until
-/// they are done, since they go first. Programs make 3 to 11 calls.
-constexpr int kTurnsAhead = 4;
 
 core::Error Refuse(core::ErrorCode code, const char* message,
                    std::chrono::milliseconds retry_after) {
@@ -45,21 +42,16 @@
   return rank;
 }
 
-double SharedScheduler::LoadPerSlot(const Service& service,
-                                    core::TimePoint now) const {
+std::chrono::milliseconds SharedScheduler::ExpectedWait(
+    const Service& service, core::TimePoint now) const {
   const double slots = service.pool.Slots();
   if (slots <= 0) {
-    return 0;
+    return std::chrono::milliseconds(0);
   }
-  return (service.pool.Load(now) + static_cast<double>(service.queue.size())) /
-         slots;
-}
-
-std::chrono::milliseconds SharedScheduler::ExpectedWait(
-    const Service& service, core::TimePoint now) const {
-  const double excess = std::max(0.0, LoadPerSlot(service, now) - 1);
-  return std::chrono::milliseconds(
-      static_cast<int64_t>(excess * service.pool.mean_run_seconds() * 1000.0));
+  const double ahead = std::max(0.0, service.pool.Load(now) - slots) +
+                       static_cast<double>(service.queue.size());
+  return std::chrono::milliseconds(static_cast<int64_t>(
+      ahead / slots * service.pool.mean_run_seconds() * 1000.0));
 }
 
 core::Status SharedScheduler::Enqueue(const CallRequest& call,
@@ -73,11 +65,10 @@
   if (service.queue.size() >= settings_.max_queued) {
     return Refuse(core::ErrorCode::kOverloaded, "the queue is full", wait);
   }
-  if (call.attained_tokens == 0 &&
-      LoadPerSlot(service, now) > settings_.max_first_load) {
+  if (call.attained_tokens == 0 && wait > settings_.max_first_wait) {
     return Refuse(core::ErrorCode::kOverloaded,
                   "the service is overloaded and takes no new program",
-                  wait * kTurnsAhead);
+                  wait - settings_.max_first_wait);
   }
   if (call.deadline && now + wait >= *call.deadline) {
     return Refuse(core::ErrorCode::kDeadlineExceeded,
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -37,15 +37,9 @@
     SharedOrder order;
     /// Calls that may wait for one service.
     size_t max_queued = 2000;
-    /// Calls for each slot beyond which the first call of a program is refused.
-    /// A program that is let in above it would make every call of the begun
-    /// ones wait, its own later ones included. Below SharedPool::kOverfill, at
-    /// which instances stop to send; above 1, so that the rush after an outage
-    /// is let in.
-    double max_first_load = 1.15;
-    /// Time in the queue after which the first call of a program is refused.
-    /// Objectives leave about a third of a call's 300 ms.
-    std::chrono::milliseconds max_first_wait{100};
+    /// Expected wait beyond which the first call of a program is refused. A
+    /// program that comes back in time can still meet its objective.
+    std::chrono::milliseconds max_first_wait{400};
   };
 
   /// Waits between two looks at a full pool, whose other users are not seen.
@@ -93,8 +87,6 @@
   };
 
   Service& ServiceOf(const core::ServiceId& service);
-  /// Calls for each slot that run or wait, those of other instances included.
-  double LoadPerSlot(const Service& service, core::TimePoint now) const;
   std::chrono::milliseconds ExpectedWait(const Service& service,
                                          core::TimePoint now) const;
   int64_t RankOf(const CallRequest& call) const;
