cluster: Split the host by what it does

What instances tell of themselves and the steps of the membership stand in a file of their own, and so do the words and records of commands. Functions moved unchanged; the wait after 'unavailable' and the time for an announcement are named where they are used.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/command_log.h"
+#include "cluster/errors.h"
 #include "logging/log.h"
 
 namespace hawthorn::cluster {
@@ -17,87 +19,13 @@
 /// within a region take up to 3 ms, and a sync 2 ms.
 constexpr std::chrono::milliseconds kElectionTimeout{350};
 constexpr std::chrono::milliseconds kHeartbeat{90};
-constexpr std::chrono::milliseconds kPeerTimeout{800};
 /// Machines pay for each message. Well below the 250 ms in which watches are
 /// kept alive, so that news is not late by it.
 constexpr std::chrono::milliseconds kLazyInterval{30};
 constexpr uint64_t kSnapshotEntries = 4000;
 constexpr std::chrono::milliseconds kHeardReportInterval{5000};
-/// Time in which a new leader hears of all instances and upstreams before it
-/// calls any of them silent.
-constexpr std::chrono::milliseconds kSettleTime{3000};
-constexpr std::chrono::milliseconds kRetryAfter{300};
 /// Organisation under which the deployment's own work is timed.
 const core::OrganisationId kOwnWork("deployment");
-/// Instances that must remain when one is emptied: enough for a group that
-/// bears a loss.
-constexpr size_t kLeastInstances = 3;
-
-core::Error Unavailable(std::string message) {
-  return core::Error{core::ErrorCode::kUnavailable, std::move(message),
-                     core::Execution::kNotRun, kRetryAfter};
-}
-
-const char* KindOf(const schema::DeploymentCommand& command) {
-  using Command = schema::DeploymentCommand;
-  switch (command.body_case()) {
-    case Command::kPublish:
-      return "publish";
-    case Command::kUpstream:
-      return "upstream";
-    case Command::kReserve:
-      return "claim";
-    case Command::kSettle:
-      return "settle";
-    case Command::kInstance:
-    case Command::kForgetInstance:
-    case Command::kRetire:
-      return "instance";
-    case Command::kForgetUpstream:
-      return "forget_upstream";
-    case Command::kCrashedRequest:
-      return "crashed_request";
-    case Command::BODY_NOT_SET:
-      break;
-  }
-  return "none";
-}
-
-/// The claim in a command, without the settlements that travel with it.
-std::optional<schema::TokenReservation> ClaimOf(
-    const schema::DeploymentCommand& command) {
-  if (!command.has_reserve()) {
-    return std::nullopt;
-  }
-  schema::TokenReservation claim;
-  claim.set_program(command.reserve().program());
-  claim.set_request(command.reserve().request());
-  claim.set_budget(command.reserve().budget());
-  claim.set_tokens(command.reserve().tokens());
-  return claim;
-}
-
-void LogClaim(const schema::TokenReservation& claim,
-              const core::Result<schema::DeploymentReply>& result) {
-  const bool known = core::IsOk(result);
-  const bool granted = known && core::Value(result).granted();
-  const LogLevel level = granted ? LogLevel::kDebug
-                         : known ? LogLevel::kInfo
-                                 : LogLevel::kWarn;
-  if (!logging::IsLogged(level)) {
-    return;
-  }
-  Log(level, granted ? "claim granted" : "claim refused",
-      {{"request", claim.request()},
-       {"program", claim.program()},
-       {"budget", std::to_string(claim.budget())},
-       {"most_tokens", std::to_string(claim.tokens())},
-       {"budget_remaining",
-        known ? std::to_string(core::Value(result).remaining()) : "unknown"},
-       {"reason", granted ? ""
-                  : known ? "budget spent"
-                          : core::ErrorOf(result).message}});
-}
 
 /// Hands one field of a leader's reply on, or the error in its place.
 template <typename T>
@@ -353,93 +281,6 @@
   return leader == options_.self.instance() ? std::string() : leader;
 }
 
-void DeploymentHost::Announce() {
-  schema::DeploymentMessage message;
-  schema::InstanceAnnouncement* it = message.mutable_announcement();
-  *it->mutable_instance() = options_.self;
-  it->set_incarnation(store_->incarnation());
-  it->set_joining(!group_->replica().membership().Find(group_->replica().id()));
-  it->set_watchers(static_cast<uint32_t>(watches_.size()));
-  if (is_leader()) {
-    Announced& self = announced_[options_.self.instance()];
-    self.announcement = *it;
-    self.at = Now();
-    watches_.SetTotal(CountWatchers());
-    return;
-  }
-  std::string to = IsCurrent() ? LeaderElsewhere() : std::string();
-  if (to.empty() && !dialled_.empty()) {
-    auto target = dialled_.begin();
-    std::advance(target,
-                 static_cast<ptrdiff_t>(announce_cursor_++ % dialled_.size()));
-    to = target->first;
-  }
-  if (to.empty()) {
-    return;
-  }
-  peers_.Request(core::InstanceId(to), Pack(message), kPeerTimeout,
-                 [guard = QPointer<DeploymentHost>(this)](
-                     const core::Result<schema::PeerMessage>& reply) {
-                   if (!guard || !core::IsOk(reply)) {
-                     return;
-                   }
-                   const auto list = Unpack(core::Value(reply));
-                   if (core::IsOk(list) && core::Value(list).has_instances()) {
-                     guard->LearnInstances(core::Value(list).instances());
-                   }
-                 });
-}
-
-size_t DeploymentHost::CountWatchers() const {
-  size_t total = watches_.size();
-  for (const auto& [id, it] : announced_) {
-    const bool counts =
-        id != options_.self.instance() && it.at + kDeadAfter > Now();
-    total += counts ? it.announcement.watchers() : 0;
-  }
-  return total;
-}
-
-void DeploymentHost::LearnInstances(const schema::InstanceList& list) {
-  if (list.watchers() > 0) {
-    watches_.SetTotal(list.watchers());
-  }
-  for (const schema::InstanceRecord& record : list.instances()) {
-    Dial(record.instance(), record.peer_address());
-  }
-  if (IsCurrent() || list.leader().empty() ||
-      list.leader() == options_.self.instance()) {
-    return;
-  }
-  // Not a member yet: tell the leader itself.
-  schema::DeploymentMessage message;
-  schema::InstanceAnnouncement* it = message.mutable_announcement();
-  *it->mutable_instance() = options_.self;
-  it->set_incarnation(store_->incarnation());
-  it->set_joining(true);
-  peers_.Request(core::InstanceId(list.leader()), Pack(message), kPeerTimeout,
-                 [](const core::Result<schema::PeerMessage>&) {});
-}
-
-void DeploymentHost::OnAnnouncement(
-    const schema::InstanceAnnouncement& announcement,
-    const peer::Replier& replier) {
-  const std::string& id = announcement.instance().instance();
-  Dial(id, announcement.instance().peer_address());
-  Announced& known = announced_[id];
-  known.announcement = announcement;
-  known.at = Now();
-  schema::DeploymentMessage reply;
-  reply.mutable_instances()->set_leader(
-      IsCurrent() ? group_->replica().leader().instance : std::string());
-  if (is_leader()) {
-    reply.mutable_instances()->set_watchers(
-        static_cast<uint32_t>(CountWatchers()));
-  }
-  AppendInstances(machine_, reply.mutable_instances()->mutable_instances());
-  replier.Reply(Pack(reply));
-}
-
 void DeploymentHost::OnGroupMessage(const schema::GroupMessage& message) {
   schema::ConsensusMessage parsed;
   if (!group_ || !parsed.ParseFromString(message.payload())) {
@@ -623,30 +464,6 @@
                       &schema::DeploymentMessage::configuration));
 }
 
-core::Result<schema::RetirementState> DeploymentHost::RetirementHere(
-    const std::string& name) const {
-  if (!is_leader() || !IsCurrent()) {
-    return Unavailable("this instance does not lead");
-  }
-  schema::RetirementState state;
-  const schema::InstanceRecord* record = machine_.FindByName(name);
-  state.set_known(record != nullptr);
-  if (record == nullptr) {
-    return state;
-  }
-  const consensus::Replica& replica = group_->replica();
-  const consensus::Membership& membership = replica.membership();
-  size_t ready = 0;
-  for (const consensus::Member& member : membership.members()) {
-    const bool self = member.id == replica.id();
-    ready += member.voter && (self || replica.HasCaughtUp(member.id)) ? 1 : 0;
-  }
-  state.set_completed(record->retiring() && replica.membership_committed() &&
-                      membership.FindInstance(record->instance()) == nullptr &&
-                      ready >= kLeastInstances);
-  return state;
-}
-
 void DeploymentHost::ReadRetirement(const std::string& name,
                                     RetirementCallback callback) {
   if (!group_) {
@@ -664,76 +481,6 @@
                       &schema::DeploymentMessage::retirement_state));
 }
 
-GroupView DeploymentHost::View() const {
-  const core::TimePoint now = Now();
-  const consensus::Replica& replica = group_->replica();
-  GroupView view;
-  view.membership = replica.membership();
-  view.self = replica.id();
-  for (const auto& [id, it] : announced_) {
-    InstanceView instance;
-    instance.id = {id, it.announcement.incarnation()};
-    instance.zone = it.announcement.instance().zone();
-    instance.serves_control = it.announcement.instance().serves_control();
-    const auto record = machine_.instances().find(id);
-    instance.retiring =
-        record != machine_.instances().end() && record->second.retiring();
-    instance.alive = it.at + kDeadAfter > now;
-    instance.caught_up = replica.HasCaughtUp(instance.id);
-    view.instances.push_back(std::move(instance));
-  }
-  return view;
-}
-
-void DeploymentHost::PlanStep() {
-  const consensus::Replica& replica = group_->replica();
-  const core::TimePoint now = Now();
-  if (!replica.membership_committed() || !replica.accepts_proposals() ||
-      now < leader_since_ + kSettleTime) {
-    return;
-  }
-  const PlannedStep step = PlanMembership(View());
-  if (std::holds_alternative<HandOverLeadership>(step)) {
-    group_->TransferLeadership("", now);
-    return;
-  }
-  if (!std::holds_alternative<consensus::MembershipChange>(step)) {
-    return;
-  }
-  const auto& change = std::get<consensus::MembershipChange>(step);
-  const core::Status status = group_->ChangeMembership(change, now);
-  metrics_.Count("membership_changes");
-  using Kind = consensus::MembershipChange::Kind;
-  Log(LogLevel::kInfo, "membership change",
-      {{"member", consensus::ToString(change.id)},
-       {"kind", change.kind == Kind::kAddLearner ? "add learner"
-                : change.kind == Kind::kPromote  ? "promote"
-                                                 : "remove"},
-       {"voters", std::to_string(replica.membership().voter_count())},
-       {"outcome",
-        core::IsOk(status) ? "proposed" : core::ErrorOf(status).message}});
-}
-
-void DeploymentHost::RecordInstances() {
-  for (auto& [id, it] : announced_) {
-    const schema::InstanceRecord& said = it.announcement.instance();
-    const auto held = machine_.instances().find(id);
-    const bool same = held != machine_.instances().end() &&
-                      held->second.name() == said.name() &&
-                      held->second.peer_address() == said.peer_address() &&
-                      held->second.control_address() == said.control_address();
-    if (same || it.at + kDeadAfter <= Now() ||
-        it.recorded_at + kAnnounceInterval > Now()) {
-      continue;
-    }
-    it.recorded_at = Now();
-    schema::DeploymentCommand command;
-    *command.mutable_instance() = said;
-    ProposeHere(std::move(command),
-                [](const core::Result<schema::DeploymentReply>&) {});
-  }
-}
-
 void DeploymentHost::OnUpstreamHeard(const std::string& upstream) {
   heard_[upstream] = Now();
 }
--- /dev/null
+++ b/cluster/deployment_host_members.cpp
@@ -0,0 +1,210 @@
+// Who belongs to the deployment: what instances tell of themselves, their
+// records, and the steps by which the group's membership follows.
+#include <QPointer>
+#include <algorithm>
+#include <utility>
+
+#include "cluster/deployment_host.h"
+#include "cluster/errors.h"
+#include "logging/log.h"
+
+namespace hawthorn::cluster {
+
+namespace {
+
+using logging::Log;
+using logging::LogLevel;
+
+/// Answers to announcements are of no use later than the next ones.
+constexpr std::chrono::milliseconds kPeerTimeout{800};
+/// Time in which a new leader hears of all instances before it calls any of
+/// them silent.
+constexpr std::chrono::milliseconds kSettleTime{3000};
+/// Instances that must remain when one is emptied: enough for a group that
+/// bears a loss.
+constexpr size_t kLeastInstances = 3;
+
+}  // namespace
+
+void DeploymentHost::Announce() {
+  schema::DeploymentMessage message;
+  schema::InstanceAnnouncement* it = message.mutable_announcement();
+  *it->mutable_instance() = options_.self;
+  it->set_incarnation(store_->incarnation());
+  it->set_joining(!group_->replica().membership().Find(group_->replica().id()));
+  it->set_watchers(static_cast<uint32_t>(watches_.size()));
+  if (is_leader()) {
+    Announced& self = announced_[options_.self.instance()];
+    self.announcement = *it;
+    self.at = Now();
+    watches_.SetTotal(CountWatchers());
+    return;
+  }
+  std::string to = IsCurrent() ? LeaderElsewhere() : std::string();
+  if (to.empty() && !dialled_.empty()) {
+    auto target = dialled_.begin();
+    std::advance(target,
+                 static_cast<ptrdiff_t>(announce_cursor_++ % dialled_.size()));
+    to = target->first;
+  }
+  if (to.empty()) {
+    return;
+  }
+  peers_.Request(core::InstanceId(to), Pack(message), kPeerTimeout,
+                 [guard = QPointer<DeploymentHost>(this)](
+                     const core::Result<schema::PeerMessage>& reply) {
+                   if (!guard || !core::IsOk(reply)) {
+                     return;
+                   }
+                   const auto list = Unpack(core::Value(reply));
+                   if (core::IsOk(list) && core::Value(list).has_instances()) {
+                     guard->LearnInstances(core::Value(list).instances());
+                   }
+                 });
+}
+
+size_t DeploymentHost::CountWatchers() const {
+  size_t total = watches_.size();
+  for (const auto& [id, it] : announced_) {
+    const bool counts =
+        id != options_.self.instance() && it.at + kDeadAfter > Now();
+    total += counts ? it.announcement.watchers() : 0;
+  }
+  return total;
+}
+
+void DeploymentHost::LearnInstances(const schema::InstanceList& list) {
+  if (list.watchers() > 0) {
+    watches_.SetTotal(list.watchers());
+  }
+  for (const schema::InstanceRecord& record : list.instances()) {
+    Dial(record.instance(), record.peer_address());
+  }
+  if (IsCurrent() || list.leader().empty() ||
+      list.leader() == options_.self.instance()) {
+    return;
+  }
+  // Not a member yet: tell the leader itself.
+  schema::DeploymentMessage message;
+  schema::InstanceAnnouncement* it = message.mutable_announcement();
+  *it->mutable_instance() = options_.self;
+  it->set_incarnation(store_->incarnation());
+  it->set_joining(true);
+  peers_.Request(core::InstanceId(list.leader()), Pack(message), kPeerTimeout,
+                 [](const core::Result<schema::PeerMessage>&) {});
+}
+
+void DeploymentHost::OnAnnouncement(
+    const schema::InstanceAnnouncement& announcement,
+    const peer::Replier& replier) {
+  const std::string& id = announcement.instance().instance();
+  Dial(id, announcement.instance().peer_address());
+  Announced& known = announced_[id];
+  known.announcement = announcement;
+  known.at = Now();
+  schema::DeploymentMessage reply;
+  reply.mutable_instances()->set_leader(
+      IsCurrent() ? group_->replica().leader().instance : std::string());
+  if (is_leader()) {
+    reply.mutable_instances()->set_watchers(
+        static_cast<uint32_t>(CountWatchers()));
+  }
+  AppendInstances(machine_, reply.mutable_instances()->mutable_instances());
+  replier.Reply(Pack(reply));
+}
+
+core::Result<schema::RetirementState> DeploymentHost::RetirementHere(
+    const std::string& name) const {
+  if (!is_leader() || !IsCurrent()) {
+    return Unavailable("this instance does not lead");
+  }
+  schema::RetirementState state;
+  const schema::InstanceRecord* record = machine_.FindByName(name);
+  state.set_known(record != nullptr);
+  if (record == nullptr) {
+    return state;
+  }
+  const consensus::Replica& replica = group_->replica();
+  const consensus::Membership& membership = replica.membership();
+  size_t ready = 0;
+  for (const consensus::Member& member : membership.members()) {
+    const bool self = member.id == replica.id();
+    ready += member.voter && (self || replica.HasCaughtUp(member.id)) ? 1 : 0;
+  }
+  state.set_completed(record->retiring() && replica.membership_committed() &&
+                      membership.FindInstance(record->instance()) == nullptr &&
+                      ready >= kLeastInstances);
+  return state;
+}
+
+GroupView DeploymentHost::View() const {
+  const core::TimePoint now = Now();
+  const consensus::Replica& replica = group_->replica();
+  GroupView view;
+  view.membership = replica.membership();
+  view.self = replica.id();
+  for (const auto& [id, it] : announced_) {
+    InstanceView instance;
+    instance.id = {id, it.announcement.incarnation()};
+    instance.zone = it.announcement.instance().zone();
+    instance.serves_control = it.announcement.instance().serves_control();
+    const auto record = machine_.instances().find(id);
+    instance.retiring =
+        record != machine_.instances().end() && record->second.retiring();
+    instance.alive = it.at + kDeadAfter > now;
+    instance.caught_up = replica.HasCaughtUp(instance.id);
+    view.instances.push_back(std::move(instance));
+  }
+  return view;
+}
+
+void DeploymentHost::PlanStep() {
+  const consensus::Replica& replica = group_->replica();
+  const core::TimePoint now = Now();
+  if (!replica.membership_committed() || !replica.accepts_proposals() ||
+      now < leader_since_ + kSettleTime) {
+    return;
+  }
+  const PlannedStep step = PlanMembership(View());
+  if (std::holds_alternative<HandOverLeadership>(step)) {
+    group_->TransferLeadership("", now);
+    return;
+  }
+  if (!std::holds_alternative<consensus::MembershipChange>(step)) {
+    return;
+  }
+  const auto& change = std::get<consensus::MembershipChange>(step);
+  const core::Status status = group_->ChangeMembership(change, now);
+  metrics_.Count("membership_changes");
+  using Kind = consensus::MembershipChange::Kind;
+  Log(LogLevel::kInfo, "membership change",
+      {{"member", consensus::ToString(change.id)},
+       {"kind", change.kind == Kind::kAddLearner ? "add learner"
+                : change.kind == Kind::kPromote  ? "promote"
+                                                 : "remove"},
+       {"voters", std::to_string(replica.membership().voter_count())},
+       {"outcome",
+        core::IsOk(status) ? "proposed" : core::ErrorOf(status).message}});
+}
+
+void DeploymentHost::RecordInstances() {
+  for (auto& [id, it] : announced_) {
+    const schema::InstanceRecord& said = it.announcement.instance();
+    const auto held = machine_.instances().find(id);
+    const bool same = held != machine_.instances().end() &&
+                      held->second.name() == said.name() &&
+                      held->second.peer_address() == said.peer_address() &&
+                      held->second.control_address() == said.control_address();
+    if (same || it.at + kDeadAfter <= Now() ||
+        it.recorded_at + kAnnounceInterval > Now()) {
+      continue;
+    }
+    it.recorded_at = Now();
+    schema::DeploymentCommand command;
+    *command.mutable_instance() = said;
+    ProposeHere(std::move(command),
+                [](const core::Result<schema::DeploymentReply>&) {});
+  }
+}
+
+}  // namespace hawthorn::cluster
