relay: Refuse calls that may outlast a process that stops

An entry instance got SIGTERM at 8.297 s and has 8 s; most others of its zones were killed, so callers still came. A call that arrived at 14.838 s was sent on and cut off at the end of the process at 15.9 s.

A stopping instance now refuses, as not run, what may last longer than itself, by the call's own time limit; the test fails without it.

--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -120,6 +120,7 @@
   }
   on_done_ = std::move(on_done);
   drain_started_ = clock_.Now();
+  relay_.SetEnd(drain_started_ + DrainLimit());
   callers_.AnnounceClose();
   drain_timer_.start(kDrainPoll);
 }
@@ -133,9 +134,7 @@
   const bool finished = callers_.session_count() == 0 &&
                         relay_.open_calls() == 0 &&
                         client_.open_settlements() == 0;
-  const auto limit =
-      std::chrono::milliseconds(settings_.grace_ms) - kDrainReserve;
-  if (!finished && elapsed < limit) {
+  if (!finished && elapsed < DrainLimit()) {
     return;
   }
   drain_timer_.stop();
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -43,6 +43,10 @@
   void OnUpdate(const schema::DeploymentUpdate& update);
   void ContinueDrain();
   bool IsReady() const;
+  /// Time after which the process ends with whatever is still open.
+  std::chrono::milliseconds DrainLimit() const {
+    return std::chrono::milliseconds(settings_.grace_ms) - kDrainReserve;
+  }
 
   platform::BootSettings settings_;
   const core::Clock& clock_;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -56,6 +56,9 @@
   void RetainUpstreams(const std::set<std::string>& known);
   /// Sets the digests of requests that are refused because they end upstreams.
   void SetHarmful(std::set<uint64_t> digests);
+  /// Sets when the process ends at the latest. Calls that may last longer are
+  /// refused from now on; their callers' next connections go elsewhere.
+  void SetEnd(core::TimePoint end) { end_ = end; }
   /// Sets how many instances share the upstreams.
   void SetInstanceCount(size_t instances);
 
@@ -75,6 +78,7 @@
 
   // CallHost
   const core::Clock& clock() const override { return parts_.clock; }
+  std::optional<core::TimePoint> end() const override { return end_; }
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
   core::Status Enqueue(RelayCall& call) override;
@@ -113,6 +117,7 @@
   scheduling::CallId next_id_ = 1;
   size_t instances_ = 1;
   std::set<uint64_t> harmful_;
+  std::optional<core::TimePoint> end_;
   bool pump_scheduled_ = false;
   QTimer wake_up_;
   QTimer checks_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -64,6 +64,11 @@
     Refuse(kUnavailable, "no time left", std::nullopt);
     return;
   }
+  if (const auto end = parts_.host.end(); end && deadline_ > *end) {
+    Refuse(kUnavailable, "the instance stops before the call may be over",
+           kRetryAfter);
+    return;
+  }
   deadline_timer_.start(allowed);
   if (!parts_.head.token_budget || parts_.head.program.empty()) {
     EnterQueue();
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -31,6 +31,8 @@
  public:
   virtual ~CallHost() = default;
   virtual const core::Clock& clock() const = 0;
+  /// When the process ends at the latest, if that is known.
+  virtual std::optional<core::TimePoint> end() const = 0;
   virtual const CallCodec& codec() const = 0;
   virtual TokenLedger& ledger() = 0;
   /// Queues the call; Dispatch or RefuseQueued follows, never inside this.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -163,6 +163,26 @@
   CHECK(it.crashes.empty());
 }
 
+TEST_CASE("A call that may outlast the process is refused as not run") {
+  RelayFixture it;
+  ScriptedUpstream upstream([](const std::string& request) -> Step {
+    return {SignedAnswer(request, "fine")};
+  });
+  it.AddUpstream("u", upstream.address());
+  it.relay().SetEnd(core::SystemClock().Now() + std::chrono::milliseconds(500));
+  Caller late(it.port());
+  late.Send(RelayFixture::Request("/once/x", "r1"));
+  REQUIRE(WaitFor([&] { return !late.received().empty(); }));
+  CHECK(late.received().starts_with("HTTP/1.1 503 "));
+  CHECK(late.received().find("Retry-After: ") != std::string::npos);
+  CHECK(upstream.requests().empty());
+  it.relay().SetEnd(core::SystemClock().Now() + std::chrono::hours(1));
+  Caller early(it.port());
+  early.Send(RelayFixture::Request("/once/x", "r2"));
+  REQUIRE(WaitFor([&] { return !early.received().empty(); }));
+  CHECK(early.received().starts_with("HTTP/1.1 200 "));
+}
+
 TEST_CASE("An idempotent call is repeated at another upstream") {
   RelayFixture it;
   ScriptedUpstream good([](const std::string& request) -> Step {
