relay: Say each thing once that the platform's code said twice

Read as a whole, the change had its own copies of status codes, of a trim, of a listening address, of three requests to the leader, of an announcement and of three ways to another upstream; each is one piece of code now, also for the callers that were there before. Fields and accessors that nothing reads are gone, and so is an unread field of an announcement.

Work that was done twice: the digests of a prompt (once for each attempt and each end of one), the mean load of a pool (once for each upstream), and the look through all upstreams for signs of life that carry none.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -200,20 +200,28 @@
   reserve->set_budget(claim->claim.budget);
   reserve->set_tokens(claim->claim.tokens);
   FillSettlements(reserve->mutable_settlements());
+  AskLeader(command, std::min(left, kClaimAttempt),
+            [this, claim, settlements = command.reserve().settlements()](
+                const core::Result<schema::PeerMessage>& reply) {
+              if (core::IsOk(reply)) {
+                OnSettled(settlements);
+              }
+              OnClaimReply(claim, reply);
+            });
+}
+
+void DeploymentClient::AskLeader(
+    const schema::DeploymentCommand& command, std::chrono::milliseconds timeout,
+    std::function<void(const core::Result<schema::PeerMessage>&)> on_reply) {
   schema::DeploymentMessage message;
   command.SerializeToString(message.mutable_propose());
-  peers_.Request(core::InstanceId(leader_), Pack(message),
-                 std::min(left, kClaimAttempt),
-                 [guard = QPointer<DeploymentClient>(this), claim,
-                  settlements = command.reserve().settlements()](
+  peers_.Request(core::InstanceId(leader_), Pack(message), timeout,
+                 [guard = QPointer<DeploymentClient>(this),
+                  on_reply = std::move(on_reply)](
                      const core::Result<schema::PeerMessage>& reply) {
-                   if (!guard) {
-                     return;
+                   if (guard) {
+                     on_reply(reply);
                    }
-                   if (core::IsOk(reply)) {
-                     guard->OnSettled(settlements);
-                   }
-                   guard->OnClaimReply(claim, reply);
                  });
 }
 
@@ -268,18 +276,16 @@
   }
   schema::DeploymentCommand command;
   command.set_crashed_request(digest);
-  schema::DeploymentMessage message;
-  command.SerializeToString(message.mutable_propose());
   // A report that was committed but not answered counts twice at the worst.
-  peers_.Request(core::InstanceId(leader_), Pack(message), kClaimAttempt,
-                 [this, guard = QPointer<DeploymentClient>(this), digest,
-                  tries_left](const core::Result<schema::PeerMessage>& reply) {
-                   if (guard && !core::IsOk(reply)) {
-                     QTimer::singleShot(kCrashRetry, this, [=, this] {
-                       SendCrash(digest, tries_left - 1);
-                     });
-                   }
-                 });
+  AskLeader(command, kClaimAttempt,
+            [this, digest,
+             tries_left](const core::Result<schema::PeerMessage>& reply) {
+              if (!core::IsOk(reply)) {
+                QTimer::singleShot(kCrashRetry, this, [=, this] {
+                  SendCrash(digest, tries_left - 1);
+                });
+              }
+            });
 }
 
 void DeploymentClient::Settle(const relay::TokenClaim& claim, int64_t used) {
@@ -317,25 +323,20 @@
   }
   schema::DeploymentCommand command;
   FillSettlements(command.mutable_settle()->mutable_settlements());
-  schema::DeploymentMessage message;
-  command.SerializeToString(message.mutable_propose());
   settling_ = true;
-  peers_.Request(core::InstanceId(leader_), Pack(message), kClaimAttempt,
-                 [this, guard = QPointer<DeploymentClient>(this),
-                  command](const core::Result<schema::PeerMessage>& reply) {
-                   if (!guard) {
-                     return;
-                   }
-                   settling_ = false;
-                   if (!core::IsOk(reply)) {
-                     settle_timer_.start(kSettleRetry);
-                     return;
-                   }
-                   OnSettled(command.settle().settlements());
-                   if (!settlements_.empty()) {
-                     settle_timer_.start(kSettleDelay);
-                   }
-                 });
+  AskLeader(command, kClaimAttempt,
+            [this, settlements = command.settle().settlements()](
+                const core::Result<schema::PeerMessage>& reply) {
+              settling_ = false;
+              if (!core::IsOk(reply)) {
+                settle_timer_.start(kSettleRetry);
+                return;
+              }
+              OnSettled(settlements);
+              if (!settlements_.empty()) {
+                settle_timer_.start(kSettleDelay);
+              }
+            });
 }
 
 }  // namespace hawthorn::cluster
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -105,6 +105,12 @@
   /// Asks a new leader at once what the old one has not answered.
   void RepeatClaims();
   void SendSettlements();
+  /// Sends a command to the leader as it is known here. No reply is handed over
+  /// after this client is gone.
+  void AskLeader(
+      const schema::DeploymentCommand& command,
+      std::chrono::milliseconds timeout,
+      std::function<void(const core::Result<schema::PeerMessage>&)> on_reply);
   /// Adds open settlements to a command, up to the bound of one.
   void FillSettlements(
       google::protobuf::RepeatedPtrField<schema::TokenSettlement>* out) const;
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -130,6 +130,8 @@
   void Flush();
   void OnWritten(const storage::JournalWritten& written);
   void AfterApply();
+  /// What this instance tells of itself.
+  schema::DeploymentMessage SelfAnnouncement() const;
   void Announce();
   void OnAnnouncement(const schema::InstanceAnnouncement& announcement,
                       const peer::Replier& replier);
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -26,16 +26,20 @@
 
 }  // namespace
 
-void DeploymentHost::Announce() {
+schema::DeploymentMessage DeploymentHost::SelfAnnouncement() const {
   schema::DeploymentMessage message;
   schema::InstanceAnnouncement* it = message.mutable_announcement();
   *it->mutable_instance() = options_.self;
   it->set_incarnation(store_->incarnation());
-  it->set_joining(!group_->replica().membership().Find(group_->replica().id()));
   it->set_watchers(static_cast<uint32_t>(watches_.size()));
+  return message;
+}
+
+void DeploymentHost::Announce() {
+  const schema::DeploymentMessage message = SelfAnnouncement();
   if (is_leader()) {
     Announced& self = announced_[options_.self.instance()];
-    self.announcement = *it;
+    self.announcement = message.announcement();
     self.at = Now();
     watches_.SetTotal(CountWatchers());
     return;
@@ -85,13 +89,8 @@
     return;
   }
   // Not a member yet: tell the leader itself.
-  schema::DeploymentMessage message;
-  schema::InstanceAnnouncement* it = message.mutable_announcement();
-  *it->mutable_instance() = options_.self;
-  it->set_incarnation(store_->incarnation());
-  it->set_joining(true);
-  peers_.Request(core::InstanceId(list.leader()), Pack(message), kPeerTimeout,
-                 [](const core::Result<schema::PeerMessage>&) {});
+  peers_.Request(core::InstanceId(list.leader()), Pack(SelfAnnouncement()),
+                 kPeerTimeout, [](const core::Result<schema::PeerMessage>&) {});
 }
 
 void DeploymentHost::OnAnnouncement(
--- a/cluster/watch_board.cpp
+++ b/cluster/watch_board.cpp
@@ -58,12 +58,16 @@
     *update->mutable_configuration() = state_.configuration();
   }
   update->set_whole_table(!watcher->sent_table);
-  for (const auto& [id, entry] : state_.upstreams()) {
-    const bool news = !watcher->sent_table
-                          ? !entry.gone()
-                          : entry.revision() > watcher->upstream_revision;
-    if (news) {
-      *update->add_upstreams() = entry;
+  // Most updates are signs of life; the table keeps many that are gone.
+  if (!watcher->sent_table ||
+      watcher->upstream_revision < state_.upstream_revision()) {
+    for (const auto& [id, entry] : state_.upstreams()) {
+      const bool news = !watcher->sent_table
+                            ? !entry.gone()
+                            : entry.revision() > watcher->upstream_revision;
+      if (news) {
+        *update->add_upstreams() = entry;
+      }
     }
   }
   if (!watcher->sent_table ||
--- a/main/calls/call_attempts.cpp
+++ b/main/calls/call_attempts.cpp
@@ -5,6 +5,7 @@
 #include "main/calls/call_controller.h"
 #include "main/groups/ledger_messages.h"
 #include "main/http/json.h"
+#include "transport/http_status.h"
 
 // Attempts of a call: queued, dispatched, answered or retried.
 namespace hawthorn::main {
@@ -14,8 +15,6 @@
 constexpr std::chrono::milliseconds kCommitRetryInterval{100};
 constexpr std::chrono::milliseconds kSilenceTimeout{10'000};
 constexpr int kFirstFailureStatus = 400;
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
 constexpr char kNotRunMark[] = "not run";
 
 }  // namespace
@@ -228,10 +227,11 @@
   ReportResult(*call, unreachable && !refused
                           ? scheduling::CallOutcome::kUnreachable
                           : scheduling::CallOutcome::kFailed);
-  const bool answered = answer.complete && !refused &&
-                        answer.status != kTooManyRequests &&
-                        answer.status != kServiceUnavailable &&
-                        answer.status >= kFirstFailureStatus;
+  const bool answered =
+      answer.complete && !refused &&
+      answer.status != transport::status::kTooManyRequests &&
+      answer.status != transport::status::kServiceUnavailable &&
+      answer.status >= kFirstFailureStatus;
   if (answered && !IsModel(*call)) {
     Succeed(call, answer.status);
     return;
--- a/main/http/answer_writer.cpp
+++ b/main/http/answer_writer.cpp
@@ -5,12 +5,12 @@
 
 #include "main/http/json.h"
 #include "main/http/json_fields.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::main {
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr char kDone[] = "data: [DONE]\n\n";
 
 QString Text(const std::string& text) { return QString::fromStdString(text); }
@@ -87,7 +87,7 @@
 void AnswerWriter::Begin(const Waiter& waiter) {
   if (waiter.stream) {
     http_.BeginStream(
-        waiter.exchange, kOk,
+        waiter.exchange, transport::status::kOk,
         {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}});
   }
 }
@@ -123,7 +123,8 @@
   const QJsonObject body = waiter.format == AnswerFormat::kNative
                                ? NativeAnswer(call, outcome)
                                : ChatAnswer(call, outcome);
-  http_.Respond(waiter.exchange, kOk, JsonHeaders(), ToJson(body) + "\n");
+  http_.Respond(waiter.exchange, transport::status::kOk, JsonHeaders(),
+                ToJson(body) + "\n");
 }
 
 void AnswerWriter::FinishStream(const Waiter& waiter,
--- a/main/http/caller_api.cpp
+++ b/main/http/caller_api.cpp
@@ -7,6 +7,7 @@
 #include "main/groups/ledger_messages.h"
 #include "main/http/json.h"
 #include "main/http/json_fields.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::main {
 
@@ -16,8 +17,6 @@
 constexpr char kProgramsPath[] = "/v1/programs";
 constexpr char kServicesPath[] = "/v1/services/";
 constexpr char kChatPath[] = "/v1/chat/completions";
-constexpr int kOk = 200;
-constexpr int kCreated = 201;
 constexpr std::chrono::milliseconds kDefaultTimeout{60'000};
 constexpr int64_t kDefaultIdleExpiryMs = 3'600'000;
 
@@ -175,7 +174,8 @@
                            "." + random);
   create.set_program(id.text());
   Propose(request, id, command, [this, request, id](const auto&) {
-    Reply(request, kCreated, {{"program", QString::fromStdString(id.text())}});
+    Reply(request, transport::status::kCreated,
+          {{"program", QString::fromStdString(id.text())}});
   });
 }
 
@@ -196,7 +196,7 @@
                  NotRun(core::ErrorCode::kNotFound, "no such program"));
           return;
         }
-        Reply(request, kOk, ProgramObject(reply));
+        Reply(request, transport::status::kOk, ProgramObject(reply));
       });
 }
 
@@ -402,7 +402,7 @@
             if (action == "end") {
               parts_.calls.OnProgramEnded(program);
             }
-            Reply(request, kOk,
+            Reply(request, transport::status::kOk,
                   {{"program", QString::fromStdString(program.text())},
                    {"done", QString::fromStdString(action)}});
           });
--- a/main/http/operator_api.cpp
+++ b/main/http/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "control/key.h"
 #include "main/http/json.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::main {
 
@@ -10,8 +11,6 @@
 constexpr char kAdminPath[] = "/v1/admin/";
 constexpr char kBearer[] = "Bearer ";
 constexpr char kReady[] = "ready";
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 
 }  // namespace
 
@@ -30,12 +29,15 @@
   if (request.path == "/health") {
     const std::string state = health_();
     http_.Respond(
-        request.id, state == kReady ? kOk : kUnavailable, JsonHeaders(),
+        request.id,
+        state == kReady ? transport::status::kOk
+                        : transport::status::kServiceUnavailable,
+        JsonHeaders(),
         ToJson(QJsonObject{{"state", QString::fromStdString(state)}}) + "\n");
     return true;
   }
   if (request.path == "/metrics") {
-    http_.Respond(request.id, kOk,
+    http_.Respond(request.id, transport::status::kOk,
                   {{"Content-Type", "text/plain; version=0.0.4"}},
                   metrics_.Exposition());
     return true;
@@ -69,7 +71,8 @@
       refuse(core::ErrorOf(result));
       return;
     }
-    http_.Respond(id, kOk, JsonHeaders(), ToJson(core::Value(result)) + "\n");
+    http_.Respond(id, transport::status::kOk, JsonHeaders(),
+                  ToJson(core::Value(result)) + "\n");
   });
 }
 
--- a/main/http/upstream_api.cpp
+++ b/main/http/upstream_api.cpp
@@ -6,6 +6,7 @@
 #include "control/key.h"
 #include "main/http/json.h"
 #include "main/http/json_fields.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::main {
 
@@ -13,7 +14,6 @@
 
 constexpr char kPath[] = "/v1/upstreams";
 constexpr char kBearer[] = "Bearer ";
-constexpr int kOk = 200;
 /// An upstream renews so often within its lease.
 constexpr int kRenewalsPerLease = 3;
 
@@ -35,7 +35,8 @@
 
 void UpstreamApi::Reply(const transport::HttpRequest& request,
                         const QJsonObject& body) {
-  parts_.http.Respond(request.id, kOk, JsonHeaders(), ToJson(body) + "\n");
+  parts_.http.Respond(request.id, transport::status::kOk, JsonHeaders(),
+                      ToJson(body) + "\n");
 }
 
 bool UpstreamApi::OnRequest(const transport::HttpRequest& request) {
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -59,11 +59,7 @@
   if (!core::IsOk(status) || settings_.control_address.empty()) {
     return status;
   }
-  const auto address = transport::ParseAddress(settings_.control_address);
-  if (!core::IsOk(address)) {
-    return core::ErrorOf(address);
-  }
-  return control_.Listen(core::Value(address));
+  return control_.ListenAt(settings_.control_address);
 }
 
 void ControlRole::AddSeeds(const std::vector<std::string>& seeds) {
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -4,26 +4,17 @@
 
 #include "logging/log.h"
 #include "platform/configuration_codec.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::main {
 
 namespace {
 
+namespace status = transport::status;
+
 using logging::Log;
 using logging::LogLevel;
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
-core::Status ListenOn(transport::HttpEndpoint& endpoint,
-                      const std::string& address) {
-  const auto parsed = transport::ParseAddress(address);
-  if (!core::IsOk(parsed)) {
-    return core::ErrorOf(parsed);
-  }
-  return endpoint.Listen(core::Value(parsed));
-}
-
 }  // namespace
 
 EntryRole::EntryRole(platform::BootSettings settings, const core::Clock& clock,
@@ -47,19 +38,20 @@
       }),
       readiness_([this](transport::HttpSession& session,
                         const transport::RelayRequest&) {
-        session.Respond(IsReady() ? kOk : kUnavailable, {}, "");
+        session.Respond(IsReady() ? status::kOk : status::kServiceUnavailable,
+                        {}, "");
       }) {
   QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_,
                    [this] { ContinueDrain(); });
 }
 
 core::Status EntryRole::Start() {
-  core::Status status = ListenOn(callers_, settings_.caller_address);
+  core::Status status = callers_.ListenAt(settings_.caller_address);
   if (!core::IsOk(status)) {
     return status;
   }
   client_.Start();
-  return ListenOn(readiness_, settings_.readiness_address);
+  return readiness_.ListenAt(settings_.readiness_address);
 }
 
 void EntryRole::AddSeeds(const std::vector<std::string>& seeds) {
--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -36,8 +36,6 @@
   /// In the order of the prompt.
   std::vector<PromptPart> prompt_parts;
   std::string model;
-  /// Object that the call concerns; empty if the caller names none.
-  std::string affinity;
   /// The caller resumes a stream after this event.
   std::optional<uint64_t> resume_after;
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -6,14 +6,14 @@
 #include <utility>
 
 #include "logging/log.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::relay {
 
 namespace {
 
-constexpr int kNotFound = 404;
-constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
+namespace status = transport::status;
+
 /// Wait that is suggested while no configuration is known, in seconds.
 constexpr const char* kUnconfiguredRetryAfter = "0.3";
 /// Wait that is suggested for a request that ends upstreams, in seconds: as
@@ -85,7 +85,8 @@
                       transport::RelayRequest request) {
   if (!table_) {
     parts_.metrics.Count("relay_refused_unconfigured");
-    session.Respond(kUnavailable, {{"Retry-After", kUnconfiguredRetryAfter}},
+    session.Respond(status::kServiceUnavailable,
+                    {{"Retry-After", kUnconfiguredRetryAfter}},
                     "no configuration is known yet");
     return;
   }
@@ -98,11 +99,12 @@
                   {"host", request.host},
                   {"target", request.target},
                   {"configuration", std::to_string(table_->version())}});
-    session.Respond(kNotFound, {}, "no route matches the host and path");
+    session.Respond(status::kNotFound, {},
+                    "no route matches the host and path");
     return;
   }
   if (head.request_id.empty()) {
-    session.Respond(kBadRequest, {}, "the request id is missing");
+    session.Respond(status::kBadRequest, {}, "the request id is missing");
     return;
   }
   if (!harmful_.empty() && harmful_.contains(DigestOf(request, head))) {
@@ -111,7 +113,8 @@
                  {{"request", head.request_id},
                   {"program", head.program},
                   {"reason", "the request ends upstreams that run it"}});
-    session.Respond(kUnavailable, {{"Retry-After", kHarmfulRetryAfter}},
+    session.Respond(status::kServiceUnavailable,
+                    {{"Retry-After", kHarmfulRetryAfter}},
                     "the request ends upstreams that run it");
     return;
   }
@@ -119,10 +122,12 @@
       head.program.empty() ? head.request_id : head.program;
   std::string service = RouteTable::PickService(*route, key);
   const ServiceSettings* settings = table_->FindService(service);
+  std::vector<scheduling::PrefixSegment> segments = Segments(head);
   RelayCall::Parts call{*this,
                         session,
                         std::move(request),
                         std::move(head),
+                        std::move(segments),
                         *route,
                         std::move(service),
                         settings != nullptr && settings->engine
@@ -233,7 +238,7 @@
   if (service != nullptr && service->engine) {
     state.cache_tokens = service->engine->cache_tokens;
   }
-  scheduler_.SetUpstream(state, parts_.clock.Now());
+  scheduler_.SetUpstream(state);
 }
 
 core::Status Relay::Enqueue(RelayCall& call) {
@@ -246,7 +251,7 @@
   request.service = core::ServiceId(call.service());
   request.prompt_tokens = head.prompt_tokens;
   request.max_output_tokens = head.max_output_tokens;
-  request.prefix = Segments(head);
+  request.prefix = call.segments();
   const bool is_turn = !head.prompt_parts.empty();
   const bool begun = is_turn ? head.prompt_parts.size() > kFirstTurnParts
                              : !head.program.empty();
@@ -276,9 +281,8 @@
   result.outcome = outcome;
   result.prompt_tokens = call.head().prompt_tokens;
   result.output_tokens = call.generated_tokens();
-  const std::vector<scheduling::PrefixSegment> segments = Segments(call.head());
-  if (!segments.empty()) {
-    result.produced = segments.back();
+  if (!call.segments().empty()) {
+    result.produced = call.segments().back();
   }
   scheduler_.OnFinished(result, now);
   if (outcome == scheduling::CallOutcome::kUnreachable) {
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -4,15 +4,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/http_status.h"
+
 namespace hawthorn::relay {
 
 namespace {
 
-constexpr int kBudgetSpent = 402;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kFirstServerError = 500;
+namespace status = transport::status;
+
 /// Part of the time left that a claim on a budget may take.
 constexpr int kClaimShare = 3;
 /// Longest wait for a claim; an election takes about as long.
@@ -61,12 +60,12 @@
   deadline_ = started_ + allowed;
   parts_.session.SetLeftHandler([this] { OnCallerLeft(); });
   if (allowed < kLeastTimeLeft) {
-    Refuse(kUnavailable, "no time left", std::nullopt);
+    Refuse(status::kServiceUnavailable, "no time left", std::nullopt);
     return;
   }
   if (const auto end = parts_.host.end(); end && deadline_ > *end) {
-    Refuse(kUnavailable, "the instance stops before the call may be over",
-           kRetryAfter);
+    Refuse(status::kServiceUnavailable,
+           "the instance stops before the call may be over", kRetryAfter);
     return;
   }
   deadline_timer_.start(allowed);
@@ -93,14 +92,14 @@
   }
   if (!core::IsOk(answer)) {
     const core::Error& error = core::ErrorOf(answer);
-    Refuse(kUnavailable, "budget unknown: " + error.message,
+    Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
            error.retry_after.value_or(kRetryAfter));
     return;
   }
   summary_.budget_remaining = core::Value(answer).remaining;
   if (!core::Value(answer).granted) {
     claim_.reset();
-    Refuse(kBudgetSpent, "budget spent", std::nullopt);
+    Refuse(status::kPaymentRequired, "budget spent", std::nullopt);
     return;
   }
   EnterQueue();
@@ -116,7 +115,8 @@
 }
 
 void RelayCall::RefuseQueued(const core::Error& error) {
-  Refuse(kUnavailable, error.message, error.retry_after.value_or(kRetryAfter));
+  Refuse(status::kServiceUnavailable, error.message,
+         error.retry_after.value_or(kRetryAfter));
 }
 
 void RelayCall::Dispatch(const std::string& upstream) {
@@ -282,7 +282,7 @@
     End();
     return;
   }
-  const bool failed = answer_.status >= kFirstServerError;
+  const bool failed = answer_.status >= status::kInternalServerError;
   if (failed && !answer_begun_) {
     ran_at_.insert(upstream_);
     if (ran_at_.size() < parts_.route.max_upstreams && TryAgain()) {
@@ -310,13 +310,10 @@
   if (answer_head_.wrong_upstream) {
     parts_.host.OnWrongUpstream(upstream_);
   }
-  excluded_.emplace_back(upstream_);
-  LeaveUpstream(scheduling::CallOutcome::kCancelled);
-  if (++not_run_ <= kMaxNotRun && TimeLeft() > kLeastTimeLeft) {
-    EnterQueue();
+  if (GoElsewhere(scheduling::CallOutcome::kCancelled)) {
     return;
   }
-  Fail(ran_at_.empty() ? kUnavailable : kBadGateway,
+  Fail(ran_at_.empty() ? status::kServiceUnavailable : status::kBadGateway,
        "every upstream that was asked refused");
 }
 
@@ -329,22 +326,19 @@
     ran_at_.insert(upstream_);
     if (!TryAgain()) {
       LeaveUpstream(scheduling::CallOutcome::kFailed);
-      Fail(kBadGateway, "the upstream broke its answer off");
+      Fail(status::kBadGateway, "the upstream broke its answer off");
     }
     return;
   }
   if (ran_at_.erase(upstream_) > 0 && ++summary_.crashes >= kMaxCrashes) {
     LeaveUpstream(scheduling::CallOutcome::kUnreachable);
-    Fail(kBadGateway, "the request ended every upstream that ran it");
+    Fail(status::kBadGateway, "the request ended every upstream that ran it");
     return;
   }
-  excluded_.emplace_back(upstream_);
-  LeaveUpstream(scheduling::CallOutcome::kUnreachable);
-  if (++not_run_ <= kMaxNotRun && TimeLeft() > kLeastTimeLeft) {
-    EnterQueue();
+  if (GoElsewhere(scheduling::CallOutcome::kUnreachable)) {
     return;
   }
-  Fail(summary_.ran ? kBadGateway : kUnavailable,
+  Fail(summary_.ran ? status::kBadGateway : status::kServiceUnavailable,
        "no upstream could be reached");
 }
 
@@ -374,13 +368,20 @@
   summary_.ran = true;
   ran_at_.erase(upstream_);
   parts_.host.OnDecision(*this, "call moved", "the upstream is cut off");
-  excluded_.emplace_back(upstream_);
-  LeaveUpstream(scheduling::CallOutcome::kUnreachable);
-  if (TimeLeft() > kLeastTimeLeft && ++not_run_ <= kMaxNotRun) {
-    EnterQueue();
+  if (GoElsewhere(scheduling::CallOutcome::kUnreachable)) {
     return;
   }
-  Fail(kBadGateway, "the upstream was cut off");
+  Fail(status::kBadGateway, "the upstream was cut off");
+}
+
+bool RelayCall::GoElsewhere(scheduling::CallOutcome outcome) {
+  excluded_.emplace_back(upstream_);
+  LeaveUpstream(outcome);
+  if (++not_run_ > kMaxNotRun || TimeLeft() <= kLeastTimeLeft) {
+    return false;
+  }
+  EnterQueue();
+  return true;
 }
 
 bool RelayCall::TryAgain() {
@@ -430,17 +431,17 @@
   }
   if (state_ == State::kRunning) {
     LeaveUpstream(scheduling::CallOutcome::kCancelled);
-    Fail(kGatewayTimeout, "the deadline passed at the upstream");
+    Fail(status::kGatewayTimeout, "the deadline passed at the upstream");
     return;
   }
-  Fail(summary_.ran ? kGatewayTimeout : kUnavailable,
+  Fail(summary_.ran ? status::kGatewayTimeout : status::kServiceUnavailable,
        "the deadline passed in the queue");
 }
 
 void RelayCall::Refuse(int status, std::string reason,
                        std::optional<std::chrono::milliseconds> retry_after) {
   if (answer_begun_ || summary_.ran) {
-    Fail(kBadGateway, std::move(reason));
+    Fail(status::kBadGateway, std::move(reason));
     return;
   }
   summary_.status = status;
@@ -459,7 +460,7 @@
   summary_.reason = std::move(reason);
   if (answer_begun_) {
     parts_.session.AbortBody();
-  } else if (status == kUnavailable) {
+  } else if (status == status::kServiceUnavailable) {
     Refuse(status, summary_.reason, kRetryAfter);
     return;
   } else {
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -118,6 +118,8 @@
     transport::HttpSession& session;
     transport::RelayRequest request;
     CallHead head;
+    /// Points of the prompt up to which an engine may hold it.
+    std::vector<scheduling::PrefixSegment> segments;
     Route route;
     std::string service;
     int64_t tokens_per_event = 1;
@@ -132,6 +134,9 @@
   void RefuseQueued(const core::Error& error);
 
   const CallHead& head() const { return parts_.head; }
+  const std::vector<scheduling::PrefixSegment>& segments() const {
+    return parts_.segments;
+  }
   const Route& route() const { return parts_.route; }
   const std::string& service() const { return parts_.service; }
   const transport::RelayRequest& request() const { return parts_.request; }
@@ -161,6 +166,9 @@
   void ForwardEvents(std::string_view bytes);
   void BeginAnswer();
   void LeaveUpstream(scheduling::CallOutcome outcome);
+  /// Leaves an upstream that did not run the call, or will not have, and queues
+  /// the call for another one; false if it has no tries or time left.
+  bool GoElsewhere(scheduling::CallOutcome outcome);
   /// Tries again where the kind of call allows it; false if it does not.
   bool TryAgain();
   void OnCallerLeft();
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -34,7 +34,7 @@
   return z ^ (z >> 31U);
 }
 
-void SharedPool::Set(const UpstreamState& state, core::TimePoint /*now*/) {
+void SharedPool::Set(const UpstreamState& state) {
   const auto [it, added] = upstreams_.try_emplace(state.id);
   if (added) {
     it->second.cache_slot = next_cache_slot_++;
@@ -62,14 +62,8 @@
   }
 }
 
-double SharedPool::LoadOf(const Upstream& upstream, core::TimePoint now) const {
-  return upstream.load.Total(
-      now, others_per_slot_.Value(now) * upstream.MaxRunning());
-}
-
 double SharedPool::CostOf(const Upstream& upstream, const CallRequest& call,
-                          core::TimePoint now) const {
-  const double total = LoadOf(upstream, now);
+                          double total) const {
   if (placement_ == SharedPlacement::kLeastLoaded) {
     return total / upstream.MaxRunning();
   }
@@ -100,10 +94,11 @@
       break;
     }
   }
-  std::erase_if(usable, [this, now](const Upstream* it) {
-    // What is usual elsewhere never makes an upstream full by itself: one that
-    // nothing is known of is tried.
-    const double usual = std::min(others_per_slot_.Value(now), 1.0);
+  const double others = others_per_slot_.Value(now);
+  // What is usual elsewhere never makes an upstream full by itself: one that
+  // nothing is known of is tried.
+  const double usual = std::min(others, 1.0);
+  std::erase_if(usable, [usual, now](const Upstream* it) {
     const double total = it->load.Total(now, usual * (it->MaxRunning() - 1));
     return total + 1 > it->MaxRunning() * (1 + kOverfill);
   });
@@ -128,7 +123,8 @@
   const Upstream* best = nullptr;
   double best_cost = 0;
   for (const Upstream* it : usable) {
-    double cost = CostOf(*it, call, now);
+    double cost =
+        CostOf(*it, call, it->load.Total(now, others * it->MaxRunning()));
     const bool unseen = it == home && it->state.cache_tokens > 0 &&
                         cache_.CachedTokens(it->cache_slot, call.prefix) == 0;
     if (unseen) {
@@ -187,9 +183,10 @@
 }
 
 double SharedPool::Load(core::TimePoint now) const {
+  const double others = others_per_slot_.Value(now);
   double load = 0;
   for (const auto& [id, it] : upstreams_) {
-    load += it.TakesCalls() ? LoadOf(it, now) : 0;
+    load += it.TakesCalls() ? it.load.Total(now, others * it.MaxRunning()) : 0;
   }
   return load;
 }
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -55,7 +55,7 @@
   SharedPool(core::ZoneId zone, uint64_t seed)
       : zone_(std::move(zone)), random_(seed) {}
 
-  void Set(const UpstreamState& state, core::TimePoint now);
+  void Set(const UpstreamState& state);
   void Remove(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
   void SetPlacement(SharedPlacement placement) { placement_ = placement; }
@@ -74,9 +74,6 @@
   /// Mean time of a call at an upstream, in seconds.
   double mean_run_seconds() const { return mean_run_seconds_; }
   bool empty() const { return upstreams_.empty(); }
-  bool Has(const core::UpstreamId& upstream) const {
-    return upstreams_.contains(upstream);
-  }
   /// Keeps calls away from an upstream that cannot be reached, until Resume.
   void Suspend(const core::UpstreamId& upstream, core::TimePoint now);
   /// A check reached the upstream.
@@ -102,10 +99,9 @@
     bool TakesCalls() const { return !state.leaving && !check_at; }
   };
 
-  /// Calls on an upstream, of all instances.
-  double LoadOf(const Upstream& upstream, core::TimePoint now) const;
+  /// Cost of `call` at an upstream that has `total` calls of all instances.
   double CostOf(const Upstream& upstream, const CallRequest& call,
-                core::TimePoint now) const;
+                double total) const;
   uint64_t NextRandom();
 
   core::ZoneId zone_;
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -92,14 +92,13 @@
   return true;
 }
 
-void SharedScheduler::SetUpstream(const UpstreamState& state,
-                                  core::TimePoint now) {
+void SharedScheduler::SetUpstream(const UpstreamState& state) {
   const auto it = service_of_.find(state.id);
   if (it != service_of_.end() && it->second != state.service) {
     RemoveUpstream(state.id);
   }
   service_of_[state.id] = state.service;
-  ServiceOf(state.service).pool.Set(state, now);
+  ServiceOf(state.service).pool.Set(state);
 }
 
 void SharedScheduler::RemoveUpstream(const core::UpstreamId& upstream) {
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -52,7 +52,7 @@
   core::Status Enqueue(const CallRequest& call, core::TimePoint now);
   /// Takes a queued call out; false if it is not queued.
   bool Cancel(CallId call);
-  void SetUpstream(const UpstreamState& state, core::TimePoint now);
+  void SetUpstream(const UpstreamState& state);
   void RemoveUpstream(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
   /// Keeps calls away from an upstream until Resume; see SharedPool.
--- a/tests/scheduling/shared_scheduler_test.cpp
+++ b/tests/scheduling/shared_scheduler_test.cpp
@@ -32,7 +32,7 @@
     state.zone = core::ZoneId(zone);
     state.max_running = max_running;
     state.cache_tokens = cache;
-    scheduler.SetUpstream(state, now);
+    scheduler.SetUpstream(state);
   }
 
   CallRequest Call(CallId id, int64_t attained = 100,
@@ -196,7 +196,7 @@
   leaving.zone = core::ZoneId("a");
   leaving.max_running = 4;
   leaving.leaving = true;
-  it.scheduler.SetUpstream(leaving, it.now);
+  it.scheduler.SetUpstream(leaving);
   REQUIRE(core::IsOk(it.scheduler.Enqueue(it.Call(1), it.now)));
   CHECK(it.scheduler.Next(it.now)[0].upstream.text() == "far");
 }
--- a/transport/guarded_listener.cpp
+++ b/transport/guarded_listener.cpp
@@ -1,14 +1,13 @@
 #include "transport/guarded_listener.h"
 
 #include "transport/guarded_socket.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::transport {
 
 namespace {
 
 constexpr std::chrono::milliseconds kScanInterval{500};
-constexpr int kRequestTimeout = 408;
-constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
@@ -25,7 +24,8 @@
   auto* socket = new GuardedSocket(descriptor, limits_.framing, clock_, this);
   if (!HasRoomFor(socket->peerAddress())) {
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    socket->RefuseConnection(kServiceUnavailable, "too many connections");
+    socket->RefuseConnection(status::kServiceUnavailable,
+                             "too many connections");
     return;
   }
   connections_.insert(socket, socket->peerAddress());
@@ -68,7 +68,7 @@
       continue;
     }
     if (socket->mid_request() && silence >= limits_.request_timeout) {
-      socket->RefuseConnection(kRequestTimeout,
+      socket->RefuseConnection(status::kRequestTimeout,
                                "the request did not arrive in time");
     } else if (silence >= limits_.idle_timeout) {
       socket->disconnectFromHost();
--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 
 #include "transport/http_status.h"
+#include "transport/text.h"
 
 namespace hawthorn::transport {
 
@@ -19,15 +20,6 @@
     "te",         "proxy-connection",  "proxy-authorization",
     "trailer",    "transfer-encoding", "upgrade"};
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \t";
-  const size_t first = text.find_first_not_of(kBlank);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
-}
-
 /// Splits at the first `separator`; the rest stays in `text`.
 std::string_view TakeUntil(std::string_view* text, char separator) {
   const size_t end = text->find(separator);
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -4,16 +4,14 @@
 
 #include <utility>
 
+#include "transport/http_status.h"
+
 namespace hawthorn::transport {
 
 namespace {
 
-constexpr int kRequestTimeoutStatus = 408;
-constexpr int kNotModified = 304;
-constexpr int kNoContent = 204;
-
 bool HasBody(int status) {
-  return status != kNotModified && status != kNoContent;
+  return status != status::kNotModified && status != status::kNoContent;
 }
 
 }  // namespace
@@ -39,10 +37,7 @@
 }
 
 void HttpSession::SetDrainedHandler(std::function<void()> on_drained) {
-  socket_.SetEvents({.on_connected = {},
-                     .on_bytes = [this](std::string_view it) { OnBytes(it); },
-                     .on_end = [this](SocketEnd) { OnEnd(); },
-                     .on_drained = std::move(on_drained)});
+  socket_.SetDrainedHandler(std::move(on_drained));
 }
 
 void HttpSession::OnBytes(std::string_view bytes) {
@@ -201,7 +196,7 @@
     return;
   }
   if (framer_.started()) {
-    Refuse(kRequestTimeoutStatus, "the request did not arrive in time");
+    Refuse(status::kRequestTimeout, "the request did not arrive in time");
     return;
   }
   socket_.Close();
@@ -228,6 +223,14 @@
   return listener_.Listen(address, [this](int it) { Accept(it); });
 }
 
+core::Status HttpEndpoint::ListenAt(std::string_view address) {
+  const core::Result<SocketAddress> parsed = ParseAddress(address);
+  if (!core::IsOk(parsed)) {
+    return core::ErrorOf(parsed);
+  }
+  return Listen(core::Value(parsed));
+}
+
 void HttpEndpoint::Accept(int descriptor) {
   if (sessions_.size() >= kMaxSessions) {
     ::close(descriptor);
--- a/transport/http_session.h
+++ b/transport/http_session.h
@@ -41,8 +41,6 @@
 
   struct Events {
     std::function<void(HttpSession&, RelayRequest)> on_request;
-    /// The client of the open exchange left. The exchange is over.
-    std::function<void()> on_left;
     /// The session ended and will be deleted.
     std::function<void(HttpSession&)> on_closed;
   };
@@ -70,7 +68,7 @@
   bool busy() const { return busy_; }
   /// Bytes of the answer that the client has not taken.
   size_t pending_bytes() const { return socket_.pending_bytes(); }
-  /// Called once when the client has taken everything that was written.
+  /// Called whenever the client has taken everything that was written.
   void SetDrainedHandler(std::function<void()> on_drained);
 
  private:
@@ -111,6 +109,8 @@
   explicit HttpEndpoint(RequestHandler on_request, QObject* parent = nullptr);
 
   core::Status Listen(const SocketAddress& address);
+  /// The same for "IP:port"; kInvalidArgument for anything else.
+  core::Status ListenAt(std::string_view address);
   uint16_t port() const { return listener_.port(); }
   void SetLimits(const SessionLimits& limits) { limits_ = limits; }
   /// Tells clients to leave: answers close their connections, idle ones close.
--- a/transport/http_status.h
+++ b/transport/http_status.h
@@ -4,46 +4,73 @@
 
 namespace hawthorn::transport {
 
+/// Status codes that the product sends or looks for (RFC 9110).
+namespace status {
+
+inline constexpr int kOk = 200;
+inline constexpr int kCreated = 201;
+inline constexpr int kNoContent = 204;
+inline constexpr int kNotModified = 304;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kPaymentRequired = 402;
+inline constexpr int kNotFound = 404;
+inline constexpr int kMethodNotAllowed = 405;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kConflict = 409;
+inline constexpr int kContentTooLarge = 413;
+inline constexpr int kMisdirectedRequest = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kHeaderFieldsTooLarge = 431;
+inline constexpr int kInternalServerError = 500;
+inline constexpr int kNotImplemented = 501;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kServiceUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+inline constexpr int kVersionNotSupported = 505;
+
+}  // namespace status
+
 /// Reason phrase of the status codes that the product sends (RFC 9110).
-constexpr std::string_view StatusText(int status) {
-  switch (status) {
-    case 200:
+constexpr std::string_view StatusText(int code) {
+  switch (code) {
+    case status::kOk:
       return "OK";
-    case 201:
+    case status::kCreated:
       return "Created";
-    case 400:
+    case status::kBadRequest:
       return "Bad Request";
-    case 401:
+    case status::kUnauthorized:
       return "Unauthorized";
-    case 402:
+    case status::kPaymentRequired:
       return "Payment Required";
-    case 404:
+    case status::kNotFound:
       return "Not Found";
-    case 405:
+    case status::kMethodNotAllowed:
       return "Method Not Allowed";
-    case 408:
+    case status::kRequestTimeout:
       return "Request Timeout";
-    case 409:
+    case status::kConflict:
       return "Conflict";
-    case 413:
+    case status::kContentTooLarge:
       return "Content Too Large";
-    case 421:
+    case status::kMisdirectedRequest:
       return "Misdirected Request";
-    case 429:
+    case status::kTooManyRequests:
       return "Too Many Requests";
-    case 431:
+    case status::kHeaderFieldsTooLarge:
       return "Request Header Fields Too Large";
-    case 500:
+    case status::kInternalServerError:
       return "Internal Server Error";
-    case 501:
+    case status::kNotImplemented:
       return "Not Implemented";
-    case 502:
+    case status::kBadGateway:
       return "Bad Gateway";
-    case 503:
+    case status::kServiceUnavailable:
       return "Service Unavailable";
-    case 504:
+    case status::kGatewayTimeout:
       return "Gateway Timeout";
-    case 505:
+    case status::kVersionNotSupported:
       return "HTTP Version Not Supported";
     default:
       return "Error";
--- a/transport/request_framer.cpp
+++ b/transport/request_framer.cpp
@@ -5,15 +5,13 @@
 #include <charconv>
 #include <utility>
 
+#include "transport/http_status.h"
+#include "transport/text.h"
+
 namespace hawthorn::transport {
 
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kHeaderTooLarge = 431;
-constexpr int kNotImplemented = 501;
-constexpr int kVersionNotSupported = 505;
 constexpr size_t kMaxChunkLineBytes = 256;
 constexpr size_t kMaxTrailerBytes = 1024;
 
@@ -27,16 +25,6 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
 }
 
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
 std::string Lower(std::string_view text) {
   std::string lower(text);
   std::transform(
@@ -95,14 +83,14 @@
 
 bool RequestFramer::TakeByteOfHead(char c) {
   if (message_.size() >= limits_.max_head_bytes) {
-    Refuse(kHeaderTooLarge, "the request head is larger than " +
-                                std::to_string(limits_.max_head_bytes) +
-                                " bytes");
+    Refuse(status::kHeaderFieldsTooLarge,
+           "the request head is larger than " +
+               std::to_string(limits_.max_head_bytes) + " bytes");
     return false;
   }
   const bool after_cr = !message_.empty() && message_.back() == '\r';
   if ((c == '\n') != after_cr) {
-    Refuse(kBadRequest, "a line of the head does not end in CR LF");
+    Refuse(status::kBadRequest, "a line of the head does not end in CR LF");
     return false;
   }
   message_ += c;
@@ -127,15 +115,15 @@
     head.remove_prefix(end + 2);
   }
   if (has_transfer_encoding_ && content_length_) {
-    Refuse(kBadRequest, "Content-Length beside Transfer-Encoding");
+    Refuse(status::kBadRequest, "Content-Length beside Transfer-Encoding");
     return;
   }
   if (has_transfer_encoding_ && is_http_1_0_) {
-    Refuse(kBadRequest, "Transfer-Encoding in HTTP/1.0");
+    Refuse(status::kBadRequest, "Transfer-Encoding in HTTP/1.0");
     return;
   }
   if (!has_host_ && !is_http_1_0_) {
-    Refuse(kBadRequest, "the Host field is missing");
+    Refuse(status::kBadRequest, "the Host field is missing");
     return;
   }
   remaining_ = content_length_.value_or(0);
@@ -150,20 +138,21 @@
   const size_t first = line.find(' ');
   const size_t last = line.rfind(' ');
   if (first == std::string_view::npos || first == last) {
-    Refuse(kBadRequest, "malformed request line");
+    Refuse(status::kBadRequest, "malformed request line");
     return false;
   }
   const std::string_view method = line.substr(0, first);
   const std::string_view target = line.substr(first + 1, last - first - 1);
   const std::string_view version = line.substr(last + 1);
   if (!IsToken(method) || !IsPlainTarget(target)) {
-    Refuse(kBadRequest, "malformed method or target");
+    Refuse(status::kBadRequest, "malformed method or target");
     return false;
   }
   is_http_1_0_ = version == "HTTP/1.0";
   wants_close_ = is_http_1_0_;
   if (version != "HTTP/1.1" && !is_http_1_0_) {
-    Refuse(kVersionNotSupported, "only HTTP/1.1 and HTTP/1.0 are served");
+    Refuse(status::kVersionNotSupported,
+           "only HTTP/1.1 and HTTP/1.0 are served");
     return false;
   }
   return true;
@@ -172,13 +161,13 @@
 bool RequestFramer::ParseField(std::string_view line) {
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos || !IsToken(line.substr(0, colon))) {
-    Refuse(kBadRequest, "malformed header field");
+    Refuse(status::kBadRequest, "malformed header field");
     return false;
   }
   const std::string name = Lower(line.substr(0, colon));
   const std::string_view value = Trim(line.substr(colon + 1));
   if (HasControlByte(value)) {
-    Refuse(kBadRequest, "control byte in the field " + name);
+    Refuse(status::kBadRequest, "control byte in the field " + name);
     return false;
   }
   return ParseFraming(name, value);
@@ -189,27 +178,28 @@
   if (name == "content-length") {
     const auto length = ParseNumber(value, 10);
     if (content_length_ || !length) {
-      Refuse(kBadRequest, "ambiguous or malformed Content-Length");
+      Refuse(status::kBadRequest, "ambiguous or malformed Content-Length");
       return false;
     }
     content_length_ = length;
   }
   if (name == "transfer-encoding") {
     if (has_transfer_encoding_ || Lower(value) != "chunked") {
-      Refuse(kBadRequest, "only one Transfer-Encoding: chunked is served");
+      Refuse(status::kBadRequest,
+             "only one Transfer-Encoding: chunked is served");
       return false;
     }
     has_transfer_encoding_ = true;
   }
   if (name == "host") {
     if (has_host_) {
-      Refuse(kBadRequest, "the Host field stands twice");
+      Refuse(status::kBadRequest, "the Host field stands twice");
       return false;
     }
     has_host_ = true;
   }
   if (name == "upgrade") {
-    Refuse(kNotImplemented, "protocol upgrades are not served");
+    Refuse(status::kNotImplemented, "protocol upgrades are not served");
     return false;
   }
   if (name == "expect") {
@@ -223,9 +213,9 @@
 
 bool RequestFramer::GrowBody(uint64_t n) {
   if (n > limits_.max_body_bytes || body_bytes_ + n > limits_.max_body_bytes) {
-    Refuse(kPayloadTooLarge, "the body is larger than " +
-                                 std::to_string(limits_.max_body_bytes) +
-                                 " bytes");
+    Refuse(status::kContentTooLarge,
+           "the body is larger than " + std::to_string(limits_.max_body_bytes) +
+               " bytes");
     return false;
   }
   body_bytes_ += n;
@@ -258,7 +248,7 @@
     const char c = bytes[used++];
     const bool after_cr = !chunk_line_.empty() && chunk_line_.back() == '\r';
     if ((c == '\n') != after_cr || chunk_line_.size() > kMaxChunkLineBytes) {
-      Refuse(kBadRequest, "malformed line in a chunked body");
+      Refuse(status::kBadRequest, "malformed line in a chunked body");
       return used;
     }
     message_ += c;
@@ -276,7 +266,7 @@
   switch (chunk_state_) {
     case ChunkState::kSize:
       if (!ParseChunkSize(line)) {
-        Refuse(kBadRequest, "malformed chunk size");
+        Refuse(status::kBadRequest, "malformed chunk size");
         return;
       }
       if (!GrowBody(remaining_)) {
@@ -286,7 +276,7 @@
       return;
     case ChunkState::kDataEnd:
       if (!line.empty()) {
-        Refuse(kBadRequest, "a chunk is longer than its size");
+        Refuse(status::kBadRequest, "a chunk is longer than its size");
         return;
       }
       chunk_state_ = ChunkState::kSize;
@@ -298,7 +288,7 @@
       }
       body_bytes_ += line.size();
       if (body_bytes_ > limits_.max_body_bytes + kMaxTrailerBytes) {
-        Refuse(kHeaderTooLarge, "the trailer is too large");
+        Refuse(status::kHeaderFieldsTooLarge, "the trailer is too large");
       }
       return;
     case ChunkState::kData:
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -60,6 +60,10 @@
   ~StreamSocket() override;
 
   void SetEvents(Events events) { events_ = std::move(events); }
+  /// Replaces one of the callbacks.
+  void SetDrainedHandler(std::function<void()> on_drained) {
+    events_.on_drained = std::move(on_drained);
+  }
 
   /// Takes over an accepted connection.
   void Adopt(int descriptor);
@@ -79,7 +83,6 @@
   void SetReading(bool reading);
 
   bool is_open() const { return descriptor_ >= 0; }
-  bool is_connected() const { return is_open() && connected_; }
 
  private:
   void Watch();
