relay: Leave a slow stream at an upstream that has left

Cause: upstream i-0af1c62215 left the table at 25.314 s and went on with its calls, slowly. Four streams were silent for 250 ms, and the check of an upstream that is not known any more was answered 'unreachable' without any connection, so that the calls were moved at 25.47 to 25.65 s. A call whose answer broke off there would have counted as a crash for the same reason.

An upstream that has left cannot be checked, which proves nothing against it; the connection's own time-outs still end a dead one. The test fails without it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -343,8 +343,10 @@
                           std::function<void(bool)> on_checked) {
   const auto it = upstreams_.find(upstream);
   if (it == upstreams_.end()) {
+    // It left and goes on with what it has; the connection's own time-outs
+    // tell if it ends.
     QMetaObject::invokeMethod(
-        this, [on_checked = std::move(on_checked)] { on_checked(false); },
+        this, [on_checked = std::move(on_checked)] { on_checked(true); },
         Qt::QueuedConnection);
     return;
   }
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -49,7 +49,8 @@
                                  bool must_be_fresh) = 0;
   virtual void CloseLink(const std::string& upstream, UpstreamLink* link,
                          const AnswerHead& answer) = 0;
-  /// Tells whether the upstream can be reached; never inside this call.
+  /// Tells whether the upstream can be reached; never inside this call. One
+  /// that has left cannot be checked, which proves nothing against it.
   virtual void CheckUpstream(const std::string& upstream,
                              std::function<void(bool)> on_checked) = 0;
   /// The upstream broke an answer off; it may have ended.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -163,6 +163,33 @@
   CHECK(it.crashes.empty());
 }
 
+TEST_CASE("A slow stream stays at an upstream that left in the meantime") {
+  RelayFixture it;
+  ScriptedUpstream leaving([](const std::string& request) -> Step {
+    return {StreamHead(request) + EventChunk(1)};
+  });
+  ScriptedUpstream other([](const std::string& request) -> Step {
+    return {StreamHead(request) + EventChunk(2) + "0\r\n\r\n"};
+  });
+  it.AddUpstream("u", leaving.address());
+  Caller caller(it.port());
+  caller.Send(RelayFixture::Request("/turn/x", "r1"));
+  REQUIRE(WaitFor(
+      [&] { return caller.received().find("e1") != std::string::npos; }));
+  it.AddUpstream("v", other.address());
+  it.relay().RetainUpstreams({"v"});
+  // Longer than the silence after which an upstream is checked.
+  bool passed = false;
+  QTimer::singleShot(RelayCall::kFirstSilence * 2,
+                     [&passed] { passed = true; });
+  REQUIRE(WaitFor([&] { return passed; }));
+  leaving.Send(EventChunk(2) + "0\r\n\r\n");
+  REQUIRE(
+      WaitFor([&] { return caller.received().ends_with("\r\n0\r\n\r\n"); }));
+  CHECK(other.requests().empty());
+  CHECK(it.crashes.empty());
+}
+
 TEST_CASE("A call that may outlast the process is refused as not run") {
   RelayFixture it;
   ScriptedUpstream upstream([](const std::string& request) -> Step {
