relay, cluster: Log what a crash report is about and what became of it

A crash record now holds host, target, program, start of the upstream, a digest of the content without the program, and how many calls of this instance ran there. A reset by an upstream that is alive has a record and a counter. The leader logs how many crashes it counts for each report. `call ended` has the content digest too, so that the same request of two programs can be found.

Nothing is decided differently.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -373,7 +373,8 @@
   group_->Propose(
       command.SerializeAsString(),
       [this, callback = std::move(callback), now, kind = KindOf(command),
-       claim = ClaimOf(command)](const core::Result<std::string>& it) {
+       claim = ClaimOf(command), digest = command.crashed_request()](
+          const core::Result<std::string>& it) {
         core::Result<schema::DeploymentReply> result{schema::DeploymentReply()};
         if (core::IsOk(it)) {
           std::get<schema::DeploymentReply>(result).ParseFromString(
@@ -386,6 +387,12 @@
         if (claim) {
           LogClaim(*claim, result);
         }
+        if (digest != 0 && core::IsOk(it)) {
+          Log(LogLevel::kInfo, "crash report committed",
+              {{"digest", std::to_string(digest)},
+               {"crashes",
+                std::to_string(machine_.crashes().CrashesOf(digest))}});
+        }
         callback(result);
       },
       now);
--- a/control/crash_table.cpp
+++ b/control/crash_table.cpp
@@ -33,6 +33,11 @@
   requests_.erase(it);
 }
 
+uint32_t CrashTable::CrashesOf(uint64_t digest) const {
+  const auto it = requests_.find(digest);
+  return it == requests_.end() ? 0 : it->second.upstreams;
+}
+
 std::vector<uint64_t> CrashTable::PoisonDigests() const {
   std::vector<uint64_t> digests;
   for (const auto& [digest, crashed] : requests_) {
--- a/control/crash_table.h
+++ b/control/crash_table.h
@@ -26,6 +26,8 @@
   void Report(uint64_t digest, int64_t now_ms);
   void Expire(int64_t now_ms);
 
+  /// Number of crashed upstreams counted for a request; 0 if it is not known.
+  uint32_t CrashesOf(uint64_t digest) const;
   /// Digests of the poison requests, in ascending order.
   std::vector<uint64_t> PoisonDigests() const;
   /// Changes whenever PoisonDigests() does.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <initializer_list>
 #include <utility>
 
 #include "logging/log.h"
@@ -55,19 +56,57 @@
   return segments;
 }
 
-/// Digest of the content and the program of a request. Leaves out the request
-/// id, which differs at every retry.
-uint64_t DigestOf(const transport::RelayRequest& request,
-                  const CallHead& head) {
+uint64_t HashAll(std::initializer_list<const std::string*> parts) {
   uint64_t hash = 0;
-  for (const std::string* part :
-       {&request.method, &request.host, &request.target, &head.program,
-        &request.body}) {
+  for (const std::string* part : parts) {
     hash = XXH64(part->data(), part->size(), hash + part->size());
   }
   return hash;
 }
 
+/// Digest of the content and the program of a request. Leaves out the request
+/// id, which differs at every retry.
+uint64_t DigestOf(const transport::RelayRequest& request,
+                  const CallHead& head) {
+  return HashAll({&request.method, &request.host, &request.target,
+                  &head.program, &request.body});
+}
+
+/// Digest of what an upstream receives of a request, whoever sends it.
+uint64_t ContentDigestOf(const transport::RelayRequest& request) {
+  return HashAll(
+      {&request.method, &request.host, &request.target, &request.body});
+}
+
+/// A call whose connection to an upstream broke.
+struct BrokenCall {
+  std::string request_id;
+  std::string program;
+  std::string host;
+  std::string target;
+  std::string upstream;
+  /// Start of the upstream, as it announced; 0 if it was removed.
+  uint64_t started_at_ms = 0;
+  uint64_t digest = 0;
+  uint64_t content = 0;
+  /// Calls of this instance at the upstream, this one included.
+  size_t running_calls = 0;
+};
+
+void LogBroken(logging::LogLevel level, const char* message,
+               const BrokenCall& it) {
+  logging::Log(level, message,
+               {{"request", it.request_id},
+                {"program", it.program},
+                {"host", it.host},
+                {"target", it.target},
+                {"upstream", it.upstream},
+                {"started_at_ms", std::to_string(it.started_at_ms)},
+                {"digest", std::to_string(it.digest)},
+                {"content", std::to_string(it.content)},
+                {"running_calls", std::to_string(it.running_calls)}});
+}
+
 }  // namespace
 
 Relay::Relay(Parts parts, QObject* parent)
@@ -408,20 +447,39 @@
   if (!parts_.on_crash) {
     return;
   }
-  CheckUpstream(upstream, [this, upstream, id = call.head().request_id,
-                           digest = DigestOf(call.request(), call.head())](
-                              bool reachable) {
+  const auto known = upstreams_.find(upstream);
+  BrokenCall broken;
+  broken.request_id = call.head().request_id;
+  broken.program = call.head().program;
+  broken.host = call.request().host;
+  broken.target = call.request().target;
+  broken.upstream = upstream;
+  if (known != upstreams_.end()) {
+    broken.started_at_ms = known->second.entry.started_at_ms();
+  }
+  broken.digest = DigestOf(call.request(), call.head());
+  broken.content = ContentDigestOf(call.request());
+  broken.running_calls = RunningCalls(upstream);
+  CheckUpstream(upstream, [this, broken = std::move(broken)](bool reachable) {
     if (reachable) {
+      parts_.metrics.Count("relay_upstream_alive_after_reset");
+      LogBroken(logging::LogLevel::kInfo, "upstream alive after a reset",
+                broken);
       return;
     }
-    logging::Log(logging::LogLevel::kWarn, "upstream crashed during a call",
-                 {{"request", id},
-                  {"upstream", upstream},
-                  {"digest", std::to_string(digest)}});
-    parts_.on_crash(digest);
+    parts_.metrics.Count("relay_crashes_seen");
+    LogBroken(logging::LogLevel::kWarn, "upstream crashed during a call",
+              broken);
+    parts_.on_crash(broken.digest);
   });
 }
 
+size_t Relay::RunningCalls(const std::string& upstream) const {
+  return static_cast<size_t>(std::count_if(
+      calls_.begin(), calls_.end(),
+      [&](const RelayCall* it) { return it->running_at() == upstream; }));
+}
+
 void Relay::OnWrongUpstream(const std::string& upstream) {
   parts_.metrics.Count("relay_wrong_upstream");
   RemoveUpstream(upstream);
@@ -513,6 +571,7 @@
        {"program", call.head().program},
        {"route", call.route().name},
        {"service", call.service()},
+       {"content", std::to_string(ContentDigestOf(call.request()))},
        {"status", std::to_string(it.status)},
        {"reason", it.reason},
        {"upstream", it.last_upstream},
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -120,6 +120,8 @@
   /// rejects.
   void Pump();
   void LogEnd(const RelayCall& call) const;
+  /// Number of calls of this instance that run at the upstream.
+  size_t RunningCalls(const std::string& upstream) const;
   /// Returns this instance's share of the upstream's connection limit.
   size_t ConnectionLimit(const Upstream& upstream) const;
 
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -159,6 +159,10 @@
   core::TimePoint deadline() const { return deadline_; }
   const std::vector<core::UpstreamId>& excluded() const { return excluded_; }
   const CallSummary& summary() const { return summary_; }
+  /// Upstream that runs the call now; empty if none does.
+  std::string_view running_at() const {
+    return state_ == State::kRunning ? upstream_ : std::string_view();
+  }
   /// Id of the current attempt in the scheduler.
   scheduling::CallId schedule_id() const { return schedule_id_; }
   void set_schedule_id(scheduling::CallId id) { schedule_id_ = id; }
