--- /dev/null
+++ b/tests/relay/poison_fixture.cpp
@@ -0,0 +1,70 @@
+#include "poison_fixture.h"
+
+namespace hawthorn::relay {
+
+SharedDeployment::SharedDeployment() {
+  for (RelayFixture& it : relays_) {
+    it.on_crash = [this](uint64_t digest) {
+      schema::DeploymentCommand command;
+      command.set_crashed_request(digest);
+      Commit(command);
+      ++reports_;
+    };
+  }
+}
+
+void SharedDeployment::Commit(const schema::DeploymentCommand& command) {
+  state_.Apply(++index_, command.SerializeAsString());
+  const std::vector<uint64_t> digests = state_.crashes().PoisonDigests();
+  for (RelayFixture& it : relays_) {
+    it.relay().SetPoisonRequests({digests.begin(), digests.end()});
+  }
+}
+
+void SharedDeployment::AddUpstream() {
+  const size_t number = upstreams_.size();
+  upstreams_.push_back(std::make_unique<ScriptedUpstream>(
+      [this, number](const std::string& request) -> ScriptedUpstream::Step {
+        if (request.find(kPoisonPath) != std::string::npos) {
+          ++crashes_;
+          Crash(number);
+          return {"", true};
+        }
+        if (withhold_answers && request.find(kSlowPath) != std::string::npos) {
+          return {};
+        }
+        return {SignedResponse(request, "fine")};
+      }));
+  for (RelayFixture& it : relays_) {
+    it.AddUpstream("u" + std::to_string(number), upstreams_.back()->address());
+  }
+}
+
+size_t SharedDeployment::RequestCount() const {
+  size_t count = 0;
+  for (const auto& it : upstreams_) {
+    count += it->requests().size();
+  }
+  return count;
+}
+
+void SharedDeployment::Start(size_t relay, const std::string& path,
+                             const std::string& program) {
+  callers_.push_back(std::make_unique<Caller>(relays_.at(relay).port()));
+  callers_.back()->Send(
+      RelayFixture::Request(path, "r" + std::to_string(callers_.size()),
+                            "X-Program-Id: " + program + "\r\n"));
+}
+
+int SharedDeployment::Send(size_t relay, const std::string& path,
+                           const std::string& program) {
+  Start(relay, path, program);
+  const Caller& caller = *callers_.back();
+  const std::string prefix = "HTTP/1.1 ";
+  if (!WaitFor([&] { return caller.received().size() > prefix.size() + 3; })) {
+    return 0;
+  }
+  return std::stoi(caller.received().substr(prefix.size(), 3));
+}
+
+}  // namespace hawthorn::relay
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -119,7 +119,12 @@
 
 RelayFixture::RelayFixture()
     : relay_({clock_, codec_, ledger, metrics_, "a", 1,
-              [this](uint64_t digest) { crashes.push_back(digest); }}),
+              [this](uint64_t digest) {
+                crashes.push_back(digest);
+                if (on_crash) {
+                  on_crash(digest);
+                }
+              }}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -114,6 +114,8 @@
   MemoryLedger ledger;
   /// Digests of requests whose upstream crashed while running them.
   std::vector<uint64_t> crashes;
+  /// Called for each of them, if set.
+  std::function<void(uint64_t)> on_crash;
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
