control, programs: Count crashed upstreams, not reports of crashes

Callers saw harmless requests refused for ten minutes as poison requests.

Cause: the deployment's table counted reports under a digest. A report did not say which upstream had crashed, so several calls, instances or resends that told of one crash counted as so many crashes, and nothing ever spoke for a request: three unrelated crashes within ten minutes were enough, however often it had run well in between.

Change: the ledger's PoisonRegister already keeps evidence by the incarnation of the crashed upstream, with a success as acquittal. It now takes its rule as a template argument and serves the deployment too, instead of a second, weaker table. The ledger's rule is unchanged (a crash that struck the request alone). Upstreams of a deployment are shared by all instances, so that nothing runs alone for sure; the rule there stays three crashes, and a condemned request does not clear the others of its crashes, since a harmless one may be condemned first. Instances get the list of requests one crash short of the limit and report the success of one of them. A resent report changes nothing.

Evidence: "The crash of one upstream counts once ..." got 503 instead of 200 before; "A success clears a request of earlier crashes" ends with the request refused when successes are not reported.

--- a/cluster/command_log.cpp
+++ b/cluster/command_log.cpp
@@ -26,8 +26,10 @@
       return "instance";
     case Command::kForgetUpstream:
       return "forget_upstream";
-    case Command::kCrashedRequest:
+    case Command::kReportCrash:
       return "crashed_request";
+    case Command::kSucceededRequest:
+      return "succeeded_request";
     case Command::BODY_NOT_SET:
       break;
   }
--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -265,26 +265,37 @@
   }
 }
 
-void DeploymentClient::ReportCrash(uint64_t digest) {
-  SendCrash(digest, kCrashAttempts);
+void DeploymentClient::ReportCrash(const schema::ReportCrash& report) {
+  schema::DeploymentCommand command;
+  *command.mutable_report_crash() = report;
+  SendReport(command, kReportAttempts);
 }
 
-void DeploymentClient::SendCrash(uint64_t digest, int attempts_left) {
+void DeploymentClient::ReportSuccess(uint64_t digest) {
+  schema::DeploymentCommand command;
+  command.set_succeeded_request(digest);
+  SendReport(command, kReportAttempts);
+}
+
+void DeploymentClient::SendReport(const schema::DeploymentCommand& command,
+                                  int attempts_left) {
   if (attempts_left == 0) {
+    const uint64_t digest = command.has_report_crash()
+                                ? command.report_crash().fingerprint()
+                                : command.succeeded_request();
     metrics_.Count("crash_reports_lost");
     Log(LogLevel::kWarn, "crash report lost",
-        {{"digest", std::to_string(digest)}, {"leader", leader_}});
+        {{"digest", std::to_string(digest)},
+         {"crashed", command.has_report_crash() ? "true" : "false"},
+         {"leader", leader_}});
     return;
   }
-  schema::DeploymentCommand command;
-  command.set_crashed_request(digest);
-  // If a reply is lost after the commit, the retry can count the report twice.
   SendToLeader(command, kClaimAttemptTimeout,
-               [this, digest,
+               [this, command,
                 attempts_left](const core::Result<schema::PeerMessage>& reply) {
                  if (!core::IsOk(reply)) {
-                   QTimer::singleShot(kCrashRetryDelay, this, [=, this] {
-                     SendCrash(digest, attempts_left - 1);
+                   QTimer::singleShot(kReportRetryDelay, this, [=, this] {
+                     SendReport(command, attempts_left - 1);
                    });
                  }
                });
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -53,10 +53,10 @@
   /// for no longer than that.
   static constexpr std::chrono::milliseconds kSettleDelay{150};
   static constexpr std::chrono::milliseconds kSettleRetryDelay{200};
-  /// Attempts to report a crash and the delay between them. Together they take
-  /// longer than an election.
-  static constexpr int kCrashAttempts = 5;
-  static constexpr std::chrono::milliseconds kCrashRetryDelay{300};
+  /// Attempts to report how a request ended and the delay between them.
+  /// Together they take longer than an election.
+  static constexpr int kReportAttempts = 5;
+  static constexpr std::chrono::milliseconds kReportRetryDelay{300};
 
   DeploymentClient(const std::vector<std::string>& seeds, uint64_t seed,
                    const core::Clock& clock, core::Metrics& metrics,
@@ -73,10 +73,11 @@
              ClaimCallback callback) override;
   void Settle(const relay::TokenClaim& claim, int64_t used) override;
 
-  /// Reports to the group that an upstream crashed while it ran the request
-  /// with this digest. Retried a few times; lost if no leader is found
-  /// meanwhile.
-  void ReportCrash(uint64_t digest);
+  /// Reports to the group that an upstream crashed while it ran a request.
+  /// Retried a few times; lost if no leader is found meanwhile.
+  void ReportCrash(const schema::ReportCrash& report);
+  /// Reports to the group that an upstream ran a suspected request to its end.
+  void ReportSuccess(uint64_t digest);
 
   /// Returns whether the known state is current: an update was received within
   /// kUpdateTimeout.
@@ -98,7 +99,8 @@
   using ClaimPtr = std::shared_ptr<PendingClaim>;
 
   bool IsIsolated() const;
-  void SendCrash(uint64_t digest, int attempts_left);
+  /// Sends a command that may be applied more than once.
+  void SendReport(const schema::DeploymentCommand& command, int attempts_left);
   void Watch();
   void OnWatchEvent(const schema::PeerMessage& event);
   void OnWatchEnd(const core::Status& status);
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -373,7 +373,7 @@
   group_->Propose(
       command.SerializeAsString(),
       [this, callback = std::move(callback), now, kind = KindOf(command),
-       claim = ClaimOf(command), digest = command.crashed_request()](
+       claim = ClaimOf(command), digest = command.report_crash().fingerprint()](
           const core::Result<std::string>& it) {
         core::Result<schema::DeploymentReply> result{schema::DeploymentReply()};
         if (core::IsOk(it)) {
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -75,9 +75,11 @@
   if (!watcher->sent_table ||
       watcher->crash_revision != state_.crashes().revision()) {
     schema::HarmfulRequests* poison_requests = update->mutable_harmful();
-    for (const uint64_t digest : state_.crashes().PoisonDigests()) {
-      poison_requests->add_digests(digest);
-    }
+    const std::set<uint64_t>& poison = state_.crashes().poison();
+    const std::set<uint64_t>& suspected = state_.crashes().suspected();
+    poison_requests->mutable_digests()->Add(poison.begin(), poison.end());
+    poison_requests->mutable_suspected()->Add(suspected.begin(),
+                                              suspected.end());
   }
   update->set_leader(leader);
   if (watcher->last_instances != state_.instances().size() ||
--- a/control/crash_table.cpp
+++ b/control/crash_table.cpp
@@ -1,66 +1,72 @@
 #include "control/crash_table.h"
 
-#include <algorithm>
-
 namespace hawthorn::control {
 
-void CrashTable::Report(uint64_t digest, int64_t now_ms) {
-  CrashCount& crashed = requests_[digest];
-  crashed.last_ms = now_ms;
-  if (++crashed.upstreams == kCrashLimit) {
-    ++revision_;
-  }
-  if (requests_.size() > kMaxRequests) {
-    Erase(std::min_element(requests_.begin(), requests_.end(),
-                           [](const auto& a, const auto& b) {
-                             return a.second.last_ms < b.second.last_ms;
-                           }));
-  }
+namespace {
+
+/// Adds or removes `digest`; returns whether the set changed.
+bool SetMember(std::set<uint64_t>* set, uint64_t digest, bool member) {
+  return member ? set->insert(digest).second : set->erase(digest) > 0;
 }
 
-void CrashTable::Expire(int64_t now_ms) {
-  for (auto it = requests_.begin(); it != requests_.end();) {
-    const auto next = std::next(it);
-    if (it->second.last_ms + kRetentionMs < now_ms) {
-      Erase(it);
-    }
-    it = next;
+}  // namespace
+
+void CrashTable::Report(const schema::ReportCrash& report, int64_t now_ms) {
+  const size_t crashes = crashes_.crash_count();
+  const size_t evidence = crashes_.evidence_count();
+  const bool is_new = crashes_.Report(report, now_ms + kRetentionMs);
+  // The register drops its oldest crashes when it is full.
+  const bool dropped = crashes_.crash_count() < crashes ||
+                       crashes_.evidence_count() < evidence + (is_new ? 1 : 0);
+  Update(report.fingerprint());
+  if (dropped) {
+    UpdateAll();
   }
 }
 
-void CrashTable::Erase(std::map<uint64_t, CrashCount>::iterator it) {
-  revision_ += it->second.upstreams >= kCrashLimit ? 1 : 0;
-  requests_.erase(it);
+void CrashTable::Succeeded(uint64_t digest) {
+  crashes_.Succeeded(digest);
+  Update(digest);
 }
 
-uint32_t CrashTable::CrashesOf(uint64_t digest) const {
-  const auto it = requests_.find(digest);
-  return it == requests_.end() ? 0 : it->second.upstreams;
+void CrashTable::Expire(int64_t now_ms) {
+  const size_t crashes = crashes_.crash_count();
+  crashes_.Expire(now_ms);
+  if (crashes_.crash_count() < crashes) {
+    UpdateAll();
+  }
 }
 
-std::vector<uint64_t> CrashTable::PoisonDigests() const {
-  std::vector<uint64_t> digests;
-  for (const auto& [digest, crashed] : requests_) {
-    if (crashed.upstreams >= kCrashLimit) {
-      digests.push_back(digest);
-    }
+void CrashTable::Update(uint64_t digest) {
+  const size_t crashes = crashes_.CrashesOf(digest);
+  const bool poison_changed =
+      SetMember(&poison_, digest, crashes >= Rule::kCrashLimit);
+  const bool suspected_changed =
+      SetMember(&suspected_, digest, crashes + 1 == Rule::kCrashLimit);
+  revision_ += poison_changed || suspected_changed ? 1 : 0;
+}
+
+void CrashTable::UpdateAll() {
+  std::set<uint64_t> digests = poison_;
+  digests.insert(suspected_.begin(), suspected_.end());
+  for (const uint64_t it : digests) {
+    Update(it);
   }
-  return digests;
 }
 
 void CrashTable::Save(schema::DeploymentSnapshot* snapshot) const {
-  for (const auto& [digest, crashed] : requests_) {
-    schema::CrashedRequest* out = snapshot->add_crashed();
-    out->set_digest(digest);
-    out->set_upstreams(crashed.upstreams);
-    out->set_last_ms(crashed.last_ms);
-  }
+  crashes_.WriteTo(snapshot);
   snapshot->set_crash_revision(revision_);
 }
 
 void CrashTable::Load(const schema::DeploymentSnapshot& snapshot) {
-  for (const schema::CrashedRequest& it : snapshot.crashed()) {
-    requests_[it.digest()] = {it.upstreams(), it.last_ms()};
+  crashes_.ReadFrom(snapshot);
+  poison_.clear();
+  suspected_.clear();
+  for (const schema::SnapshotCrash& crash : snapshot.crashes()) {
+    for (const uint64_t it : crash.fingerprints()) {
+      Update(it);
+    }
   }
   revision_ = snapshot.crash_revision();
 }
--- a/control/crash_table.h
+++ b/control/crash_table.h
@@ -2,9 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
-#include <vector>
+#include <set>
 
+#include "programs/poison_register.h"
 #include "schema/generated/deployment.pb.h"
 
 namespace hawthorn::control {
@@ -13,38 +13,39 @@
 /// content. Deterministic.
 class CrashTable {
  public:
-  /// Number of crashed upstreams at which a request counts as a poison request,
-  /// which every instance refuses.
-  static constexpr uint32_t kCrashLimit = 3;
-  /// How long a request is kept after its last crash, in ms on the group's
-  /// clock. Longer than any program runs.
+  using Rule = programs::ThreeCrashesRule;
+  using Register = programs::BasicPoisonRegister<Rule>;
+
+  /// How long a crash is kept, in ms on the group's clock. Longer than any
+  /// program runs.
   static constexpr int64_t kRetentionMs = 600'000;
-  /// Maximum number of requests kept; beyond it, the one with the oldest last
-  /// crash is removed.
-  static constexpr size_t kMaxRequests = 1024;
 
-  void Report(uint64_t digest, int64_t now_ms);
+  void Report(const schema::ReportCrash& report, int64_t now_ms);
+  /// Clears a suspected request after an upstream ran it to its end.
+  void Succeeded(uint64_t digest);
   void Expire(int64_t now_ms);
 
-  /// Number of crashed upstreams counted for a request; 0 if it is not known.
-  uint32_t CrashesOf(uint64_t digest) const;
-  /// Digests of the poison requests, in ascending order.
-  std::vector<uint64_t> PoisonDigests() const;
-  /// Changes whenever PoisonDigests() does.
+  /// Number of crashed upstreams that ran the request.
+  size_t CrashesOf(uint64_t digest) const { return crashes_.CrashesOf(digest); }
+  /// Poison requests, which every instance refuses.
+  const std::set<uint64_t>& poison() const { return poison_; }
+  /// Requests that are one crash short of becoming poison requests.
+  const std::set<uint64_t>& suspected() const { return suspected_; }
+  /// Changes whenever poison() or suspected() does.
   uint64_t revision() const { return revision_; }
+  size_t crash_count() const { return crashes_.crash_count(); }
 
   void Save(schema::DeploymentSnapshot* snapshot) const;
   void Load(const schema::DeploymentSnapshot& snapshot);
 
  private:
-  struct CrashCount {
-    uint32_t upstreams = 0;
-    int64_t last_ms = 0;
-  };
-
-  void Erase(std::map<uint64_t, CrashCount>::iterator it);
+  /// Brings the two sets in line with the register for one request, or for all.
+  void Update(uint64_t digest);
+  void UpdateAll();
 
-  std::map<uint64_t, CrashCount> requests_;
+  Register crashes_;
+  std::set<uint64_t> poison_;
+  std::set<uint64_t> suspected_;
   uint64_t revision_ = 0;
 };
 
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -76,8 +76,11 @@
     case schema::DeploymentCommand::kForgetUpstream:
       ForgetUpstream(parsed.forget_upstream());
       break;
-    case schema::DeploymentCommand::kCrashedRequest:
-      crashes_.Report(parsed.crashed_request(), clock_ms_);
+    case schema::DeploymentCommand::kReportCrash:
+      crashes_.Report(parsed.report_crash(), clock_ms_);
+      break;
+    case schema::DeploymentCommand::kSucceededRequest:
+      crashes_.Succeeded(parsed.succeeded_request());
       break;
     case schema::DeploymentCommand::BODY_NOT_SET:
       break;
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -25,9 +25,11 @@
       client_(settings_.SeedPeers(), std::hash<std::string>{}(settings_.ip),
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
-      relay_({clock, codec_, client_, metrics, settings_.zone,
-              std::hash<std::string>{}(settings_.ip),
-              [this](uint64_t digest) { client_.ReportCrash(digest); }}),
+      relay_(
+          {clock, codec_, client_, metrics, settings_.zone,
+           std::hash<std::string>{}(settings_.ip),
+           [this](const schema::ReportCrash& it) { client_.ReportCrash(it); },
+           [this](uint64_t digest) { client_.ReportSuccess(digest); }}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -93,8 +95,9 @@
     relay_.SetUpstream(entry);
   }
   if (update.has_harmful()) {
-    relay_.SetPoisonRequests(
-        {update.harmful().digests().begin(), update.harmful().digests().end()});
+    const schema::HarmfulRequests& it = update.harmful();
+    relay_.SetPoisonRequests({it.digests().begin(), it.digests().end()},
+                             {it.suspected().begin(), it.suspected().end()});
   }
   relay_.SetInstanceCount(update.watchers());
 }
--- a/programs/poison_register.cpp
+++ b/programs/poison_register.cpp
@@ -2,10 +2,24 @@
 
 #include <algorithm>
 
+#include "schema/generated/deployment.pb.h"
+
 namespace hawthorn::programs {
 
-bool PoisonRegister::Report(const schema::ReportCrash& report,
-                            int64_t expires_ms) {
+bool RanAloneRule::IsCondemned(std::span<const uint32_t> running_together) {
+  return running_together.size() >= 2 &&
+         std::any_of(std::next(running_together.begin()),
+                     running_together.end(),
+                     [](uint32_t together) { return together <= 1; });
+}
+
+bool ThreeCrashesRule::IsCondemned(std::span<const uint32_t> running_together) {
+  return running_together.size() >= kCrashLimit;
+}
+
+template <PoisonRule Rule>
+bool BasicPoisonRegister<Rule>::Report(const schema::ReportCrash& report,
+                                       int64_t expires_ms) {
   const UpstreamIncarnation upstream{report.upstream(), report.incarnation()};
   const auto [it, added] = by_upstream_.try_emplace(upstream, next_order_);
   if (added) {
@@ -17,29 +31,33 @@
   Crash& crash = crashes_[order];
   const bool is_new = crash.fingerprints.insert(report.fingerprint()).second;
   by_fingerprint_[report.fingerprint()].insert(order);
+  evidence_ += is_new ? 1 : 0;
   const auto known = static_cast<uint32_t>(crash.fingerprints.size());
   crash.running_together =
       std::max({crash.running_together, report.running_together(), known});
-  if (StatusOf(report.fingerprint()) == RequestStatus::kCondemned) {
-    ClearOtherSuspects(report.fingerprint());
-  }
-  if (crashes_.size() > kMaxCrashes) {
-    DropCrash(crashes_.begin()->first);
+  if constexpr (Rule::kClearsOthers) {
+    if (StatusOf(report.fingerprint()) == RequestStatus::kCondemned) {
+      ClearOtherSuspects(report.fingerprint());
+    }
   }
+  DropOldest();
   return is_new;
 }
 
-void PoisonRegister::Succeeded(uint64_t fingerprint) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::Succeeded(uint64_t fingerprint) {
   if (StatusOf(fingerprint) == RequestStatus::kSuspected) {
     Clear(fingerprint);
   }
 }
 
-void PoisonRegister::Clear(uint64_t fingerprint) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::Clear(uint64_t fingerprint) {
   if (fingerprint == 0) {
     crashes_.clear();
     by_upstream_.clear();
     by_fingerprint_.clear();
+    evidence_ = 0;
     return;
   }
   const auto it = by_fingerprint_.find(fingerprint);
@@ -58,14 +76,16 @@
   }
 }
 
-void PoisonRegister::Expire(int64_t now_ms) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::Expire(int64_t now_ms) {
   while (!crashes_.empty() && crashes_.begin()->second.expires_ms <= now_ms) {
     DropCrash(crashes_.begin()->first);
   }
 }
 
-PoisonRegister::RequestStatus PoisonRegister::StatusOf(
-    uint64_t fingerprint) const {
+template <PoisonRule Rule>
+typename BasicPoisonRegister<Rule>::RequestStatus
+BasicPoisonRegister<Rule>::StatusOf(uint64_t fingerprint) const {
   const auto it = by_fingerprint_.find(fingerprint);
   if (it == by_fingerprint_.end()) {
     return RequestStatus::kClear;
@@ -74,7 +94,15 @@
                                  : RequestStatus::kSuspected;
 }
 
-int64_t PoisonRegister::CondemnedUntilMs(uint64_t fingerprint) const {
+template <PoisonRule Rule>
+size_t BasicPoisonRegister<Rule>::CrashesOf(uint64_t fingerprint) const {
+  const auto it = by_fingerprint_.find(fingerprint);
+  return it == by_fingerprint_.end() ? 0 : it->second.size();
+}
+
+template <PoisonRule Rule>
+int64_t BasicPoisonRegister<Rule>::CondemnedUntilMs(
+    uint64_t fingerprint) const {
   const auto it = by_fingerprint_.find(fingerprint);
   if (it == by_fingerprint_.end()) {
     return 0;
@@ -90,7 +118,8 @@
   return until_ms;
 }
 
-std::vector<schema::PoisonEntry> PoisonRegister::List() const {
+template <PoisonRule Rule>
+std::vector<schema::PoisonEntry> BasicPoisonRegister<Rule>::List() const {
   std::vector<schema::PoisonEntry> result;
   for (const auto& [fingerprint, orders] : by_fingerprint_) {
     schema::PoisonEntry& entry = result.emplace_back();
@@ -108,7 +137,9 @@
   return result;
 }
 
-void PoisonRegister::WriteTo(schema::LedgerSnapshot* snapshot) const {
+template <PoisonRule Rule>
+template <typename Snapshot>
+void BasicPoisonRegister<Rule>::WriteTo(Snapshot* snapshot) const {
   snapshot->set_next_crash_order(next_order_);
   for (const auto& [order, crash] : crashes_) {
     schema::SnapshotCrash* const out = snapshot->add_crashes();
@@ -122,7 +153,9 @@
   }
 }
 
-void PoisonRegister::ReadFrom(const schema::LedgerSnapshot& snapshot) {
+template <PoisonRule Rule>
+template <typename Snapshot>
+void BasicPoisonRegister<Rule>::ReadFrom(const Snapshot& snapshot) {
   Clear(0);
   next_order_ = snapshot.next_crash_order();
   for (const schema::SnapshotCrash& it : snapshot.crashes()) {
@@ -135,22 +168,24 @@
     by_upstream_[crash.upstream] = it.order();
     for (const uint64_t fingerprint : crash.fingerprints) {
       by_fingerprint_[fingerprint].insert(it.order());
+      ++evidence_;
     }
   }
 }
 
-bool PoisonRegister::IsCondemned(
+template <PoisonRule Rule>
+bool BasicPoisonRegister<Rule>::IsCondemned(
     const absl::btree_set<uint64_t>& orders) const {
-  if (orders.size() < 2) {
-    return false;
+  std::vector<uint32_t> running_together;
+  running_together.reserve(orders.size());
+  for (const uint64_t order : orders) {
+    running_together.push_back(crashes_.at(order).running_together);
   }
-  return std::any_of(std::next(orders.begin()), orders.end(),
-                     [this](uint64_t order) {
-                       return crashes_.at(order).running_together <= 1;
-                     });
+  return Rule::IsCondemned(running_together);
 }
 
-void PoisonRegister::ClearOtherSuspects(uint64_t fingerprint) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::ClearOtherSuspects(uint64_t fingerprint) {
   const absl::btree_set<uint64_t>& orders = by_fingerprint_[fingerprint];
   for (const uint64_t order : orders) {
     Crash& crash = crashes_[order];
@@ -164,15 +199,25 @@
   }
 }
 
-void PoisonRegister::Unlink(uint64_t fingerprint, uint64_t order) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::Unlink(uint64_t fingerprint, uint64_t order) {
   const auto it = by_fingerprint_.find(fingerprint);
-  it->second.erase(order);
+  evidence_ -= it->second.erase(order);
   if (it->second.empty()) {
     by_fingerprint_.erase(it);
   }
 }
 
-void PoisonRegister::DropCrash(uint64_t order) {
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::DropOldest() {
+  while (crashes_.size() > kMaxCrashes ||
+         (evidence_ > kMaxEvidence && crashes_.size() > 1)) {
+    DropCrash(crashes_.begin()->first);
+  }
+}
+
+template <PoisonRule Rule>
+void BasicPoisonRegister<Rule>::DropCrash(uint64_t order) {
   const auto it = crashes_.find(order);
   for (const uint64_t fingerprint : it->second.fingerprints) {
     Unlink(fingerprint, order);
@@ -181,4 +226,14 @@
   crashes_.erase(it);
 }
 
+template class BasicPoisonRegister<RanAloneRule>;
+template class BasicPoisonRegister<ThreeCrashesRule>;
+
+template void PoisonRegister::WriteTo(schema::LedgerSnapshot*) const;
+template void PoisonRegister::ReadFrom(const schema::LedgerSnapshot&);
+template void BasicPoisonRegister<ThreeCrashesRule>::WriteTo(
+    schema::DeploymentSnapshot*) const;
+template void BasicPoisonRegister<ThreeCrashesRule>::ReadFrom(
+    const schema::DeploymentSnapshot&);
+
 }  // namespace hawthorn::programs
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -239,13 +239,16 @@
   set("configuration_version", table_ ? table_->version() : 0);
 }
 
-void Relay::SetPoisonRequests(std::set<uint64_t> digests) {
-  if (digests == poison_requests_) {
+void Relay::SetPoisonRequests(std::set<uint64_t> digests,
+                              std::set<uint64_t> suspected) {
+  if (digests == poison_requests_ && suspected == suspected_requests_) {
     return;
   }
   poison_requests_ = std::move(digests);
+  suspected_requests_ = std::move(suspected);
   logging::Log(logging::LogLevel::kInfo, "poison requests changed",
-               {{"count", std::to_string(poison_requests_.size())}});
+               {{"count", std::to_string(poison_requests_.size())},
+                {"suspected", std::to_string(suspected_requests_.size())}});
 }
 
 void Relay::SetInstanceCount(size_t instances) {
@@ -456,7 +459,11 @@
     parts_.metrics.Count("relay_crashes_seen");
     LogBroken(logging::LogLevel::kWarn, "upstream crashed during a call",
               broken);
-    parts_.on_crash(broken.digest);
+    schema::ReportCrash report;
+    report.set_fingerprint(broken.digest);
+    report.set_upstream(broken.upstream);
+    report.set_incarnation(broken.started_at_ms);
+    parts_.on_crash(report);
   });
 }
 
@@ -544,9 +551,24 @@
     parts_.metrics.Observe(key, summary.longest_pause);
   }
   LogEnd(call);
+  ReportSuccess(call);
   call.deleteLater();
 }
 
+void Relay::ReportSuccess(const RelayCall& call) {
+  const CallSummary& summary = call.summary();
+  if (suspected_requests_.empty() || !parts_.on_success ||
+      !summary.reason.empty() || !transport::IsSuccess(summary.status)) {
+    return;
+  }
+  const uint64_t digest = ContentDigestOf(call.request());
+  // One report is enough until the list changes.
+  if (suspected_requests_.erase(digest) > 0) {
+    parts_.metrics.Count("relay_suspects_cleared");
+    parts_.on_success(digest);
+  }
+}
+
 void Relay::LogEnd(const RelayCall& call) const {
   const CallSummary& it = call.summary();
   const bool failed = !it.reason.empty();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -34,9 +34,11 @@
     /// Availability zone of this instance.
     std::string zone;
     uint64_t seed = 1;
-    /// Receives the digest of a request whose upstream crashed while running
-    /// it.
-    std::function<void(uint64_t)> on_crash = {};
+    /// Receives a report for each call whose upstream crashed while running it.
+    std::function<void(const schema::ReportCrash&)> on_crash = {};
+    /// Receives the digest of a suspected request that an upstream has run to
+    /// its end.
+    std::function<void(uint64_t)> on_success = {};
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -55,9 +57,10 @@
   void SetUpstream(const schema::UpstreamEntry& entry);
   /// Removes every upstream that is not in `known`.
   void RetainUpstreams(const std::set<std::string>& known);
-  /// Sets the digests of poison requests, which crashed upstreams and are
-  /// refused.
-  void SetPoisonRequests(std::set<uint64_t> digests);
+  /// Sets the digests of the poison requests, which are refused, and of the
+  /// requests that are suspected, whose success is reported.
+  void SetPoisonRequests(std::set<uint64_t> digests,
+                         std::set<uint64_t> suspected);
   /// Sets the time by which the process exits. From now on, calls whose
   /// deadline is later are refused, and their callers retry at another
   /// instance.
@@ -120,6 +123,8 @@
   /// rejects.
   void Pump();
   void LogEnd(const RelayCall& call) const;
+  /// Reports that a suspected request has succeeded.
+  void ReportSuccess(const RelayCall& call);
   /// Number of calls of this instance that run at the upstream.
   size_t RunningCalls(const std::string& upstream) const;
   /// Returns this instance's share of the upstream's connection limit.
@@ -135,6 +140,7 @@
   scheduling::CallId next_id_ = 1;
   size_t instances_ = 1;
   std::set<uint64_t> poison_requests_;
+  std::set<uint64_t> suspected_requests_;
   std::optional<core::TimePoint> shutdown_deadline_;
   bool pump_scheduled_ = false;
   QTimer dispatch_timer_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -30,8 +30,6 @@
   return text;
 }
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 RelayCall::RelayCall(Parts parts, QObject* parent)
@@ -165,7 +163,7 @@
   response_ = head;
   response_info_ = parts_.host.codec().DecodeResponse(head);
   parts_.host.OnResponseHead(upstream_, response_info_);
-  const bool success = IsSuccess(head.status);
+  const bool success = transport::IsSuccess(head.status);
   const bool wrong_request =
       response_info_.request_id != parts_.head.request_id &&
       (success || !response_info_.request_id.empty());
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -224,7 +224,10 @@
       WaitFor([&] { return reporter.IsCurrent() && observer.IsCurrent(); }));
   for (int n = 0; n < 3; ++n) {
     CHECK(digests.empty());
-    reporter.ReportCrash(77);
+    schema::ReportCrash report;
+    report.set_fingerprint(77);
+    report.set_upstream("u" + std::to_string(n));
+    reporter.ReportCrash(report);
   }
   CHECK(WaitFor([&] { return digests == std::vector<uint64_t>{77}; }));
 }
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -1,6 +1,7 @@
 #include "control/deployment_state.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 
 namespace hawthorn::control {
@@ -151,40 +152,97 @@
   CHECK(state.upstreams().at("u").draining());
 }
 
-schema::DeploymentCommand Crashed(uint64_t digest, int64_t elapsed_ms = 0) {
+schema::ReportCrash CrashReport(uint64_t digest, const std::string& upstream,
+                                uint64_t incarnation = 1) {
+  schema::ReportCrash report;
+  report.set_fingerprint(digest);
+  report.set_upstream(upstream);
+  report.set_incarnation(incarnation);
+  return report;
+}
+
+schema::DeploymentCommand Crashed(uint64_t digest, const std::string& upstream,
+                                  int64_t elapsed_ms = 0) {
   schema::DeploymentCommand command;
-  command.set_crashed_request(digest);
+  *command.mutable_report_crash() = CrashReport(digest, upstream);
   command.set_elapsed_ms(elapsed_ms);
   return command;
 }
 
 TEST_CASE("A request is harmful once it has crashed three upstreams") {
+  using Digests = std::set<uint64_t>;
   DeploymentState state;
-  Run(&state, Crashed(7));
-  Run(&state, Crashed(7));
-  Run(&state, Crashed(8));
-  CHECK(state.crashes().PoisonDigests().empty());
+  Run(&state, Crashed(7, "a"));
+  Run(&state, Crashed(7, "b"));
+  Run(&state, Crashed(8, "b"));
+  // Reports of the same crash by other instances, and one that was sent again.
+  Run(&state, Crashed(7, "b"));
+  Run(&state, Crashed(7, "a"));
+  CHECK(state.crashes().poison().empty());
+  CHECK(state.crashes().suspected() == Digests{7});
+  CHECK(state.crashes().CrashesOf(7) == 2);
   const uint64_t revision = state.crashes().revision();
-  Run(&state, Crashed(7));
-  CHECK(state.crashes().PoisonDigests() == std::vector<uint64_t>{7});
+  Run(&state, Crashed(7, "c"));
+  CHECK(state.crashes().poison() == Digests{7});
+  CHECK(state.crashes().suspected().empty());
   CHECK(state.crashes().revision() > revision);
   DeploymentState restored;
   REQUIRE(core::IsOk(restored.Restore(state.Snapshot())));
-  CHECK(restored.crashes().PoisonDigests() == std::vector<uint64_t>{7});
+  CHECK(restored.crashes().poison() == Digests{7});
   CHECK(restored.crashes().revision() == state.crashes().revision());
-  Run(&restored, Crashed(8, CrashTable::kRetentionMs + 1));
-  CHECK(restored.crashes().PoisonDigests().empty());
+  CHECK(restored.Snapshot() == state.Snapshot());
+  Run(&restored, Crashed(8, "d", CrashTable::kRetentionMs + 1));
+  CHECK(restored.crashes().poison().empty());
+}
+
+TEST_CASE("Two incarnations of one upstream count as two crashes") {
+  CrashTable table;
+  table.Report(CrashReport(7, "a", 1), 0);
+  table.Report(CrashReport(7, "a", 2), 0);
+  CHECK(table.CrashesOf(7) == 2);
+}
+
+TEST_CASE("A success clears a suspected request but not a poison request") {
+  CrashTable table;
+  for (const char* upstream : {"a", "b"}) {
+    table.Report(CrashReport(7, upstream), 0);
+    table.Report(CrashReport(8, upstream), 0);
+  }
+  table.Report(CrashReport(8, "c"), 0);
+  const uint64_t revision = table.revision();
+  table.Succeeded(7);
+  table.Succeeded(8);
+  CHECK(table.CrashesOf(7) == 0);
+  CHECK(table.suspected().empty());
+  CHECK(table.poison() == std::set<uint64_t>{8});
+  CHECK(table.revision() > revision);
 }
 
 TEST_CASE("The table of crashes is bounded") {
   CrashTable table;
-  for (uint64_t digest = 0; digest < 3 * CrashTable::kMaxRequests; ++digest) {
-    for (uint32_t n = 0; n < CrashTable::kCrashLimit; ++n) {
-      table.Report(digest, static_cast<int64_t>(digest));
+  const size_t most = CrashTable::Register::kMaxCrashes;
+  for (uint64_t digest = 0; digest < most; ++digest) {
+    for (uint64_t n = 0; n < CrashTable::Rule::kCrashLimit; ++n) {
+      table.Report(CrashReport(digest, "u", 3 * digest + n), 0);
     }
   }
-  CHECK(table.PoisonDigests().size() == CrashTable::kMaxRequests);
-  CHECK(table.PoisonDigests().front() == 2 * CrashTable::kMaxRequests);
+  CHECK(table.crash_count() == most);
+  CHECK(table.poison().size() == most / 3);
+  CHECK(*table.poison().rbegin() == most - 1);
+  // The oldest crash that remains is the last one of its request.
+  CHECK(*table.poison().begin() == most - most / 3);
+  for (uint64_t digest = 0; digest < 2 * CrashTable::Register::kMaxEvidence;
+       ++digest) {
+    table.Report(CrashReport(digest, "v", digest / 256), 0);
+  }
+  schema::DeploymentSnapshot snapshot;
+  table.Save(&snapshot);
+  int evidence = 0;
+  for (const schema::SnapshotCrash& it : snapshot.crashes()) {
+    evidence += it.fingerprints_size();
+  }
+  CHECK(evidence <= static_cast<int>(CrashTable::Register::kMaxEvidence));
+  CHECK(table.poison().empty());
 }
 
 TEST_CASE("Only a known instance can be retired and it stays retiring") {
--- a/tests/relay/poison_fixture.cpp
+++ b/tests/relay/poison_fixture.cpp
@@ -4,20 +4,25 @@
 
 SharedDeployment::SharedDeployment() {
   for (RelayFixture& it : relays_) {
-    it.on_crash = [this](uint64_t digest) {
+    it.on_crash = [this](const schema::ReportCrash& report) {
       schema::DeploymentCommand command;
-      command.set_crashed_request(digest);
+      *command.mutable_report_crash() = report;
       Commit(command);
       ++reports_;
     };
+    it.on_success = [this](uint64_t digest) {
+      schema::DeploymentCommand command;
+      command.set_succeeded_request(digest);
+      Commit(command);
+    };
   }
 }
 
 void SharedDeployment::Commit(const schema::DeploymentCommand& command) {
   state_.Apply(++index_, command.SerializeAsString());
-  const std::vector<uint64_t> digests = state_.crashes().PoisonDigests();
   for (RelayFixture& it : relays_) {
-    it.relay().SetPoisonRequests({digests.begin(), digests.end()});
+    it.relay().SetPoisonRequests(state_.crashes().poison(),
+                                 state_.crashes().suspected());
   }
 }
 
--- a/tests/relay/poison_test.cpp
+++ b/tests/relay/poison_test.cpp
@@ -21,14 +21,13 @@
     CHECK(status >= 500);
     REQUIRE(WaitFor([&] { return it.reports() >= it.crashes(); }));
   }
-  CHECK(it.crashes() == control::CrashTable::kCrashLimit);
+  CHECK(it.crashes() == control::CrashTable::Rule::kCrashLimit);
 }
 
 // Guards against refusing a harmless request because the crash of a single
 // upstream was reported by several calls.
 TEST_CASE(
-    "known-red: The crash of one upstream counts once for a request, whoever "
-    "reports it") {
+    "The crash of one upstream counts once for a request, whoever reports it") {
   SharedDeployment it;
   it.AddUpstream();
   it.withhold_answers = true;
@@ -43,5 +42,29 @@
   CHECK(it.Send(0, SharedDeployment::kSlowPath, "p") == 200);
 }
 
+// Guards against refusing a request for good that upstreams run well, because
+// it was running at three upstreams that crashed for other reasons.
+TEST_CASE("A success clears a request of earlier crashes") {
+  SharedDeployment it;
+  for (size_t crashed = 0; crashed < 4; ++crashed) {
+    CAPTURE(crashed);
+    it.AddUpstream();
+    it.withhold_answers = true;
+    const size_t received = it.RequestCount();
+    it.Start(crashed % 3, SharedDeployment::kSlowPath, "p");
+    REQUIRE(WaitFor([&] { return it.RequestCount() > received; }));
+    it.Crash(crashed);
+    REQUIRE(WaitFor([&] { return it.reports() > crashed; }));
+    it.withhold_answers = false;
+    if (crashed % 2 == 1) {
+      it.AddUpstream();
+      CHECK(it.Send(0, SharedDeployment::kSlowPath, "q") == 200);
+      CHECK(it.state().crashes().suspected().empty());
+      it.Crash(it.upstreams() - 1);
+    }
+  }
+  CHECK(it.state().crashes().poison().empty());
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -119,10 +119,15 @@
 
 RelayFixture::RelayFixture()
     : relay_({clock_, codec_, ledger, metrics_, "a", 1,
-              [this](uint64_t digest) {
-                crashes.push_back(digest);
+              [this](const schema::ReportCrash& report) {
+                crashes.push_back(report.fingerprint());
                 if (on_crash) {
-                  on_crash(digest);
+                  on_crash(report);
+                }
+              },
+              [this](uint64_t digest) {
+                if (on_success) {
+                  on_success(digest);
                 }
               }}),
       endpoint_([this](transport::HttpSession& session,
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -115,7 +115,9 @@
   /// Digests of requests whose upstream crashed while running them.
   std::vector<uint64_t> crashes;
   /// Called for each of them, if set.
-  std::function<void(uint64_t)> on_crash;
+  std::function<void(const schema::ReportCrash&)> on_crash;
+  /// Called for each suspected request that succeeded, if set.
+  std::function<void(uint64_t)> on_success;
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -134,7 +134,7 @@
     return {SignedResponse(request, "fine")};
   });
   it.AddUpstream("v", other.address());
-  it.relay().SetPoisonRequests({it.crashes[0]});
+  it.relay().SetPoisonRequests({it.crashes[0]}, {});
   // The same request under another id, and a different one.
   Caller again(it.port());
   again.Send(RelayFixture::Request("/once/x", "r2"));
--- a/transport/http_status.h
+++ b/transport/http_status.h
@@ -31,6 +31,9 @@
 
 }  // namespace status
 
+/// Whether a status code reports success (2xx).
+constexpr bool IsSuccess(int code) { return code >= 200 && code < 300; }
+
 /// Reason phrases of the status codes that are sent (RFC 9110).
 constexpr std::string_view StatusText(int code) {
   switch (code) {
