cluster: Keep reports about crashes until the group confirms them

Callers would see a poison request go on after an outage of the group: its crashes are seen by the entry instances but never counted.

Cause: a report was given up after five attempts, 1.5 to 3.5 s, which is longer than an election but shorter than a cut or a restart of the group may last.

Change: a report is retried until it is confirmed, which is safe since a crash counts once; at most 1,024 are open, then further ones are lost with a record as before. The gauge crash_reports_open shows them.

Evidence: "Crashes seen during a long outage of the group are reported after" failed before (the list stays empty for 60 s) and passes.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -77,6 +77,7 @@
 }
 
 void DeploymentClient::UpdateGauges() const {
+  metrics_.SetGauge("crash_reports_open", static_cast<double>(open_reports_));
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       clock_.Now() - last_update_);
   const bool has_update = last_update_ != core::TimePoint();
@@ -268,18 +269,17 @@
 void DeploymentClient::ReportCrash(const schema::ReportCrash& report) {
   schema::DeploymentCommand command;
   *command.mutable_report_crash() = report;
-  SendReport(command, kReportAttempts);
+  AddReport(command);
 }
 
 void DeploymentClient::ReportSuccess(uint64_t digest) {
   schema::DeploymentCommand command;
   command.set_succeeded_request(digest);
-  SendReport(command, kReportAttempts);
+  AddReport(command);
 }
 
-void DeploymentClient::SendReport(const schema::DeploymentCommand& command,
-                                  int attempts_left) {
-  if (attempts_left == 0) {
+void DeploymentClient::AddReport(const schema::DeploymentCommand& command) {
+  if (open_reports_ >= kMaxOpenReports) {
     const uint64_t digest = command.has_report_crash()
                                 ? command.report_crash().fingerprint()
                                 : command.succeeded_request();
@@ -290,14 +290,20 @@
          {"leader", leader_}});
     return;
   }
+  ++open_reports_;
+  SendReport(command);
+}
+
+void DeploymentClient::SendReport(const schema::DeploymentCommand& command) {
+  // The group counts a crash once, however often it is reported.
   SendToLeader(command, kClaimAttemptTimeout,
-               [this, command,
-                attempts_left](const core::Result<schema::PeerMessage>& reply) {
-                 if (!core::IsOk(reply)) {
-                   QTimer::singleShot(kReportRetryDelay, this, [=, this] {
-                     SendReport(command, attempts_left - 1);
-                   });
+               [this, command](const core::Result<schema::PeerMessage>& reply) {
+                 if (core::IsOk(reply)) {
+                   --open_reports_;
+                   return;
                  }
+                 QTimer::singleShot(kReportRetryDelay, this,
+                                    [this, command] { SendReport(command); });
                });
 }
 
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -53,10 +53,11 @@
   /// for no longer than that.
   static constexpr std::chrono::milliseconds kSettleDelay{150};
   static constexpr std::chrono::milliseconds kSettleRetryDelay{200};
-  /// Attempts to report how a request ended and the delay between them.
-  /// Together they take longer than an election.
-  static constexpr int kReportAttempts = 5;
+  /// Delay between two attempts to report how a request ended.
   static constexpr std::chrono::milliseconds kReportRetryDelay{300};
+  /// Maximum number of reports that the group has not confirmed; further ones
+  /// are lost.
+  static constexpr size_t kMaxOpenReports = 1024;
 
   DeploymentClient(const std::vector<std::string>& seeds, uint64_t seed,
                    const core::Clock& clock, core::Metrics& metrics,
@@ -74,9 +75,10 @@
   void Settle(const relay::TokenClaim& claim, int64_t used) override;
 
   /// Reports to the group that an upstream crashed while it ran a request.
-  /// Retried a few times; lost if no leader is found meanwhile.
+  /// Retried until the group confirms it.
   void ReportCrash(const schema::ReportCrash& report);
   /// Reports to the group that an upstream ran a suspected request to its end.
+  /// Retried like a crash.
   void ReportSuccess(uint64_t digest);
 
   /// Returns whether the known state is current: an update was received within
@@ -85,6 +87,8 @@
   bool HadContactWithin(std::chrono::milliseconds time) const;
   /// Number of settlements that are not durable yet.
   size_t open_settlements() const { return settlements_.size(); }
+  /// Number of reports that the group has not confirmed yet.
+  size_t open_reports() const { return open_reports_; }
 
  private:
   struct PendingClaim {
@@ -99,8 +103,8 @@
   using ClaimPtr = std::shared_ptr<PendingClaim>;
 
   bool IsIsolated() const;
-  /// Sends a command that may be applied more than once.
-  void SendReport(const schema::DeploymentCommand& command, int attempts_left);
+  void AddReport(const schema::DeploymentCommand& command);
+  void SendReport(const schema::DeploymentCommand& command);
   void Watch();
   void OnWatchEvent(const schema::PeerMessage& event);
   void OnWatchEnd(const core::Status& status);
@@ -150,6 +154,7 @@
   QTimer settle_timer_;
   std::map<std::string, schema::TokenSettlement> settlements_;
   bool settling_ = false;
+  size_t open_reports_ = 0;
 };
 
 }  // namespace hawthorn::cluster
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -127,9 +127,9 @@
     return;
   }
   callers_.DrainConnections();
-  const bool finished = callers_.session_count() == 0 &&
-                        relay_.open_calls() == 0 &&
-                        client_.open_settlements() == 0;
+  const bool finished =
+      callers_.session_count() == 0 && relay_.open_calls() == 0 &&
+      client_.open_settlements() == 0 && client_.open_reports() == 0;
   if (!finished && elapsed < DrainLimit()) {
     return;
   }
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -232,6 +232,41 @@
   CHECK(WaitFor([&] { return digests == std::vector<uint64_t>{77}; }));
 }
 
+// Guards against losing the crashes of a poison request that are seen while
+// the group has no leader.
+TEST_CASE("Crashes seen during a long outage of the group are reported after") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const auto transport = it.NewTransport("127.0.0.60", 0);
+  std::vector<uint64_t> digests;
+  DeploymentClient client(it.Seeds(), 1, it.clock(), it.metrics(), *transport,
+                          [&digests](const schema::DeploymentUpdate& update) {
+                            if (update.has_harmful()) {
+                              digests.assign(update.harmful().digests().begin(),
+                                             update.harmful().digests().end());
+                            }
+                          });
+  client.Start();
+  REQUIRE(WaitFor([&] { return client.IsCurrent(); }));
+  for (size_t n = 0; n < 3; ++n) {
+    it.Kill(it.initial_member(n));
+  }
+  for (const char* upstream : {"a", "b", "c"}) {
+    schema::ReportCrash report;
+    report.set_fingerprint(77);
+    report.set_upstream(upstream);
+    client.ReportCrash(report);
+  }
+  bool passed = false;
+  QTimer::singleShot(std::chrono::seconds(5), [&passed] { passed = true; });
+  REQUIRE(WaitFor([&] { return passed; }));
+  for (size_t n = 0; n < 3; ++n) {
+    it.Start(it.initial_member(n));
+  }
+  CHECK(WaitFor([&] { return digests == std::vector<uint64_t>{77}; }));
+}
+
 /// A source of updates that the test controls.
 struct ScriptedSource {
   ScriptedSource(Deployment& deployment, const std::string& ip)
