relay, control, platform: Keep calls from upstreams that say that they drain

Before: the field was passed on unread; an instance went on until the group told it, or for good with an upstream that never announces that it drains.

Change: the codec decodes the field; the relay marks the incarnation from every response head of it (success, error, refusal, stream, broken off, of another request), takes it out of the scheduler's choice, closes its idle connections and sends no repeat to it. Marks are kept apart from the table, so that neither a later record nor a table without the upstream removes them; a later start of the same id or another id at the address is not held. The instance reports it, the group marks the entry and keeps it draining whatever the incarnation announces. Calls that run go on.

The record "crash report lost" is "report lost" now, with the kind of report, as is its counter.

--- a/cluster/command_log.cpp
+++ b/cluster/command_log.cpp
@@ -28,6 +28,8 @@
       return "forget_upstream";
     case Command::kReportCrash:
       return "crashed_request";
+    case Command::kDrainingUpstream:
+      return "draining_upstream";
     case Command::kSucceededRequest:
       return "succeeded_request";
     case Command::BODY_NOT_SET:
--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -3,6 +3,7 @@
 #include <QPointer>
 #include <utility>
 
+#include "cluster/command_log.h"
 #include "cluster/deployment_host.h"
 #include "logging/log.h"
 
@@ -77,7 +78,7 @@
 }
 
 void DeploymentClient::UpdateGauges() const {
-  metrics_.SetGauge("crash_reports_open", static_cast<double>(open_reports_));
+  metrics_.SetGauge("reports_open", static_cast<double>(open_reports_));
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       clock_.Now() - last_update_);
   const bool has_update = last_update_ != core::TimePoint();
@@ -278,16 +279,19 @@
   AddReport(command);
 }
 
+void DeploymentClient::ReportDraining(const std::string& upstream,
+                                      uint64_t started_at_ms) {
+  schema::DeploymentCommand command;
+  command.mutable_draining_upstream()->set_upstream(upstream);
+  command.mutable_draining_upstream()->set_started_at_ms(started_at_ms);
+  AddReport(command);
+}
+
 void DeploymentClient::AddReport(const schema::DeploymentCommand& command) {
   if (open_reports_ >= kMaxOpenReports) {
-    const uint64_t digest = command.has_report_crash()
-                                ? command.report_crash().fingerprint()
-                                : command.succeeded_request();
-    metrics_.Count("crash_reports_lost");
-    Log(LogLevel::kWarn, "crash report lost",
-        {{"digest", std::to_string(digest)},
-         {"crashed", command.has_report_crash() ? "true" : "false"},
-         {"leader", leader_}});
+    metrics_.Count("reports_lost");
+    Log(LogLevel::kWarn, "report lost",
+        {{"kind", KindOf(command)}, {"leader", leader_}});
     return;
   }
   ++open_reports_;
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -80,6 +80,9 @@
   /// Reports to the group that an upstream ran a suspected request to its end.
   /// Retried like a crash.
   void ReportSuccess(uint64_t digest);
+  /// Reports to the group that an upstream said in a response that it is
+  /// draining. Retried like a crash.
+  void ReportDraining(const std::string& upstream, uint64_t started_at_ms);
 
   /// Returns whether the known state is current: an update was received within
   /// kUpdateTimeout.
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -20,6 +20,13 @@
   return !stored.gone() && entry.sequence() >= stored.sequence();
 }
 
+/// Whether the announcement is of a draining incarnation, which stays so
+/// whatever it announces.
+bool StaysDraining(const schema::UpstreamEntry& stored,
+                   const schema::UpstreamEntry& entry) {
+  return stored.draining() && stored.started_at_ms() == entry.started_at_ms();
+}
+
 bool HasSameContent(const schema::UpstreamEntry& a,
                     const schema::UpstreamEntry& b) {
   return a.service() == b.service() && a.address() == b.address() &&
@@ -79,6 +86,9 @@
     case schema::DeploymentCommand::kReportCrash:
       crashes_.Report(parsed.report_crash(), clock_ms_);
       break;
+    case schema::DeploymentCommand::kDrainingUpstream:
+      MarkDraining(parsed.draining_upstream());
+      break;
     case schema::DeploymentCommand::kSucceededRequest:
       crashes_.Succeeded(parsed.succeeded_request());
       break;
@@ -165,7 +175,15 @@
   if (it == upstreams_.end()) {
     return true;
   }
-  return IsNewer(it->second, entry) && !HasSameContent(it->second, entry);
+  if (!IsNewer(it->second, entry)) {
+    return false;
+  }
+  if (!StaysDraining(it->second, entry)) {
+    return !HasSameContent(it->second, entry);
+  }
+  schema::UpstreamEntry draining = entry;
+  draining.set_draining(true);
+  return !HasSameContent(it->second, draining);
 }
 
 void DeploymentState::Publish(const schema::PublishedConfiguration& published) {
@@ -193,7 +211,9 @@
     other.set_revision(++upstream_revision_);
   }
   entry.set_revision(++upstream_revision_);
-  upstreams_[entry.upstream()] = std::move(entry);
+  schema::UpstreamEntry& stored = upstreams_[entry.upstream()];
+  entry.set_draining(entry.draining() || StaysDraining(stored, entry));
+  stored = std::move(entry);
   const auto gone =
       std::count_if(upstreams_.begin(), upstreams_.end(),
                     [](const auto& it) { return it.second.gone(); });
@@ -210,6 +230,17 @@
   }
 }
 
+void DeploymentState::MarkDraining(
+    const schema::UpstreamIncarnation& draining) {
+  const auto it = upstreams_.find(draining.upstream());
+  if (it == upstreams_.end() || it->second.gone() || it->second.draining() ||
+      it->second.started_at_ms() != draining.started_at_ms()) {
+    return;
+  }
+  it->second.set_draining(true);
+  it->second.set_revision(++upstream_revision_);
+}
+
 void DeploymentState::Reserve(const schema::TokenReservation& reservation,
                               schema::DeploymentReply* reply) {
   for (const schema::TokenSettlement& it : reservation.settlements()) {
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -66,6 +66,7 @@
 
   void Publish(const schema::PublishedConfiguration& published);
   void ApplyAnnouncement(schema::UpstreamEntry entry);
+  void MarkDraining(const schema::UpstreamIncarnation& draining);
   void Reserve(const schema::TokenReservation& reservation,
                schema::DeploymentReply* reply);
   void Settle(const schema::TokenSettlement& settlement);
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -29,7 +29,10 @@
           {clock, codec_, client_, metrics, settings_.zone,
            std::hash<std::string>{}(settings_.ip),
            [this](const schema::ReportCrash& it) { client_.ReportCrash(it); },
-           [this](uint64_t digest) { client_.ReportSuccess(digest); }}),
+           [this](uint64_t digest) { client_.ReportSuccess(digest); },
+           [this](const std::string& upstream, uint64_t started_at_ms) {
+             client_.ReportDraining(upstream, started_at_ms);
+           }}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -51,6 +51,8 @@
   bool not_run = false;
   /// The address now belongs to another upstream.
   bool wrong_upstream = false;
+  /// The upstream that sent the response is draining.
+  bool draining = false;
   /// The body has a content encoding, such as compression.
   bool encoded = false;
   /// Id of the request that the response belongs to; empty if it is missing.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -74,7 +74,7 @@
   std::string host;
   std::string target;
   std::string upstream;
-  /// Start of the upstream, as it announced; 0 if it was removed.
+  /// Start of the upstream, as it announced.
   uint64_t started_at_ms = 0;
   uint64_t digest = 0;
   /// Calls of this instance at the upstream, this one included.
@@ -199,7 +199,10 @@
                {{"upstream", id},
                 {"service", entry.service()},
                 {"address", entry.address()},
-                {"draining", entry.draining() ? "true" : "false"},
+                {"draining", IsDraining(entry) ? "true" : "false"},
+                {"known_by", !IsDraining(entry) ? ""
+                             : entry.draining() ? "record"
+                                                : "response"},
                 {"revision", std::to_string(entry.revision())}});
   SchedulePump();
 }
@@ -264,7 +267,7 @@
   state.service = core::ServiceId(upstream.entry.service());
   state.zone = core::ZoneId(upstream.entry.zone());
   state.max_running = upstream.entry.max_running();
-  state.leaving = upstream.entry.draining();
+  state.leaving = IsDraining(upstream.entry);
   const ServiceSettings* service =
       table_ ? table_->FindService(upstream.entry.service()) : nullptr;
   if (service != nullptr && service->engine) {
@@ -323,8 +326,56 @@
   SchedulePump();
 }
 
-void Relay::OnResponseHead(const std::string& upstream,
+uint64_t Relay::StartTimeOf(const std::string& upstream) const {
+  const auto it = upstreams_.find(upstream);
+  return it == upstreams_.end() ? 0 : it->second.entry.started_at_ms();
+}
+
+bool Relay::IsDraining(const schema::UpstreamEntry& entry) const {
+  return entry.draining() ||
+         drain_marks_.Contains(entry.upstream(), entry.started_at_ms());
+}
+
+bool Relay::IsDraining(const RelayCall& call) const {
+  return drain_marks_.Contains(call.summary().last_upstream,
+                               call.upstream_started_at_ms());
+}
+
+void Relay::MarkDraining(const RelayCall& call) {
+  const std::string& upstream = call.summary().last_upstream;
+  const uint64_t started_at_ms = call.upstream_started_at_ms();
+  if (!drain_marks_.Add(upstream, started_at_ms)) {
+    return;
+  }
+  parts_.metrics.Count("relay_upstreams_draining");
+  const auto it = upstreams_.find(upstream);
+  const bool is_current = it != upstreams_.end() &&
+                          it->second.entry.started_at_ms() == started_at_ms;
+  logging::Log(
+      logging::LogLevel::kInfo, "upstream draining",
+      {{"upstream", upstream},
+       {"started_at_ms", std::to_string(started_at_ms)},
+       {"known_by", "response"},
+       {"request", call.head().request_id},
+       {"announced",
+        is_current && it->second.entry.draining() ? "true" : "false"}});
+  if (is_current) {
+    links_.Forget(upstream);
+    UpdateScheduler(it->second);
+  }
+  if (parts_.on_draining) {
+    parts_.on_draining(upstream, started_at_ms);
+  }
+}
+
+void Relay::OnResponseHead(const RelayCall& call,
                            const ResponseInfo& response) {
+  const std::string& upstream = call.summary().last_upstream;
+  // A wrong upstream speaks for itself, not for the one that the call was
+  // meant for.
+  if (response.draining && !response.wrong_upstream) {
+    MarkDraining(call);
+  }
   if (!response.running) {
     return;
   }
@@ -357,12 +408,13 @@
   return links_.Acquire(upstream, it->second.address, must_be_fresh);
 }
 
-void Relay::CloseLink(const std::string& upstream, UpstreamLink* link,
+void Relay::CloseLink(const RelayCall& call, UpstreamLink* link,
                       const ResponseInfo& response) {
   if (link == nullptr) {
     return;
   }
-  if (!link->reusable()) {
+  const std::string& upstream = call.summary().last_upstream;
+  if (!link->reusable() || IsDraining(call)) {
     links_.Discard(upstream, link);
     return;
   }
@@ -437,16 +489,13 @@
   if (!parts_.on_crash) {
     return;
   }
-  const auto known = upstreams_.find(upstream);
   BrokenCall broken;
   broken.request_id = call.head().request_id;
   broken.program = call.head().program;
   broken.host = call.request().host;
   broken.target = call.request().target;
   broken.upstream = upstream;
-  if (known != upstreams_.end()) {
-    broken.started_at_ms = known->second.entry.started_at_ms();
-  }
+  broken.started_at_ms = call.upstream_started_at_ms();
   broken.digest = ContentDigestOf(call.request());
   broken.running_calls = RunningCalls(upstream);
   CheckUpstream(upstream, [this, broken = std::move(broken)](bool reachable) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "relay/drain_marks.h"
 #include "relay/relay_call.h"
 #include "relay/upstream_link_pool.h"
 #include "scheduling/shared_scheduler.h"
@@ -39,6 +40,9 @@
     /// Receives the digest of a suspected request that an upstream has run to
     /// its end.
     std::function<void(uint64_t)> on_success = {};
+    /// Receives an upstream and its start time when it says in a response that
+    /// it is draining.
+    std::function<void(const std::string&, uint64_t)> on_draining = {};
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -95,11 +99,13 @@
   core::Status Enqueue(RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
-  void OnResponseHead(const std::string& upstream,
+  uint64_t StartTimeOf(const std::string& upstream) const override;
+  void OnResponseHead(const RelayCall& call,
                       const ResponseInfo& response) override;
+  bool IsDraining(const RelayCall& call) const override;
   UpstreamLink* OpenLink(const std::string& upstream,
                          bool must_be_fresh) override;
-  void CloseLink(const std::string& upstream, UpstreamLink* link,
+  void CloseLink(const RelayCall& call, UpstreamLink* link,
                  const ResponseInfo& response) override;
   void CheckUpstream(const std::string& upstream,
                      std::function<void(bool)> on_checked) override;
@@ -110,6 +116,9 @@
                   const std::string& reason) override;
   void OnCallEnded(RelayCall& call) override;
 
+  bool IsDraining(const schema::UpstreamEntry& entry) const;
+  /// The upstream of the call says that it is draining.
+  void MarkDraining(const RelayCall& call);
   /// Passes the state of an upstream to the scheduler.
   void UpdateScheduler(const Upstream& upstream);
   void RemoveUpstream(const std::string& id);
@@ -135,6 +144,7 @@
   scheduling::SharedScheduler scheduler_;
   UpstreamLinkPool links_;
   std::map<std::string, Upstream> upstreams_;
+  DrainMarks drain_marks_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -133,6 +133,7 @@
   buffered_body_.clear();
   framer_.Reset();
   response_info_ = {};
+  upstream_started_at_ms_ = parts_.host.StartTimeOf(upstream_);
   link_ = parts_.host.OpenLink(upstream_, must_be_fresh);
   if (link_ == nullptr) {
     OnFailed(LinkFailure::kUnreachable);
@@ -162,7 +163,7 @@
                        std::optional<uint64_t> length) {
   response_ = head;
   response_info_ = parts_.host.codec().DecodeResponse(head);
-  parts_.host.OnResponseHead(upstream_, response_info_);
+  parts_.host.OnResponseHead(*this, response_info_);
   const bool success = transport::IsSuccess(head.status);
   const bool wrong_request =
       response_info_.request_id != parts_.head.request_id &&
@@ -401,10 +402,13 @@
     EnterQueue();
     return true;
   }
+  if (parts_.host.IsDraining(*this)) {
+    return false;
+  }
   // The limit of upstreams is reached, so only an upstream that may already
   // have run the call may run it again.
   parts_.host.OnDecision(*this, "call sent again", "same upstream");
-  parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr), {});
+  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
   BeginExchange(true);
   return true;
 }
@@ -412,8 +416,7 @@
 void RelayCall::ReleaseUpstream(scheduling::CallOutcome outcome) {
   idle_timer_.stop();
   if (link_ != nullptr) {
-    parts_.host.CloseLink(upstream_, std::exchange(link_, nullptr),
-                          response_info_);
+    parts_.host.CloseLink(*this, std::exchange(link_, nullptr), response_info_);
   }
   parts_.host.FinishAttempt(*this, outcome);
 }
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -43,14 +43,20 @@
   /// Reports the outcome of an attempt and frees its slot at the upstream.
   virtual void FinishAttempt(RelayCall& call,
                              scheduling::CallOutcome outcome) = 0;
-  /// Updates the load of the upstream from a response head that reports it.
-  virtual void OnResponseHead(const std::string& upstream,
+  /// Start time of the upstream as it announced it; 0 if it is not known.
+  virtual uint64_t StartTimeOf(const std::string& upstream) const = 0;
+  /// Takes load and draining of the call's upstream from a response head.
+  virtual void OnResponseHead(const RelayCall& call,
                               const ResponseInfo& response) = 0;
+  /// Whether the incarnation of the upstream that ran the call last is
+  /// draining.
+  virtual bool IsDraining(const RelayCall& call) const = 0;
   /// Returns null if the upstream is unknown or its connection limit is
   /// reached.
   virtual UpstreamLink* OpenLink(const std::string& upstream,
                                  bool must_be_fresh) = 0;
-  virtual void CloseLink(const std::string& upstream, UpstreamLink* link,
+  /// Keeps the connection of the call for reuse, or closes it.
+  virtual void CloseLink(const RelayCall& call, UpstreamLink* link,
                          const ResponseInfo& response) = 0;
   /// Tests whether the upstream is reachable; `on_checked` is never called from
   /// within this call. A removed upstream cannot be tested and counts as
@@ -159,6 +165,8 @@
   core::TimePoint deadline() const { return deadline_; }
   const std::vector<core::UpstreamId>& excluded() const { return excluded_; }
   const CallSummary& summary() const { return summary_; }
+  /// Start time of the upstream that was last sent the call.
+  uint64_t upstream_started_at_ms() const { return upstream_started_at_ms_; }
   /// Upstream that runs the call now; empty if none does.
   std::string_view running_at() const {
     return state_ == State::kRunning ? upstream_ : std::string_view();
@@ -211,6 +219,7 @@
   State state_ = State::kClaiming;
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
+  uint64_t upstream_started_at_ms_ = 0;
   UpstreamLink* link_ = nullptr;
   std::vector<core::UpstreamId> excluded_;
   std::optional<TokenClaim> claim_;
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -152,6 +152,38 @@
   CHECK(state.upstreams().at("u").draining());
 }
 
+schema::DeploymentCommand Draining(const std::string& upstream,
+                                   uint64_t started_at_ms) {
+  schema::DeploymentCommand command;
+  command.mutable_draining_upstream()->set_upstream(upstream);
+  command.mutable_draining_upstream()->set_started_at_ms(started_at_ms);
+  return command;
+}
+
+// Guards against sending calls to an upstream that said in a response that it
+// is draining and still announces itself as ready.
+TEST_CASE("A draining incarnation stays so whatever it announces later") {
+  DeploymentState state;
+  Announce(&state, Entry("u", "10.0.0.1:1", 5, 1));
+  Run(&state, Draining("u", 4));
+  Run(&state, Draining("other", 5));
+  CHECK_FALSE(state.upstreams().at("u").draining());
+  const uint64_t revision = state.upstream_revision();
+  Run(&state, Draining("u", 5));
+  CHECK(state.upstreams().at("u").draining());
+  CHECK(state.upstream_revision() == revision + 1);
+  Run(&state, Draining("u", 5));
+  CHECK_FALSE(state.WouldChange(Entry("u", "10.0.0.1:1", 5, 2)));
+  Announce(&state, Entry("u", "10.0.0.1:1", 5, 2));
+  CHECK(state.upstream_revision() == revision + 1);
+  schema::UpstreamEntry moved = Entry("u", "10.0.0.1:2", 5, 3);
+  CHECK(state.WouldChange(moved));
+  Announce(&state, moved);
+  CHECK(state.upstreams().at("u").draining());
+  Announce(&state, Entry("u", "10.0.0.1:2", 6, 1));
+  CHECK_FALSE(state.upstreams().at("u").draining());
+}
+
 schema::ReportCrash CrashReport(uint64_t digest, const std::string& upstream,
                                 uint64_t incarnation = 1) {
   schema::ReportCrash report;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -149,5 +149,31 @@
   CHECK(good.idle_timeout == std::chrono::milliseconds(5000));
 }
 
+transport::ResponseHead HeadWith(const transport::HeaderList& fields) {
+  transport::ResponseHead head;
+  head.status = 200;
+  head.fields = fields;
+  return head;
+}
+
+// Guards against missing that an upstream is draining, and against taking out
+// one that says something else.
+TEST_CASE("Only a 1 in the field says that an upstream is draining") {
+  const PlatformCallCodec codec;
+  const auto is_draining = [&codec](const transport::HeaderList& fields) {
+    return codec.DecodeResponse(HeadWith(fields)).draining;
+  };
+  CHECK_FALSE(is_draining({}));
+  CHECK(is_draining({{"Server-Leaving", "1"}}));
+  CHECK(is_draining({{"server-leaving", " 1 "}}));
+  CHECK(is_draining({{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}));
+  CHECK(is_draining({{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}));
+  CHECK(is_draining({{"Server-Leaving", "0, 1"}}));
+  for (const char* value : {"", "0", "2", "10", "01", "true", "1;x", "1 1"}) {
+    CAPTURE(value);
+    CHECK_FALSE(is_draining({{"Server-Leaving", value}}));
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::platform
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -50,6 +50,10 @@
   open_.back()->socket.Write(bytes);
 }
 
+void ScriptedUpstream::SendOn(size_t connection, std::string_view bytes) {
+  open_.at(connection)->socket.Write(bytes);
+}
+
 void ScriptedUpstream::Stop() {
   listener_.Close();
   for (const auto& it : open_) {
@@ -129,6 +133,9 @@
                 if (on_success) {
                   on_success(digest);
                 }
+              },
+              [this](const std::string& upstream, uint64_t) {
+                draining.push_back(upstream);
               }}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
@@ -164,13 +171,15 @@
 }
 
 void RelayFixture::AddUpstream(const std::string& id,
-                               const std::string& address) {
+                               const std::string& address,
+                               uint64_t started_at_ms) {
   schema::UpstreamEntry entry;
   entry.set_upstream(id);
   entry.set_service("llm");
   entry.set_address(address);
   entry.set_zone("a");
   entry.set_max_running(4);
+  entry.set_started_at_ms(started_at_ms);
   entry.set_revision(++revision_);
   relay_.SetUpstream(entry);
 }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -40,6 +40,8 @@
   size_t closed_by_peer() const { return closed_; }
   /// Sends bytes on the latest connection.
   void Send(std::string_view bytes);
+  /// Sends bytes on the connection with this number, counted from 0.
+  void SendOn(size_t connection, std::string_view bytes);
   /// Stops listening and resets all connections.
   void Stop();
 
@@ -106,7 +108,9 @@
  public:
   RelayFixture();
 
-  void AddUpstream(const std::string& id, const std::string& address);
+  /// Adds an upstream, or updates it with the record of a later revision.
+  void AddUpstream(const std::string& id, const std::string& address,
+                   uint64_t started_at_ms = 1);
   static std::string Request(const std::string& path, const std::string& id,
                              const std::string& fields = "");
   uint16_t port() const { return endpoint_.port(); }
@@ -116,6 +120,8 @@
   std::vector<uint64_t> crashes;
   /// Called for each of them, if set.
   std::function<void(const schema::ReportCrash&)> on_crash;
+  /// Upstreams that said in a response that they are draining.
+  std::vector<std::string> draining;
   /// Called for each suspected request that succeeded, if set.
   std::function<void(uint64_t)> on_success;
   Relay& relay() { return relay_; }
