relay: Close connections of a former incarnation of an upstream

Callers could wait for a call until its deadline: an upstream that starts again under its old id at another address kept the connections of its former life in use, and they returned to the pool under that id after their call.

Cause: the pool knows upstreams by id alone; SetUpstream closes the idle connections of a former incarnation, but not those that carry a call at that moment.

Change: a connection is kept after its call only if the upstream's incarnation is still the one that the call was sent to.

Evidence: the test got no answer within 60 s before (the call was sent to the former process, 137 of 138 assertions), and passes.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -414,7 +414,9 @@
     return;
   }
   const std::string& upstream = call.summary().last_upstream;
-  if (!link->reusable() || IsDraining(call)) {
+  const bool is_current =
+      StartTimeOf(upstream) == call.upstream_started_at_ms();
+  if (!link->reusable() || !is_current || IsDraining(call)) {
     links_.Discard(upstream, link);
     return;
   }
--- a/tests/relay/draining_test.cpp
+++ b/tests/relay/draining_test.cpp
@@ -173,6 +173,27 @@
   CHECK(streaming.received().find("e2") != std::string::npos);
 }
 
+// Guards against sending a call for a new incarnation of an upstream on a
+// connection of the former one, and against taking what that one says for the
+// state of the new one.
+TEST_CASE("The connection of a former incarnation is not used for the next") {
+  RelayFixture it;
+  ScriptedUpstream former([](const std::string&) -> Step { return {}; });
+  ScriptedUpstream next([](const std::string& request) -> Step {
+    return {SignedResponse(request, "next")};
+  });
+  it.AddUpstream("u", former.address());
+  Caller waiting(it.port());
+  waiting.Send(RelayFixture::Request("/once/x", "r1"));
+  REQUIRE(WaitFor([&] { return former.requests().size() == 1; }));
+  it.AddUpstream("u", next.address(), 2);
+  former.Send(Draining(SignedResponse(former.requests()[0], "late")));
+  REQUIRE(WaitFor([&] { return waiting.received().ends_with("late"); }));
+  Caller caller(it.port());
+  caller.Send(RelayFixture::Request("/once/x", "r2"));
+  REQUIRE(WaitFor([&] { return caller.received().ends_with("next"); }));
+}
+
 TEST_CASE("Drain marks name one incarnation and are bounded") {
   DrainMarks marks;
   CHECK(marks.Add("u", 5));
