consensus: Send lazy followers the rest of a batch

Seen by: a read at that replica waits; entry instances that watch it hear neither of the last configuration, nor of the last upstream, nor of the last poison request until something else is committed. On a busy deployment a claim follows within milliseconds, on a quiet one nothing does.

Cause: the others get their entries when the lazy interval is over, in one go. If the limit of appends in flight, or a probe, keeps part of it back, the timer is not started again, since nothing is uncommitted by then. A heartbeat does not help: it names the last entry that was sent, which the follower has.

Ruled out: lost messages (a heartbeat after a lost append is rejected and the follower probed).

Change: the end of the interval sets the index up to which everybody is due entries; whoever is behind it is sent more at each flush until it has them.

--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -259,6 +259,8 @@
   /// log when the delay started; 0 if no entries are delayed.
   core::TimePoint lazy_deadline_;
   uint64_t lazy_from_index_ = 0;
+  /// Every follower is due the entries up to this index.
+  uint64_t flush_until_index_ = 0;
   bool lease_given_up_ = false;
   std::optional<Transfer> transfer_;
   std::vector<uint64_t> failed_reads_;
--- a/consensus/replica_election.cpp
+++ b/consensus/replica_election.cpp
@@ -137,6 +137,7 @@
   lease_given_up_ = false;
   eager_voters_.clear();
   lazy_from_index_ = 0;
+  flush_until_index_ = 0;
   leader_state_.emplace(options_.id, now_);
   leader_state_->SetMembership(membership(), last_index() + 1);
   next_maintenance_ = now_ + options_.heartbeat_interval;
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -131,6 +131,7 @@
   if (eager_voters_.empty() || transfer_ || !membership_committed()) {
     eager_voters_.clear();
     lazy_from_index_ = 0;
+    flush_until_index_ = last_index();
     return true;
   }
   if (lazy_from_index_ == 0 && last_index() > commit_index_) {
@@ -145,14 +146,18 @@
     eager_voters_.clear();
   }
   lazy_from_index_ = 0;
+  flush_until_index_ = last_index();
   return true;
 }
 
 void Replica::FlushEntries() {
   const bool all = ShouldFlushAll();
   for (auto& [id, progress] : leader_state_->others()) {
+    // A follower that could not be sent a whole batch gets the rest as soon as
+    // it can.
     if (!all && !eager_voters_.contains(id) &&
-        progress.state == Progress::State::kReplicate) {
+        progress.state == Progress::State::kReplicate &&
+        progress.next > flush_until_index_) {
       continue;
     }
     if (progress.state == Progress::State::kProbe && !progress.probe_sent) {
--- a/tests/consensus/group_test.cpp
+++ b/tests/consensus/group_test.cpp
@@ -204,6 +204,32 @@
   }
 }
 
+// Guards against a follower that stays behind until the next command, because
+// one batch could not hold all entries that it lacked.
+TEST_CASE("followers that no commit needs get the last entry of a burst") {
+  GroupOptions options;
+  options.replica.lazy_interval = milliseconds(50);
+  options.replica.announce_commits = false;
+  options.replica.max_appends_in_flight = 1;
+  options.replica.max_append_bytes = 1;
+  TestGroup group({"a", "b", "c", "d", "e"}, false, options);
+  group.Run(milliseconds(3500));
+  Node* leader = group.Leader();
+  REQUIRE(leader != nullptr);
+  int done = 0;
+  for (int n = 0; n < 8; ++n) {
+    leader->group->Propose(
+        "x", [&](const auto& result) { done += core::IsOk(result) ? 1 : 0; },
+        group.now());
+  }
+  group.Run(milliseconds(1000));
+  REQUIRE(done == 8);
+  for (const auto& [name, node] : group.nodes()) {
+    CAPTURE(name);
+    CHECK(node.machine.text() == std::string(8, 'x'));
+  }
+}
+
 TEST_CASE("the last contact is kept after the leader is lost") {
   TestGroup group({"a", "b", "c"});
   group.Run(milliseconds(2500));
