settings: Read no more than two YAML documents

A running hawthornd reads such text at a reload of its settings and from operators with a key (PUT of a configuration); hawthornctl reads it too. The platform's configuration is JSON and not concerned.

Cause: YAML::LoadAll reads documents until the tokens end; a comma outside a flow collection starts a document and is never consumed.

Change: documents are counted with the library's own event parser, which stops at the second one; the first is loaded only if it is the only one. The finding stands at the second document. std::bad_alloc is no longer a finding about the text: that made a run under a limit of memory pass. Ruled out: a bound on size (6 bytes are enough), a check of characters (commas are legal in scalars), another parser.

--- a/settings/yaml_reader.cpp
+++ b/settings/yaml_reader.cpp
@@ -2,11 +2,14 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <exception>
+#include <new>
 #include <optional>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -227,6 +230,45 @@
   YamlDocument& document_;
 };
 
+/// Counts the nodes at the start of a document and ignores everything else.
+class DocumentCounter final : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& mark) override {
+    start_ = mark;
+    ++count_;
+  }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnScalar(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                const std::string&) override {}
+  void OnSequenceStart(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+
+  int count() const { return count_; }
+  /// Start of the latest document.
+  const YAML::Mark& start() const { return start_; }
+
+ private:
+  int count_ = 0;
+  YAML::Mark start_;
+};
+
+// Reads up to two documents. YAML::LoadAll is not used, since it reads
+// documents without end where a comma cannot be part of one.
+DocumentCounter CountDocuments(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  DocumentCounter counter;
+  while (counter.count() < 2 && parser.HandleNextDocument(counter)) {
+  }
+  return counter;
+}
+
 // Adds a finding for an error that the parser threw.
 void AddParserFinding(const YAML::Exception& error, const YamlReader& reader,
                       YamlDocument* document) {
@@ -262,16 +304,22 @@
   YamlReader reader(file, &document);
   document.positions.Set("", core::FilePosition{file, 1, 1});
   try {
-    const std::vector<YAML::Node> nodes = YAML::LoadAll(std::string(text));
-    if (nodes.size() == 1) {
-      reader.ReadGroup(nodes.front(), "", message);
+    const std::string copy(text);
+    const DocumentCounter counter = CountDocuments(copy);
+    if (counter.count() == 1) {
+      reader.ReadGroup(YAML::Load(copy), "", message);
       return document;
     }
+    const bool empty = counter.count() == 0;
     document.faulty_paths.insert("");
     document.findings.Add(
-        core::FilePosition{file, 1, 1},
-        absl::StrCat("the file holds ", nodes.size(), " YAML documents"),
+        empty ? core::FilePosition{file, 1, 1}
+              : reader.PositionOf(counter.start()),
+        empty ? "the file holds no YAML document" : "a second YAML document",
         "one YAML document with a group of keys");
+  } catch (const std::bad_alloc&) {
+    // Not a fault of the text.
+    throw;
   } catch (const YAML::Exception& error) {
     AddParserFinding(error, reader, &document);
   } catch (const std::exception& error) {
--- a/tests/settings/settings_property_test.cpp
+++ b/tests/settings/settings_property_test.cpp
@@ -9,6 +9,7 @@
 #include "settings/quantity.h"
 #include "settings/settings.h"
 #include "settings/settings_check.h"
+#include "tests/support/memory_limit.h"
 #include "valid_settings.h"
 
 namespace hawthorn::settings {
@@ -17,17 +18,18 @@
 // Texts with a special meaning in YAML, and values at their bounds.
 const std::vector<std::string>& Tokens() {
   static const std::vector<std::string> tokens = {
-      "&a [*a]",   "*a",        "!!binary x",
-      "{",         "}",         "[",
-      "]",         "null",      "~",
-      "---\n",     "...\n",     "1e999",
-      "nan",       "-1",        "99999999999999999999",
-      "0x10",      "yes",       "<<",
-      "? ",        ": ",        "\t",
-      "|\n",       ">\n",       "'",
-      "\"",        "#",         "%YAML 9.9\n",
-      "limits",    "instances", "idle_timeout: 5",
-      "zone: x\n", "\n",        "  "};
+      "&a [*a]", "*a",        "!!binary x",
+      "{",       "}",         "[",
+      "]",       "null",      "~",
+      "---\n",   "...\n",     "1e999",
+      "nan",     "-1",        "99999999999999999999",
+      "0x10",    "yes",       "<<",
+      "? ",      ": ",        "\t",
+      "|\n",     ">\n",       "'",
+      "\"",      "#",         "%YAML 9.9\n",
+      "limits",  "instances", "idle_timeout: 5",
+      ",",       ",a",        "zone: x\n",
+      "\n",      "  "};
   return tokens;
 }
 
@@ -67,7 +69,25 @@
   }
 }
 
+/// Far more than a settings file of any size that is used takes.
+constexpr size_t kMemoryBytes = size_t{256} * 1024 * 1024;
+
+// Guards against a text that makes the parser allocate without end.
+TEST_CASE("A comma where none can be is refused at its place") {
+  for (const std::string text :
+       {",inst", ",", ",,", ",a: b", "- a\n,b", "a: [1]\n---\n,b"}) {
+    CAPTURE(text);
+    const test::MemoryLimit limit(kMemoryBytes);
+    const auto parsed = ParseSettings(text, "a.yaml");
+    REQUIRE(std::holds_alternative<core::FindingList>(parsed));
+    const core::FindingList& list = std::get<core::FindingList>(parsed);
+    CHECK(list.Report().find("bad_alloc") == std::string::npos);
+    CHECK(list.findings().front().position.line >= 1);
+  }
+}
+
 TEST_CASE("A mutated settings file is read or has findings with a position") {
+  const test::MemoryLimit limit(kMemoryBytes);
   int refused = 0;
   CHECK(rc::check([&](uint64_t seed) {
     std::mt19937_64 random(seed);
@@ -89,6 +109,7 @@
 }
 
 TEST_CASE("Arbitrary bytes are refused with a position") {
+  const test::MemoryLimit limit(kMemoryBytes);
   CHECK(rc::check([&](const std::string& text) {
     const auto parsed = ParseSettings(text, "a.yaml");
     RC_ASSERT(std::holds_alternative<core::FindingList>(parsed));
