main: Apply the drain timeout

Change: at the timeout, queued calls end as not run and running ones as unknown, with their outcome recorded, so that the program can go on elsewhere; what is not recorded 2 s later is answered as unknown, and the process ends. The record "drain timeout" counts the calls.

Evidence: "a graceful shutdown ends the calls that outlast its timeout" (real processes, an engine of 200 ms a token, timeout 1 s) fails without the change in Instance::TickDrain and passes. The case without a quorum has no test.

--- a/main/calls/call_controller.cpp
+++ b/main/calls/call_controller.cpp
@@ -366,9 +366,7 @@
     return;
   }
   parts_.metrics.Count("calls_cancelled");
-  ReleaseAttempt(call);
-  Fail(call, queued ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN,
-       NotRun(core::ErrorCode::kCancelled, "the caller left"));
+  Stop(call, NotRun(core::ErrorCode::kCancelled, "the caller left"));
   Pump();
 }
 
@@ -382,12 +380,37 @@
   for (const CallPtr& call : ended) {
     const bool queued = call->state == OpenCall::State::kQueued;
     const bool running = call->state == OpenCall::State::kRunning;
-    if (!queued && !(running && IsModel(*call))) {
-      continue;
+    if (queued || (running && IsModel(*call))) {
+      Stop(call, NotRun(core::ErrorCode::kProgramEnded, "the program ended"));
     }
-    ReleaseAttempt(call);
-    Fail(call, queued ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN,
-         NotRun(core::ErrorCode::kProgramEnded, "the program ended"));
+  }
+}
+
+void CallController::Stop(const CallPtr& call, const core::Error& error) {
+  const bool queued = call->state == OpenCall::State::kQueued;
+  ReleaseAttempt(call);
+  Fail(call, queued ? schema::OUTCOME_NOT_RUN : schema::OUTCOME_UNKNOWN, error);
+}
+
+void CallController::EndAll() {
+  const std::map<std::string, CallPtr> open = calls_;
+  for (const auto& [key, call] : open) {
+    if (call->state == OpenCall::State::kQueued ||
+        call->state == OpenCall::State::kRunning) {
+      Stop(call, NotRun(core::ErrorCode::kUnavailable,
+                        "the instance stopped before the call ended"));
+    }
+  }
+}
+
+void CallController::RefuseOpenCalls() {
+  const std::map<std::string, CallPtr> open = calls_;
+  for (const auto& [key, call] : open) {
+    RefuseAll(call,
+              core::Error{core::ErrorCode::kUnavailable,
+                          "the instance stopped before the outcome of "
+                          "the call was recorded",
+                          core::Execution::kUnknown, kCommitRetryInterval});
   }
 }
 
--- a/main/calls/call_controller.h
+++ b/main/calls/call_controller.h
@@ -71,6 +71,12 @@
   /// Ends the queued calls and running model calls of a program that ended.
   void OnProgramEnded(const core::ProgramId& program);
 
+  /// Ends the queued calls and the running ones, since the instance stops.
+  /// Their callers are answered once the outcome is recorded.
+  void EndAll();
+  /// Answers the callers that still wait without waiting for an outcome.
+  void RefuseOpenCalls();
+
   size_t open_calls() const { return calls_.size(); }
   /// Calls that are queued in the scheduler or running at an upstream.
   size_t running_calls() const { return by_attempt_.size(); }
@@ -103,6 +109,8 @@
   void Succeed(const CallPtr& call, int upstream_status);
   void Fail(const CallPtr& call, schema::Outcome outcome,
             const core::Error& error);
+  /// Ends a call that is queued or running.
+  void Stop(const CallPtr& call, const core::Error& error);
   void CommitOutcome(const CallPtr& call);
   void OnOutcomeCommitted(const CallPtr& call,
                           const core::Result<std::string>& result);
--- a/main/instance.cpp
+++ b/main/instance.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "logging/log.h"
 #include "main/groups/ledger_query.h"
 #include "main/http/json.h"
 #include "main/http/operator_handlers.h"
@@ -13,6 +14,10 @@
 
 namespace {
 
+/// Time after the drain timeout for the outcomes of the calls that it ended to
+/// be recorded.
+constexpr std::chrono::milliseconds kOutcomeTimeout{2000};
+
 /// Adds this instance's zone and configuration revision to every outgoing
 /// message.
 class StampingPeerSink final : public PeerSink {
@@ -287,10 +292,27 @@
 }
 
 void Instance::TickDrain() {
-  if (!node_->Drained()) {
+  const core::TimePoint now = parts_.clock.Now();
+  if (!drain_started_) {
+    drain_started_ = now;
+  }
+  const auto elapsed = now - *drain_started_;
+  const std::chrono::milliseconds limit(settings_.limits().drain_timeout_ms());
+  if (elapsed < limit) {
+    finished_ = node_->Drained() && groups_->TransferLeadership();
+    return;
+  }
+  if (!std::exchange(drain_timed_out_, true)) {
+    logging::Log(logging::LogLevel::kWarn, "drain timeout",
+                 {{"open_calls", std::to_string(node_->open_calls())}});
+    node_->EndCalls();
+  }
+  if (elapsed < limit + kOutcomeTimeout) {
+    finished_ = node_->Drained() && groups_->TransferLeadership();
     return;
   }
-  finished_ = groups_->TransferLeadership();
+  node_->RefuseCalls();
+  finished_ = true;
 }
 
 void Instance::AllowLinkCuts(
--- a/main/instance.h
+++ b/main/instance.h
@@ -74,6 +74,8 @@
       const std::string& name, const std::vector<std::string>& voters) const;
   void OnPeer(PeerArrived& arrived);
   void SendGossip(std::vector<membership::OutgoingGossip> messages);
+  /// Advances a graceful shutdown: calls end by themselves, then at the drain
+  /// timeout, and leaderships are handed over.
   void TickDrain();
   void RegisterOperatorHandlers();
   std::vector<std::string> VotersOf(const std::string& group) const;
@@ -89,6 +91,9 @@
   std::unique_ptr<Node> node_;
   std::unique_ptr<ConfigurationSynchronizer> configuration_;
   std::unique_ptr<LedgerMaintenance> ledger_maintenance_;
+  /// Set once a graceful shutdown was requested.
+  std::optional<core::TimePoint> drain_started_;
+  bool drain_timed_out_ = false;
   bool finished_ = false;
 };
 
--- a/main/node.h
+++ b/main/node.h
@@ -72,6 +72,11 @@
   bool draining() const { return draining_; }
   /// Whether the node is draining and has no open calls.
   bool Drained() const { return draining_ && calls_->open_calls() == 0; }
+  /// Ends the calls that are open when the time for draining is over.
+  void EndCalls() { calls_->EndAll(); }
+  /// Answers the callers of calls whose outcome could not be recorded.
+  void RefuseCalls() { calls_->RefuseOpenCalls(); }
+  size_t open_calls() const { return calls_->open_calls(); }
   std::string health() const;
   const std::string& run() const { return run_; }
 
--- a/tests/main/deployment.cpp
+++ b/tests/main/deployment.cpp
@@ -162,6 +162,13 @@
   return line;
 }
 
+void Deployment::AppendSettings(const std::string& instance,
+                                const std::string& text) {
+  std::ofstream(PathOf(folder_, instance + ".yaml").toStdString(),
+                std::ios::app)
+      << text;
+}
+
 void Deployment::Start(const std::string& instance) {
   const std::string line = LaunchAndReadLine(
       instance, HAWTHORND, {"--settings", PathOf(folder_, instance + ".yaml")});
--- a/tests/main/deployment.h
+++ b/tests/main/deployment.h
@@ -40,6 +40,8 @@
   explicit Deployment(std::vector<InstancePlan> instances);
   ~Deployment();
 
+  /// Adds lines to the settings file of an instance, for its next start.
+  void AppendSettings(const std::string& instance, const std::string& text);
   /// Starts or restarts an instance and waits until it listens.
   void Start(const std::string& instance);
   void StartAll();
--- a/tests/main/failure_test.cpp
+++ b/tests/main/failure_test.cpp
@@ -129,6 +129,32 @@
   REQUIRE(it.Call("a2", Calls(program), ModelCall(2, "next")).status == 200);
 }
 
+// Guards against an instance that never stops because a call is still open.
+TEST_CASE("a graceful shutdown ends the calls that outlast its timeout") {
+  Deployment it(Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
+  it.AppendSettings("a1", "limits: {drain_timeout: 1s}\n");
+  it.StartAll();
+  it.StartUpstream("engine", "engine", "asistente", "zone-a", 200);
+  for (const char* name : {"a1", "a2", "a3"}) {
+    it.WaitUpstreams(name, 1);
+  }
+  const std::string program = it.CreateProgram("a1");
+  const auto response =
+      it.Begin("a1", Calls(program), ModelCall(1, LongQuestion(100), true));
+  REQUIRE(WaitFor([&] {
+    return response->body.find("\"offset\":1,") != std::string::npos;
+  }));
+  it.SendTerm("a1");
+  REQUIRE(WaitFor([&] { return response->complete; }));
+  CAPTURE(response->body);
+  CHECK(response->body.find("event: end") == std::string::npos);
+  CHECK(response->body.find("the instance stopped") != std::string::npos);
+  CHECK(it.WaitExit("a1") == 0);
+  // The outcome is recorded, so that the program goes on elsewhere.
+  it.WaitUpstreams("a2", 1);
+  CHECK(it.Call("a2", Calls(program), ModelCall(2, "next")).status == 200);
+}
+
 TEST_CASE("programs survive a leader crash and a restart of all instances") {
   Deployment it(Plans{{"a1", "zone-a"}, {"a2", "zone-a"}, {"a3", "zone-a"}});
   it.StartAll();
