cluster: Refuse an unreadable command for good

Change: it is an invalid argument without a retry delay. A client gives up a report, a claim or settlements that are refused so, with a record; a claim ends at once instead of at its timeout.

Evidence: "An unreadable command is refused for good" got kUnavailable with a delay before, and passes.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -17,6 +17,12 @@
 /// Maximum settlements in one command.
 constexpr size_t kSettlementsPerCommand = 256;
 
+/// Whether a command can never succeed, however often it is sent.
+bool IsRefusedForGood(const core::Result<schema::PeerMessage>& reply) {
+  return !core::IsOk(reply) &&
+         core::ErrorOf(reply).code == core::ErrorCode::kInvalidArgument;
+}
+
 }  // namespace
 
 DeploymentClient::DeploymentClient(const std::vector<std::string>& seeds,
@@ -239,6 +245,10 @@
     FinishClaim(claim, relay::ClaimReply{it.granted(), it.remaining()});
     return;
   }
+  if (IsRefusedForGood(reply)) {
+    FinishClaim(claim, core::ErrorOf(reply));
+    return;
+  }
   // Retries are safe: a claim is granted once, however often it is sent.
   QTimer::singleShot(kClaimRetryDelay, this,
                      [this, claim] { TryClaim(claim); });
@@ -289,15 +299,20 @@
 
 void DeploymentClient::AddReport(const schema::DeploymentCommand& command) {
   if (open_reports_ >= kMaxOpenReports) {
-    metrics_.Count("reports_lost");
-    Log(LogLevel::kWarn, "report lost",
-        {{"kind", KindOf(command)}, {"leader", leader_}});
+    LogLostReport(command, "too many open reports");
     return;
   }
   ++open_reports_;
   SendReport(command);
 }
 
+void DeploymentClient::LogLostReport(const schema::DeploymentCommand& command,
+                                     const std::string& reason) {
+  metrics_.Count("reports_lost");
+  Log(LogLevel::kWarn, "report lost",
+      {{"kind", KindOf(command)}, {"reason", reason}, {"leader", leader_}});
+}
+
 void DeploymentClient::SendReport(const schema::DeploymentCommand& command) {
   // The group counts a crash once, however often it is reported.
   SendToLeader(command, kClaimAttemptTimeout,
@@ -306,6 +321,11 @@
                    --open_reports_;
                    return;
                  }
+                 if (IsRefusedForGood(reply)) {
+                   --open_reports_;
+                   LogLostReport(command, core::ErrorOf(reply).message);
+                   return;
+                 }
                  QTimer::singleShot(kReportRetryDelay, this,
                                     [this, command] { SendReport(command); });
                });
@@ -351,6 +371,15 @@
                [this, settlements = command.settle().settlements()](
                    const core::Result<schema::PeerMessage>& reply) {
                  settling_ = false;
+                 if (IsRefusedForGood(reply)) {
+                   metrics_.Count("settlements_lost");
+                   Log(LogLevel::kError, "settlements lost",
+                       {{"count", std::to_string(settlements.size())},
+                        {"reason", core::ErrorOf(reply).message},
+                        {"leader", leader_}});
+                   OnSettled(settlements);
+                   return;
+                 }
                  if (!core::IsOk(reply)) {
                    settle_timer_.start(kSettleRetryDelay);
                    return;
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -107,6 +107,8 @@
 
   bool IsIsolated() const;
   void AddReport(const schema::DeploymentCommand& command);
+  void LogLostReport(const schema::DeploymentCommand& command,
+                     const std::string& reason);
   void SendReport(const schema::DeploymentCommand& command);
   void Watch();
   void OnWatchEvent(const schema::PeerMessage& event);
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -322,7 +322,9 @@
     case schema::DeploymentMessage::kPropose: {
       schema::DeploymentCommand command;
       if (!command.ParseFromString(message.propose())) {
-        replier.Fail(Unavailable("the command is unreadable"));
+        replier.Fail({core::ErrorCode::kInvalidArgument,
+                      "the command is unreadable", core::Execution::kNotRun,
+                      std::nullopt});
         return;
       }
       ProposeLocally(
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -1,5 +1,6 @@
 #include <QTimer>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 
 #include "deployment_fixture.h"
@@ -267,6 +268,29 @@
   CHECK(WaitFor([&] { return digests == std::vector<uint64_t>{77}; }));
 }
 
+// Guards against a sender that repeats for ever what can never be read.
+TEST_CASE("An unreadable command is refused for good") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const auto transport = it.NewTransport("127.0.0.60", 0);
+  const std::string& leader = it.initial_member(0);
+  transport->SetPeer(core::InstanceId(leader), it.Seeds().at(0));
+  schema::DeploymentMessage message;
+  message.set_propose("\xff\xff\xff");
+  std::optional<core::Error> error;
+  transport->Request(core::InstanceId(leader), Pack(message),
+                     std::chrono::seconds(5),
+                     [&error](const core::Result<schema::PeerMessage>& reply) {
+                       REQUIRE_FALSE(core::IsOk(reply));
+                       error = core::ErrorOf(reply);
+                     });
+  REQUIRE(WaitFor([&] { return error.has_value(); }));
+  CHECK(error->code == core::ErrorCode::kInvalidArgument);
+  CHECK(error->execution == core::Execution::kNotRun);
+  CHECK_FALSE(error->retry_after);
+}
+
 /// A source of updates that the test controls.
 struct ScriptedSource {
   ScriptedSource(Deployment& deployment, const std::string& ip)
