control: Bring a forgotten upstream back with its next announcement

Change: the entry says that the upstream only expired; its next announcement with the same start time restores it, draining or not as before.

Evidence: "A forgotten upstream comes back with its next announcement" fails for start time 0 (stays gone) and 5 (no longer draining) before, and passes.

--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -17,7 +17,8 @@
   if (entry.started_at_ms() != stored.started_at_ms()) {
     return entry.started_at_ms() > stored.started_at_ms();
   }
-  return !stored.gone() && entry.sequence() >= stored.sequence();
+  const bool may_return = !stored.gone() || stored.expired();
+  return may_return && entry.sequence() >= stored.sequence();
 }
 
 /// Whether the announcement is of a draining incarnation, which stays so
@@ -300,10 +301,7 @@
     return;
   }
   it->second.set_gone(true);
-  // Lowers the start time, so that a later announcement of the same incarnation
-  // restores the upstream.
-  it->second.set_started_at_ms(
-      it->second.started_at_ms() == 0 ? 0 : it->second.started_at_ms() - 1);
+  it->second.set_expired(true);
   it->second.set_revision(++upstream_revision_);
 }
 
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -160,6 +160,31 @@
   return command;
 }
 
+// Guards against an upstream that gets no calls for good after it was silent
+// for a while.
+TEST_CASE("A forgotten upstream comes back with its next announcement") {
+  const uint64_t started = GENERATE(0U, 5U);
+  CAPTURE(started);
+  DeploymentState state;
+  Announce(&state, Entry("u", "10.0.0.1:1", started, 3));
+  Run(&state, Draining("u", started));
+  schema::DeploymentCommand forget;
+  forget.set_forget_upstream("u");
+  Run(&state, forget);
+  REQUIRE(state.upstreams().at("u").gone());
+  CHECK_FALSE(state.WouldChange(Entry("u", "10.0.0.1:1", started, 2)));
+  Announce(&state, Entry("u", "10.0.0.1:1", started, 4));
+  CHECK_FALSE(state.upstreams().at("u").gone());
+  // It is the incarnation that said that it is draining.
+  CHECK(state.upstreams().at("u").draining());
+  CHECK(state.upstreams().at("u").started_at_ms() == started);
+  schema::UpstreamEntry gone = Entry("u", "10.0.0.1:1", started, 5);
+  gone.set_gone(true);
+  Announce(&state, gone);
+  Announce(&state, Entry("u", "10.0.0.1:1", started, 6));
+  CHECK(state.upstreams().at("u").gone());
+}
+
 // Guards against sending calls to an upstream that said in a response that it
 // is draining and still announces itself as ready.
 TEST_CASE("A draining incarnation stays so whatever it announces later") {
