cluster: Forget the contacts of upstreams that are gone

Change: with each check for expired upstreams, contacts of upstreams that are not in the table or gone are dropped. Gauge upstream_contacts.

Evidence: "A leader forgets the contacts of upstreams that are gone" waits for the gauge to reach 0, which no code path did before.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -161,6 +161,7 @@
   set("instances_known", machine_.instances().size());
   set("programs_known", machine_.program_count());
   set("watchers", watches_.size());
+  set("upstream_contacts", upstream_contacts_.size());
 }
 
 void DeploymentHost::AddSeeds(const std::vector<std::string>& seeds) {
@@ -517,6 +518,10 @@
     ProposeLocally(std::move(command),
                    [](const core::Result<schema::DeploymentReply>&) {});
   }
+  std::erase_if(upstream_contacts_, [this](const auto& it) {
+    const auto entry = machine_.upstreams().find(it.first);
+    return entry == machine_.upstreams().end() || entry->second.gone();
+  });
 }
 
 void DeploymentHost::ReportUpstreamContacts() {
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -268,6 +268,26 @@
   CHECK(WaitFor([&] { return digests == std::vector<uint64_t>{77}; }));
 }
 
+// Guards against a leader whose memory grows with each upstream that ever was.
+TEST_CASE("A leader forgets the contacts of upstreams that are gone") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  REQUIRE(WaitFor([&] { return !it.Leader().empty(); }));
+  const std::string leader = it.Leader();
+  for (int n = 0; n < 100; ++n) {
+    it.host(leader).OnUpstreamContact("u" + std::to_string(n));
+  }
+  const auto has_contacts = [&](int count) {
+    it.host(leader).UpdateGauges();
+    return it.metrics().Exposition().find("hawthorn_upstream_contacts " +
+                                          std::to_string(count) + "\n") !=
+           std::string::npos;
+  };
+  REQUIRE(has_contacts(100));
+  CHECK(WaitFor([&] { return has_contacts(0); }));
+}
+
 // Guards against a sender that repeats for ever what can never be read.
 TEST_CASE("An unreadable command is refused for good") {
   Deployment it(3);
