membership: Do not offer to add or remove seeds later

Nothing called it later, nor RemoveSeed at all: the set of instances comes from the settings, and a change of it is a restart. AddSeed is private now, RemoveSeed is gone.

--- a/membership/instance_directory.cpp
+++ b/membership/instance_directory.cpp
@@ -30,10 +30,6 @@
   }
 }
 
-void InstanceDirectory::RemoveSeed(const core::InstanceId& instance) {
-  members_.erase(instance);
-}
-
 void InstanceDirectory::SetRevision(uint64_t revision) {
   local_heartbeat_.revision = revision;
 }
--- a/membership/instance_directory.h
+++ b/membership/instance_directory.h
@@ -120,11 +120,6 @@
                     uint32_t incarnation, core::TimePoint now,
                     InstanceTimings timings = {});
 
-  /// Adds an instance that joined the deployment, or updates its zone.
-  void AddSeed(const InstanceSeed& seed);
-  /// Removes an instance that permanently left the deployment.
-  void RemoveSeed(const core::InstanceId& instance);
-
   /// Sets the configuration revision that this instance applies.
   void SetRevision(uint64_t revision);
   /// Ensures that the incarnation of this instance is not below `incarnation`,
@@ -188,6 +183,8 @@
   uint32_t incarnation() const { return local_heartbeat_.incarnation; }
 
  private:
+  void AddSeed(const InstanceSeed& seed);
+
   struct Member {
     core::ZoneId zone;
     InstanceState state = InstanceState::kUnknown;
