--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -54,8 +54,13 @@
                              static_cast<int>(command.size()))) {
     return reply.SerializeAsString();
   }
+  const int64_t before_ms = clock_ms_;
   clock_ms_ += std::max<int64_t>(0, parsed.elapsed_ms());
-  Sweep();
+  // Depends on the clock alone, so that a replica that was restored from a
+  // snapshot sweeps at the same commands as the others.
+  if (before_ms / kSweepIntervalMs != clock_ms_ / kSweepIntervalMs) {
+    Sweep();
+  }
   reply.set_known(true);
   switch (parsed.body_case()) {
     case schema::DeploymentCommand::kPublish:
@@ -306,10 +311,6 @@
 }
 
 void DeploymentState::Sweep() {
-  if (clock_ms_ < next_sweep_ms_) {
-    return;
-  }
-  next_sweep_ms_ = clock_ms_ + kSweepIntervalMs;
   crashes_.Expire(clock_ms_);
   std::erase_if(programs_, [this](const auto& it) {
     return it.second.last_used_ms + kProgramRetentionMs < clock_ms_;
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -82,7 +82,6 @@
   std::map<std::string, schema::InstanceRecord> instances_;
   CrashTable crashes_;
   int64_t clock_ms_ = 0;
-  int64_t next_sweep_ms_ = 0;
 };
 
 }  // namespace hawthorn::control
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -275,6 +275,27 @@
   CHECK(table.revision() > revision);
 }
 
+// Guards against replicas that decide differently on a budget, because one of
+// them was restored from a snapshot.
+TEST_CASE("A restored state forgets at the same commands as the original") {
+  DeploymentState state;
+  Run(&state, Reserve("a", 10, 100));
+  Run(&state, Crashed(7, "a"));
+  int differences = 0;
+  for (int n = 0; n < 100; ++n) {
+    DeploymentState restored;
+    REQUIRE(core::IsOk(restored.Restore(state.Snapshot())));
+    schema::DeploymentCommand command = Publish(1, "one");
+    command.set_elapsed_ms(7'001);
+    Run(&state, command);
+    Run(&restored, command);
+    differences += restored.Snapshot() == state.Snapshot() ? 0 : 1;
+  }
+  CHECK(differences == 0);
+  CHECK(state.program_count() == 0);
+  CHECK(state.crashes().crash_count() == 0);
+}
+
 TEST_CASE("The table of crashes is bounded") {
   CrashTable table;
   const size_t most = CrashTable::Register::kMaxCrashes;
