transport: Time a request from its first byte

The platform's connections measure from the first byte already (HttpSession).

Change: the time of the first byte of a request is kept until its exchange ends. The defaults are equal now; the test of an incomplete request sets its 10 s itself.

Evidence: "the timeout of a request runs from its first byte" (a byte every 3 s, limit 10 s) got no 408 within 60 s before, and passes.

--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -159,7 +159,9 @@
 }
 
 TEST_CASE("an incomplete request times out with 408") {
-  ServerFixture fixture;
+  ListenerLimits limits;
+  limits.request_timeout = std::chrono::seconds(10);
+  ServerFixture fixture(limits);
   const auto client = fixture.Connect();
   client->write("POST /slow HTTP/1.1\r\nHost: x\r\nContent-Len");
   REQUIRE(WaitFor([&] { return fixture.server.connection_count() == 1; }));
@@ -168,6 +170,31 @@
   REQUIRE(ReadUntil(*client, "}}").find("408") != std::string::npos);
 }
 
+// Guards against a slow sender that holds a connection for ever.
+TEST_CASE("the timeout of a request runs from its first byte") {
+  ListenerLimits limits;
+  limits.request_timeout = std::chrono::seconds(10);
+  ServerFixture fixture(limits);
+  const auto client = fixture.Connect();
+  client->write("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(WaitFor([&] { return fixture.requests.size() == 1; }));
+  fixture.clock.Advance(std::chrono::seconds(9));
+  fixture.server.Respond(fixture.requests[0].id, 200, {}, "{}");
+  REQUIRE(ReadUntil(*client, "{}").find("200") != std::string::npos);
+  // The next request of the connection has its own time.
+  client->write("POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n");
+  for (int n = 0; n < 3; ++n) {
+    ProcessEvents();
+    CHECK(client->readAll().isEmpty());
+    fixture.clock.Advance(std::chrono::seconds(3));
+    client->write("x");
+  }
+  ProcessEvents();
+  fixture.clock.Advance(std::chrono::seconds(3));
+  client->write("x");
+  REQUIRE(ReadUntil(*client, "}}").find("408") != std::string::npos);
+}
+
 TEST_CASE("an idle connection is closed without a response") {
   ServerFixture fixture;
   const auto client = fixture.Connect();
--- a/transport/guarded_listener.cpp
+++ b/transport/guarded_listener.cpp
@@ -67,7 +67,8 @@
     if (socket->busy()) {
       continue;
     }
-    if (socket->has_partial_request() && idle >= limits_.request_timeout) {
+    const auto started = socket->partial_request_since();
+    if (started && now - *started >= limits_.request_timeout) {
       socket->RefuseConnection(status::kRequestTimeout,
                                "the request did not arrive in time");
     } else if (idle >= limits_.idle_timeout) {
--- a/transport/guarded_listener.h
+++ b/transport/guarded_listener.h
@@ -22,8 +22,8 @@
   /// Time without a byte after which a connection is closed, unless a request
   /// is being handled.
   std::chrono::milliseconds idle_timeout{60'000};
-  /// A request that is not complete times out this long after its last byte.
-  std::chrono::milliseconds request_timeout{10'000};
+  /// A request that is not complete times out this long after its first byte.
+  std::chrono::milliseconds request_timeout{30'000};
 
   bool operator==(const ListenerLimits&) const = default;
 };
--- a/transport/guarded_socket.cpp
+++ b/transport/guarded_socket.cpp
@@ -45,6 +45,9 @@
   const std::string_view view(bytes.constData(),
                               static_cast<size_t>(bytes.size()));
   const size_t used = framer_.Feed(view);
+  if (framer_.started() && !request_started_) {
+    request_started_ = last_activity_;
+  }
   if (framer_.state() == RequestFramer::State::kRefused) {
     RefuseConnection(framer_.error().status, framer_.error().reason);
     return;
@@ -85,6 +88,7 @@
   busy_ = false;
   continue_sent_ = false;
   request_bytes_.clear();
+  request_started_.reset();
   framer_.Reset();
   if (ends) {
     wire_.disconnectFromHost();
--- a/transport/guarded_socket.h
+++ b/transport/guarded_socket.h
@@ -3,6 +3,7 @@
 #include <QByteArray>
 #include <QTcpSocket>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -32,8 +33,10 @@
   bool busy() const { return busy_; }
   /// Time of the last byte in either direction.
   core::TimePoint last_activity() const { return last_activity_; }
-  /// Whether part of a request has arrived.
-  bool has_partial_request() const { return framer_.started() && !busy_; }
+  /// Time of the first byte of a request that has arrived in part.
+  std::optional<core::TimePoint> partial_request_since() const {
+    return busy_ ? std::nullopt : request_started_;
+  }
 
   /// Ends the exchange after the whole response was written. The connection
   /// closes if `close` is set, if the client asked for it or if the client sent
@@ -65,6 +68,7 @@
   const core::Clock& clock_;
   QByteArray request_bytes_;
   core::TimePoint last_activity_;
+  std::optional<core::TimePoint> request_started_;
   bool alive_ = true;
   bool busy_ = false;
   bool pipelined_ = false;
