--- a/settings/yaml_reader.cpp
+++ b/settings/yaml_reader.cpp
@@ -230,7 +230,7 @@
   YamlDocument& document_;
 };
 
-/// Counts the nodes at the start of a document and ignores everything else.
+/// Counts the documents of a text and ignores what they hold.
 class DocumentCounter final : public YAML::EventHandler {
  public:
   void OnDocumentStart(const YAML::Mark& mark) override {
