transport: Bound every part of a response and skip interim ones

Ruled out: heads (bounded by the parser) and bodies (bounded at 64 MiB, chunked and until close): their cases passed before.

Change: what is buffered outside a body is limited to the size of a head, at most 16 interim responses are skipped, 101 is refused, and the caller of the reader says whether a body may follow.

--- /dev/null
+++ b/tests/transport/response_reader_test.cpp
@@ -0,0 +1,158 @@
+#include "transport/response_reader.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace hawthorn::transport {
+namespace {
+
+/// Heads and body bytes of one response.
+struct Recorder {
+  ResponseReader::Events Events() {
+    ResponseReader::Events events;
+    events.on_head = [this](const ResponseHead& head, std::optional<uint64_t>) {
+      statuses.push_back(head.status);
+    };
+    events.on_body = [this](std::string_view bytes) { body += bytes; };
+    return events;
+  }
+
+  std::vector<int> statuses;
+  std::string body;
+};
+
+constexpr size_t kPieceBytes = size_t{16} * 1024;
+/// Feeds `piece` until the reader reports an error or `limit` bytes were taken.
+/// Returns the number of bytes.
+size_t FeedUntilError(ResponseReader& reader, const std::string& piece,
+                      size_t limit) {
+  size_t fed = 0;
+  while (fed < limit) {
+    if (!core::IsOk(reader.Feed(piece))) {
+      return fed;
+    }
+    fed += piece.size();
+  }
+  return fed;
+}
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Far above every limit on what is buffered.
+constexpr size_t kMuchBytes = size_t{2} * 1024 * 1024;
+
+TEST_CASE("interim responses are skipped") {
+  const std::string bytes =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  for (const size_t step : {bytes.size(), size_t{1}, size_t{7}}) {
+    CAPTURE(step);
+    Recorder it;
+    ResponseReader reader(it.Events());
+    for (size_t n = 0; n < bytes.size(); n += step) {
+      REQUIRE(core::IsOk(reader.Feed(bytes.substr(n, step))));
+    }
+    CHECK(it.statuses == std::vector<int>{200});
+    CHECK(it.body == "hi");
+    CHECK(reader.complete());
+    CHECK(reader.keep_alive());
+  }
+}
+
+TEST_CASE("a connection that ends after an interim response is incomplete") {
+  Recorder it;
+  ResponseReader reader(it.Events());
+  REQUIRE(core::IsOk(reader.Feed("HTTP/1.1 100 Continue\r\n\r\n")));
+  CHECK_FALSE(reader.complete());
+  CHECK_FALSE(core::IsOk(reader.FeedEnd()));
+  CHECK(it.statuses.empty());
+}
+
+TEST_CASE("a switch of protocols that nobody asked for is an error") {
+  Recorder it;
+  ResponseReader reader(it.Events());
+  CHECK_FALSE(core::IsOk(
+      reader.Feed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n")));
+}
+
+TEST_CASE("interim responses without end are an error") {
+  Recorder it;
+  ResponseReader reader(it.Events());
+  CHECK(FeedUntilError(reader, "HTTP/1.1 102 Processing\r\n\r\n", kMuchBytes) <
+        kMuchBytes);
+}
+
+TEST_CASE("bytes without end are an error wherever they come") {
+  const std::string filler(kPieceBytes, 'a');
+  const auto [name, begin] = GENERATE(table<std::string, std::string>(
+      {{"status line", "HTTP/1.1 200 "},
+       {"field name", "HTTP/1.1 200 OK\r\nX"},
+       {"field value", "HTTP/1.1 200 OK\r\nX: "},
+       {"chunk extension", kChunkedHead + "5;a="},
+       {"chunk size", kChunkedHead + "0"},
+       {"trailer", kChunkedHead + "0\r\nX-T: "},
+       {"no response at all", ""}}));
+  CAPTURE(name);
+  Recorder it;
+  ResponseReader reader(it.Events());
+  size_t taken = 0;
+  if (core::IsOk(reader.Feed(begin))) {
+    taken = FeedUntilError(reader, filler, kMuchBytes);
+  }
+  CHECK(taken <= ResponseReader::kMaxHeadBytes + kPieceBytes);
+}
+
+TEST_CASE("fields without end are an error in a trailer too") {
+  Recorder it;
+  ResponseReader reader(it.Events());
+  REQUIRE(core::IsOk(reader.Feed(kChunkedHead + "0\r\n")));
+  std::string fields;
+  while (fields.size() < kPieceBytes) {
+    fields += "X-T: 1\r\n";
+  }
+  CHECK(FeedUntilError(reader, fields, kMuchBytes) <=
+        ResponseReader::kMaxHeadBytes + kPieceBytes);
+}
+
+TEST_CASE("a body without end is an error at the limit of bodies") {
+  Recorder it;
+  ResponseReader::Events events = it.Events();
+  uint64_t received = 0;
+  events.on_body = [&received](std::string_view n) { received += n.size(); };
+  ResponseReader reader(std::move(events));
+  const bool chunked = GENERATE(false, true);
+  std::string piece(size_t{1024} * 1024, 'b');
+  REQUIRE(core::IsOk(
+      reader.Feed(chunked ? kChunkedHead : "HTTP/1.1 200 OK\r\n\r\n")));
+  if (chunked) {
+    piece = "100000\r\n" + piece + "\r\n";
+  }
+  FeedUntilError(reader, piece, ResponseReader::kMaxBodyBytes * 2);
+  CHECK(received <= ResponseReader::kMaxBodyBytes);
+}
+
+TEST_CASE("the response to a HEAD request has no body") {
+  Recorder it;
+  ResponseReader reader(it.Events(), BodyRule::kNone);
+  const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n";
+  const core::Result<size_t> used = reader.Feed(bytes);
+  REQUIRE(core::IsOk(used));
+  CHECK(core::Value(used) == bytes.size());
+  CHECK(reader.complete());
+}
+
+TEST_CASE("bytes after a response are not taken") {
+  Recorder it;
+  ResponseReader reader(it.Events());
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  const core::Result<size_t> used =
+      reader.Feed("HTTP/1.1 100 Continue\r\n\r\n" + first + first);
+  REQUIRE(core::IsOk(used));
+  CHECK(core::Value(used) == 25 + first.size());
+  CHECK(it.body == "hi");
+}
+
+}  // namespace
+}  // namespace hawthorn::transport
--- a/transport/response_reader.cpp
+++ b/transport/response_reader.cpp
@@ -14,6 +14,8 @@
 
 std::string_view ToStd(string_view text) { return {text.data(), text.size()}; }
 
+constexpr int kSwitchingProtocols = 101;
+
 core::Error Malformed(const std::string& reason) {
   return core::Error{
       core::ErrorCode::kInvalidArgument, reason, core::Execution::kUnknown, {}};
@@ -26,11 +28,14 @@
 // NOLINTBEGIN(readability-identifier-naming)
 class ResponseReader::Parser final : public http::basic_parser<false> {
  public:
-  explicit Parser(Events events) : events_(std::move(events)) {
+  explicit Parser(const Events& events) : events_(events) {
     header_limit(kMaxHeadBytes);
     body_limit(kMaxBodyBytes);
   }
 
+  /// Whether the parsed head is that of an interim response.
+  bool is_interim() const { return head_.status / 100 == 1; }
+
  private:
   void on_request_impl(http::verb, string_view, string_view, int,
                        error_code& ec) override {
@@ -45,7 +50,15 @@
     head_.fields.push_back(
         {std::string(ToStd(name)), std::string(ToStd(value))});
   }
-  void on_header_impl(error_code& /*ec*/) override {
+  void on_header_impl(error_code& ec) override {
+    if (head_.status == kSwitchingProtocols) {
+      // Only a request that asks for it may be answered so.
+      ec = http::error::bad_status;
+      return;
+    }
+    if (is_interim()) {
+      return;
+    }
     std::optional<uint64_t> length;
     if (content_length()) {
       length = *content_length();
@@ -67,18 +80,24 @@
   }
   void on_finish_impl(error_code& /*ec*/) override {}
 
-  Events events_;
+  const Events& events_;
   ResponseHead head_;
 };
 // NOLINTEND(readability-identifier-naming)
 
-ResponseReader::ResponseReader(Events events)
-    : parser_(std::make_unique<Parser>(std::move(events))) {
-  parser_->eager(true);
+ResponseReader::ResponseReader(Events events, BodyRule body_rule)
+    : events_(std::move(events)), body_rule_(body_rule) {
+  StartParser();
 }
 
 ResponseReader::~ResponseReader() = default;
 
+void ResponseReader::StartParser() {
+  parser_ = std::make_unique<Parser>(events_);
+  parser_->eager(true);
+  parser_->skip(body_rule_ == BodyRule::kNone);
+}
+
 core::Result<size_t> ResponseReader::Feed(std::string_view bytes) {
   const size_t buffered = buffer_.size();
   buffer_.append(bytes);
@@ -94,12 +113,20 @@
     if (ec) {
       return Malformed(ec.message());
     }
-    if (n == 0) {
+    if (parser_->is_done() && parser_->is_interim()) {
+      if (++interim_responses_ > kMaxInterimResponses) {
+        return Malformed("too many interim responses");
+      }
+      StartParser();
+    } else if (n == 0) {
       break;
     }
   }
   const bool done = parser_->is_done();
   buffer_.erase(0, used);
+  if (!done && buffer_.size() > kMaxBufferedBytes) {
+    return Malformed("a chunk header or trailer is too large");
+  }
   if (!done) {
     return bytes.size();
   }
--- a/transport/response_reader.h
+++ b/transport/response_reader.h
@@ -12,7 +12,14 @@
 
 namespace hawthorn::transport {
 
-/// Incremental parser of one HTTP/1.1 response.
+/// Whether a response may have a body.
+enum class BodyRule {
+  kAsFramed,  ///< As its header fields say.
+  kNone,      ///< Never: the response to a HEAD request.
+};
+
+/// Incremental parser of one HTTP/1.1 response. Skips interim responses (1xx),
+/// which only say that the response is still to come.
 class ResponseReader {
  public:
   struct Events {
@@ -26,8 +33,12 @@
   /// Size limits; a larger response is an error.
   static constexpr uint32_t kMaxHeadBytes = uint32_t{32} * 1024;
   static constexpr uint64_t kMaxBodyBytes = uint64_t{64} * 1024 * 1024;
+  /// Also the limit of a chunk header and of the trailer.
+  static constexpr size_t kMaxBufferedBytes = kMaxHeadBytes;
+  static constexpr int kMaxInterimResponses = 16;
 
-  explicit ResponseReader(Events events);
+  explicit ResponseReader(Events events,
+                          BodyRule body_rule = BodyRule::kAsFramed);
   ~ResponseReader();
 
   /// Consumes bytes up to the end of the response and returns their number.
@@ -48,7 +59,12 @@
  private:
   class Parser;
 
+  void StartParser();
+
+  Events events_;
+  BodyRule body_rule_;
   std::unique_ptr<Parser> parser_;
+  int interim_responses_ = 0;
   std::string buffer_;
 };
 
