transport, main: Contain unexpected errors and serve what waits at a stop

Cause, each shown by a test that failed first: - an exception in a handler of a request or a timer ended the process (as an unexpected exception in the test). A connection's reader now ends that connection, and the application's event loop logs the error, counts it (metric unexpected_errors) and goes on; - connections that the kernel had accepted when a drain ended were reset unread. The entry role now accepts them before it stops listening and answers them; - a client of HTTP/1.0 got a chunked body.

--- a/main/hawthornd.cpp
+++ b/main/hawthornd.cpp
@@ -14,6 +14,7 @@
 
 #include "logging/log.h"
 #include "main/daemon.h"
+#include "main/guarded_application.h"
 #include "main/roles/platform_process.h"
 #include "platform/boot_settings.h"
 #include "settings/settings.h"
@@ -86,7 +87,7 @@
   }
   logging::StartLog(
       {settings.instance(), settings.log_level(), settings.log_file()});
-  QCoreApplication app(argc, argv);
+  const hawthorn::main::GuardedApplication app(argc, argv);
   const core::SystemClock clock;
   Daemon daemon(settings,
                 {ReadSecret(settings.peer_key_file()),
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -136,6 +136,11 @@
   if (!finished && elapsed < DrainLimit()) {
     return;
   }
+  // What connected since the last turn of the event loop is served too.
+  callers_.StopListening();
+  if (callers_.session_count() > 0 && elapsed < DrainLimit()) {
+    return;
+  }
   drain_timer_.stop();
   Log(LogLevel::kInfo, "drained",
       {{"open_calls", std::to_string(relay_.open_calls())}});
--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -12,7 +12,9 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "logging/guarded_call.h"
 #include "logging/log.h"
+#include "main/guarded_application.h"
 #include "main/roles/control_role.h"
 #include "main/roles/entry_role.h"
 #include "platform/boot_settings.h"
@@ -72,6 +74,8 @@
           metrics_.SetGauge(
               "log_records_left_out",
               static_cast<double>(logging::SuppressedLogRecords()));
+          metrics_.SetGauge("unexpected_errors",
+                            static_cast<double>(logging::UnexpectedErrors()));
           session.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                           metrics_.Exposition());
         }) {
@@ -158,7 +162,7 @@
   // Qt's GLib event dispatcher needs more system calls per iteration than its
   // own dispatcher.
   qputenv("QT_NO_GLIB", "1");
-  QCoreApplication app(argc, argv);
+  const GuardedApplication app(argc, argv);
   const std::string instance_name = settings.instance_name;
   PlatformProcess process(options, std::move(settings));
   const core::Status started = process.Start();
--- a/tests/main/main_test_main.cpp
+++ b/tests/main/main_test_main.cpp
@@ -1,8 +1,9 @@
 #define CATCH_CONFIG_RUNNER
-#include <QCoreApplication>
 #include <catch2/catch.hpp>
 
+#include "main/guarded_application.h"
+
 int main(int argc, char** argv) {
-  QCoreApplication app(argc, argv);
+  const hawthorn::main::GuardedApplication app(argc, argv);
   return Catch::Session().run(argc, argv);
 }
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -87,6 +87,7 @@
   timer_.stop();
   RelayRequest request = ParseFramedRequest(framer_.message());
   head_request_ = request.method == "HEAD";
+  http_1_0_request_ = framer_.is_http_1_0();
   closing_ = closing_ || framer_.wants_close();
   framer_.Reset();
   events_.on_request(*this, std::move(request));
@@ -125,10 +126,11 @@
     return;
   }
   HeaderList fields = WithFraming(head.fields);
-  chunked_ = !length.has_value();
+  // The body for an HTTP/1.0 client ends with the connection.
+  chunked_ = !length.has_value() && !http_1_0_request_;
   if (chunked_) {
     fields.push_back({"Transfer-Encoding", "chunked"});
-  } else {
+  } else if (length) {
     fields.push_back({"Content-Length", std::to_string(*length)});
   }
   socket_.Write(SerializeHead({head.status, std::move(fields)}));
@@ -260,6 +262,11 @@
   }
 }
 
+void HttpEndpoint::StopListening() {
+  closing_ = true;
+  listener_.AcceptAndClose();
+}
+
 size_t HttpEndpoint::busy_count() const {
   size_t n = 0;
   for (HttpSession* session : sessions_) {
--- a/transport/http_session.h
+++ b/transport/http_session.h
@@ -93,6 +93,7 @@
   bool closed_ = false;
   bool chunked_ = false;
   bool head_request_ = false;
+  bool http_1_0_request_ = false;
   std::function<void()> on_disconnected_;
 };
 
@@ -119,6 +120,8 @@
   void DrainConnections();
   /// From now on, every response closes its connection.
   void CloseAfterResponses() { closing_ = true; }
+  /// Accepts the connections that the kernel has queued, then stops listening.
+  void StopListening();
   size_t session_count() const { return sessions_.size(); }
   size_t busy_count() const;
 
--- a/transport/request_framer.h
+++ b/transport/request_framer.h
@@ -48,6 +48,7 @@
   bool expects_continue() const { return expects_continue_; }
   /// Whether the connection is to be closed after the response.
   bool wants_close() const { return wants_close_; }
+  bool is_http_1_0() const { return is_http_1_0_; }
 
   /// Prepares for the next request.
   void Reset();
--- a/transport/stream_socket.cpp
+++ b/transport/stream_socket.cpp
@@ -13,6 +13,8 @@
 #include <cstring>
 #include <utility>
 
+#include "logging/guarded_call.h"
+
 namespace hawthorn::transport {
 
 namespace {
@@ -123,13 +125,21 @@
           &StreamSocket::OnWritable);
 }
 
+void StreamSocket::Deliver(std::string_view bytes) {
+  const bool handled = logging::CallGuarded(
+      "received bytes", [this, bytes] { events_.on_bytes(bytes); });
+  if (!handled) {
+    End(SocketEnd::kReset);
+  }
+}
+
 void StreamSocket::OnReadable() {
   std::array<char, kReadChunkBytes> buf;
   for (int n = 0; n < kReadsPerTurn && is_open() && reading_; ++n) {
     const ssize_t got = recv(descriptor_, buf.data(), buf.size(), 0);
     if (got > 0) {
       if (events_.on_bytes && !close_after_write_) {
-        events_.on_bytes({buf.data(), static_cast<size_t>(got)});
+        Deliver({buf.data(), static_cast<size_t>(got)});
       }
       if (static_cast<size_t>(got) < buf.size()) {
         return;
@@ -304,6 +314,13 @@
   }
 }
 
+void StreamListener::AcceptAndClose() {
+  if (descriptor_ >= 0) {
+    Accept();
+  }
+  Close();
+}
+
 void StreamListener::Accept() {
   while (true) {
     const int accepted =
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -87,6 +87,7 @@
 
  private:
   void CreateNotifiers();
+  void Deliver(std::string_view bytes);
   void OnReadable();
   void OnWritable();
   void Flush();
@@ -124,6 +125,8 @@
   /// Port that the listener is bound to, also if Listen was called with port 0.
   uint16_t port() const { return port_; }
   void Close();
+  /// Accepts the connections that the kernel has queued, then closes.
+  void AcceptAndClose();
 
  private:
   void Accept();
