scheduling: Never send a call whose deadline passed while suspended

Cause: Next() looked at free slots only. A process that had been suspended for longer than a queued call's deadline sent the call as soon as an upstream had room, before TakeRefused() saw the deadline. The test (a queued call, 15 s suspended, one slot freed) failed: the expired call was sent, the live one waited.

Change: Next() refuses expired calls as it meets them.

--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -169,6 +169,11 @@
     while (!service.queue.empty()) {
       const auto it = service.queue.begin();
       const CallRequest& call = it->second.call;
+      if (call.deadline && now >= *call.deadline) {
+        // The process may have been suspended while the call waited.
+        Refuse(service, it, now);
+        continue;
+      }
       const auto upstream = service.pool.Choose(call, now);
       if (!upstream) {
         break;
@@ -184,8 +189,19 @@
   return dispatches;
 }
 
+SharedScheduler::Queue::iterator SharedScheduler::Refuse(Service& service,
+                                                         Queue::iterator it,
+                                                         core::TimePoint now) {
+  const CallId call = it->second.call.id;
+  refused_.push_back({call, MakeRefusal(core::ErrorCode::kOverloaded,
+                                        "no upstream had room in time",
+                                        ExpectedWait(service, now))});
+  queued_keys_.erase(call);
+  --queued_;
+  return service.queue.erase(it);
+}
+
 std::vector<Refusal> SharedScheduler::TakeRefused(core::TimePoint now) {
-  std::vector<Refusal> refusals;
   for (auto& [id, service] : services_) {
     for (auto it = service.queue.begin(); it != service.queue.end();) {
       const CallRequest& call = it->second.call;
@@ -196,15 +212,10 @@
         ++it;
         continue;
       }
-      refusals.push_back({call.id, MakeRefusal(core::ErrorCode::kOverloaded,
-                                               "no upstream had room in time",
-                                               ExpectedWait(service, now))});
-      queued_keys_.erase(call.id);
-      it = service.queue.erase(it);
-      --queued_;
+      it = Refuse(service, it, now);
     }
   }
-  return refusals;
+  return std::exchange(refused_, {});
 }
 
 std::optional<core::TimePoint> SharedScheduler::NextWakeUp(
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -64,7 +64,8 @@
   std::vector<core::UpstreamId> DueChecks(core::TimePoint now) const;
   bool HasSuspended() const;
   void OnFinished(const CallResult& result, core::TimePoint now);
-  /// Calls to send now; each counts as running until OnFinished.
+  /// Calls to send now; each counts as running until OnFinished. Never returns
+  /// a call whose deadline has passed, however long the process was suspended.
   std::vector<Dispatch> Next(core::TimePoint now);
   /// Removes and returns the queued calls whose deadline has passed, and the
   /// first calls of programs that have been queued for longer than
@@ -80,10 +81,11 @@
     CallRequest call;
     core::TimePoint since;
   };
+  using Queue = std::map<QueueKey, Queued>;
   struct Service {
     explicit Service(SharedPool pool) : pool(std::move(pool)) {}
     SharedPool pool;
-    std::map<QueueKey, Queued> queue;
+    Queue queue;
   };
   struct Running {
     core::ServiceId service;
@@ -95,12 +97,16 @@
   std::chrono::milliseconds ExpectedWait(const Service& service,
                                          core::TimePoint now) const;
   int64_t RankOf(const CallRequest& call) const;
+  /// Moves a queued call to the refusals; returns the one after it.
+  Queue::iterator Refuse(Service& service, Queue::iterator it,
+                         core::TimePoint now);
 
   Settings settings_;
   std::map<core::ServiceId, Service> services_;
   std::unordered_map<core::UpstreamId, core::ServiceId> service_of_;
   std::unordered_map<CallId, std::pair<core::ServiceId, QueueKey>> queued_keys_;
   std::unordered_map<CallId, Running> running_;
+  std::vector<Refusal> refused_;
   uint64_t arrivals_ = 0;
   size_t queued_ = 0;
 };
--- a/tests/scheduling/shared_scheduler_test.cpp
+++ b/tests/scheduling/shared_scheduler_test.cpp
@@ -225,5 +225,26 @@
   CHECK(fixture.scheduler.queued() == 0);
 }
 
+TEST_CASE("A call whose deadline passed while suspended is not sent") {
+  Fixture fixture;
+  fixture.AddUpstream("only", "a", 1);
+  REQUIRE(core::IsOk(fixture.scheduler.Enqueue(fixture.Call(1), fixture.now)));
+  REQUIRE(fixture.scheduler.Next(fixture.now).size() == 1);
+  REQUIRE(core::IsOk(fixture.scheduler.Enqueue(fixture.Call(2), fixture.now)));
+  REQUIRE(fixture.scheduler.Next(fixture.now).empty());
+  fixture.now += milliseconds(15000);
+  fixture.Finish(1);
+  CallRequest live = fixture.Call(3);
+  REQUIRE(core::IsOk(fixture.scheduler.Enqueue(live, fixture.now)));
+  const auto sent = fixture.scheduler.Next(fixture.now);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].call == 3);
+  const auto refused = fixture.scheduler.TakeRefused(fixture.now);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].call == 2);
+  CHECK(refused[0].error.execution == core::Execution::kNotRun);
+  CHECK(fixture.scheduler.queued() == 0);
+}
+
 }  // namespace
 }  // namespace hawthorn::scheduling
