relay: Skip late responses, end stalled streams, hold up for slow callers

Cause, each shown by a case of tests/relay/faulty_response_test.cpp that failed on the code before: - a late copy of an earlier response at the place of the next one cost the next call its connection, and a call that may not be repeated its answer (502). The response names its request, so it is skipped now and the own one is awaited, for 1 s at most; such a connection is not used again; - a stream that sent comments or parts of an event lived until the route's timeout. It is given up 10 s after its last complete event, and resumed where its kind allows that; a slow caller does not count against the upstream; - a plain body above 256 KiB was read at full speed for a caller that did not read: 48 MiB were held in memory. Plain bodies pause their upstream as streams do; - a connection whose reading was paused when its response ended would go back to the pool deaf. Reading is on again at the end of each exchange (by reading; the test passed before as well); - HEAD: the caller gets the length that the upstream gave.

Ruled out by cases that passed before: surplus bytes right after a response and while idle close the connection unread; a response that breaks off (length, chunks, until close; FIN, RST; small, large) never looks complete. A body until close that ends with an orderly end is complete by HTTP's rules.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -160,7 +160,8 @@
                          std::move(service),
                          settings != nullptr && settings->engine
                              ? settings->engine->tokens_per_event
-                             : 1};
+                             : 1,
+                         parts_.progress_timeout};
   auto* call = new RelayCall(std::move(parts), this);
   calls_.insert(call);
   call->Start();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -43,6 +43,8 @@
     /// Receives an upstream and its start time when it says in a response that
     /// it is draining.
     std::function<void(const std::string&, uint64_t)> on_draining = {};
+    /// Time without a complete event after which a stream is given up.
+    std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -16,6 +16,7 @@
 constexpr int kClaimTimeoutDivisor = 3;
 /// Maximum timeout of a claim; about the duration of a leader election.
 constexpr std::chrono::milliseconds kMaxClaimTimeout{1500};
+constexpr std::string_view kHeadMethod = "HEAD";
 /// A call is given up after it crashed this many upstreams.
 constexpr int kMaxCrashes = 3;
 
@@ -39,6 +40,8 @@
   connect(&deadline_timer_, &QTimer::timeout, this, &RelayCall::OnDeadline);
   idle_timer_.setSingleShot(true);
   connect(&idle_timer_, &QTimer::timeout, this, &RelayCall::OnUpstreamIdle);
+  progress_timer_.setSingleShot(true);
+  connect(&progress_timer_, &QTimer::timeout, this, &RelayCall::OnNoProgress);
 }
 
 int64_t RelayCall::generated_tokens() const {
@@ -150,7 +153,7 @@
   UpstreamLink::Events events;
   events.on_head = [this](const transport::ResponseHead& head,
                           std::optional<uint64_t> length) {
-    OnHead(head, length);
+    return OnHead(head, length);
   };
   events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
   events.on_complete = [this] { OnComplete(); };
@@ -159,37 +162,46 @@
                std::move(events));
 }
 
-void RelayCall::OnHead(const transport::ResponseHead& head,
-                       std::optional<uint64_t> length) {
-  response_ = head;
-  response_info_ = parts_.host.codec().DecodeResponse(head);
-  parts_.host.OnResponseHead(*this, response_info_);
+ResponseMatch RelayCall::OnHead(const transport::ResponseHead& head,
+                                std::optional<uint64_t> length) {
+  const ResponseInfo info = parts_.host.codec().DecodeResponse(head);
+  parts_.host.OnResponseHead(*this, info);
   const bool success = transport::IsSuccess(head.status);
-  const bool wrong_request =
-      response_info_.request_id != parts_.head.request_id &&
-      (success || !response_info_.request_id.empty());
-  const bool untrusted =
-      success && (!response_info_.has_signature || response_info_.encoded);
-  if (wrong_request || untrusted) {
-    link_->Abandon();
-    OnFailed(LinkFailure::kMalformed);
-    return;
+  if (!info.request_id.empty() && info.request_id != parts_.head.request_id) {
+    parts_.host.OnDecision(*this, "response skipped",
+                           "it belongs to request " + info.request_id);
+    return ResponseMatch::kForeign;
   }
-  if (response_info_.not_run || response_info_.wrong_upstream) {
+  response_ = head;
+  response_length_ = length;
+  response_info_ = info;
+  const bool untrusted = success && (info.request_id.empty() ||
+                                     !info.has_signature || info.encoded);
+  if (untrusted) {
+    RejectResponse();
+    return ResponseMatch::kOwn;
+  }
+  if (info.not_run || info.wrong_upstream) {
     ignore_body_ = true;
-    return;
+    return ResponseMatch::kOwn;
   }
   streaming_ = success && parts_.route.kind == CallKind::kStream;
   if (response_started_ && !streaming_) {
-    link_->Abandon();
-    OnFailed(LinkFailure::kMalformed);
-    return;
+    RejectResponse();
+    return ResponseMatch::kOwn;
+  }
+  if (streaming_ && last_event_) {
+    progress_timer_.start(parts_.progress_timeout);
   }
   if (!streaming_ && length && *length > kMaxBufferedBodyBytes) {
-    response_started_ = true;
-    parts_.session.BeginBody(
-        {head.status, parts_.host.codec().ReturnedFields(head)}, length);
+    BeginResponse();
   }
+  return ResponseMatch::kOwn;
+}
+
+void RelayCall::RejectResponse() {
+  link_->Abandon();
+  OnFailed(LinkFailure::kMalformed);
 }
 
 void RelayCall::OnBody(std::string_view bytes) {
@@ -209,10 +221,22 @@
       return;
     }
     BeginResponse();
-    parts_.session.WriteBody(std::exchange(buffered_body_, {}));
+    SendBody(std::exchange(buffered_body_, {}));
     return;
   }
+  SendBody(bytes);
+}
+
+void RelayCall::SendBody(std::string_view bytes) {
   parts_.session.WriteBody(bytes);
+  if (parts_.session.pending_bytes() > kCallerHighWater && link_ != nullptr) {
+    link_->SetReading(false);
+    parts_.session.SetDrainedHandler([guard = QPointer<UpstreamLink>(link_)] {
+      if (guard) {
+        guard->SetReading(true);
+      }
+    });
+  }
 }
 
 void RelayCall::BeginResponse() {
@@ -220,9 +244,10 @@
     return;
   }
   summary_.status = response_.status;
+  // A stream may go on at another upstream, so that its length is not known.
   parts_.session.BeginBody(
       {response_.status, parts_.host.codec().ReturnedFields(response_)},
-      std::nullopt);
+      streaming_ ? std::nullopt : response_length_);
 }
 
 void RelayCall::ForwardEvents(std::string_view bytes) {
@@ -245,23 +270,29 @@
     out += event.bytes;
   }
   if (framer_.overflowed()) {
-    link_->Abandon();
-    OnFailed(LinkFailure::kMalformed);
+    RejectResponse();
     return;
   }
   if (out.empty()) {
     return;
   }
   BeginResponse();
-  parts_.session.WriteBody(out);
-  if (parts_.session.pending_bytes() > kCallerHighWater && link_ != nullptr) {
-    link_->SetReading(false);
-    parts_.session.SetDrainedHandler([guard = QPointer<UpstreamLink>(link_)] {
-      if (guard) {
-        guard->SetReading(true);
-      }
-    });
+  progress_timer_.start(parts_.progress_timeout);
+  SendBody(out);
+}
+
+void RelayCall::OnNoProgress() {
+  if (state_ != State::kRunning) {
+    return;
   }
+  if (parts_.session.pending_bytes() > 0) {
+    // The caller holds the stream up, not the upstream.
+    progress_timer_.start(parts_.progress_timeout);
+    return;
+  }
+  parts_.host.OnDecision(*this, "stream stalled",
+                         "the upstream sent no complete event in time");
+  RejectResponse();
 }
 
 void RelayCall::OnComplete() {
@@ -294,6 +325,9 @@
   ReleaseUpstream(failed ? scheduling::CallOutcome::kFailed
                          : scheduling::CallOutcome::kSucceeded);
   summary_.status = response_.status;
+  if (parts_.request.method == kHeadMethod) {
+    BeginResponse();
+  }
   if (response_started_) {
     parts_.session.EndBody();
   } else {
@@ -408,6 +442,7 @@
   // The limit of upstreams is reached, so only an upstream that may already
   // have run the call may run it again.
   parts_.host.OnDecision(*this, "call sent again", "same upstream");
+  progress_timer_.stop();
   parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
   BeginExchange(true);
   return true;
@@ -415,6 +450,7 @@
 
 void RelayCall::ReleaseUpstream(scheduling::CallOutcome outcome) {
   idle_timer_.stop();
+  progress_timer_.stop();
   if (link_ != nullptr) {
     parts_.host.CloseLink(*this, std::exchange(link_, nullptr), response_info_);
   }
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -126,6 +126,10 @@
   static constexpr std::chrono::milliseconds kFirstIdleTimeout{250};
   /// The same after a check found the upstream reachable.
   static constexpr std::chrono::milliseconds kNextIdleTimeout{600};
+  /// Default time without a complete event after which a stream that has begun
+  /// is given up, whatever bytes arrive. Sound streams pause for a few seconds
+  /// at most; until the first event, only the deadline limits the time.
+  static constexpr std::chrono::seconds kProgressTimeout{10};
   /// Remaining time below which no further attempt is made.
   static constexpr std::chrono::milliseconds kMinTimeLeft{20};
   /// Retry-After is limited to the remaining time divided by this; callers
@@ -144,6 +148,7 @@
     Route route;
     std::string service;
     int64_t tokens_per_event = 1;
+    std::chrono::milliseconds progress_timeout = kProgressTimeout;
   };
 
   RelayCall(Parts parts, QObject* parent);
@@ -182,8 +187,10 @@
   void OnClaimed(const core::Result<ClaimReply>& reply);
   void EnterQueue();
   void BeginExchange(bool must_be_fresh);
-  void OnHead(const transport::ResponseHead& head,
-              std::optional<uint64_t> length);
+  ResponseMatch OnHead(const transport::ResponseHead& head,
+                       std::optional<uint64_t> length);
+  /// Ends the attempt because the upstream's response cannot be used.
+  void RejectResponse();
   void OnBody(std::string_view bytes);
   void OnComplete();
   void OnFailed(LinkFailure failure);
@@ -191,6 +198,10 @@
   void OnUpstreamIdle();
   void OnChecked(const std::string& upstream, bool reachable);
   void ForwardEvents(std::string_view bytes);
+  /// Sends bytes of the body to the caller. Pauses reading from the upstream
+  /// while the caller is slow.
+  void SendBody(std::string_view bytes);
+  void OnNoProgress();
   void BeginResponse();
   void ReleaseUpstream(scheduling::CallOutcome outcome);
   /// Requeues the call for another upstream after one that did not run it or
@@ -216,6 +227,7 @@
   core::TimePoint queued_at_;
   QTimer deadline_timer_;
   QTimer idle_timer_;
+  QTimer progress_timer_;
   State state_ = State::kClaiming;
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
@@ -227,6 +239,7 @@
   std::set<std::string> ran_at_;
   int not_run_attempts_ = 0;
   transport::ResponseHead response_;
+  std::optional<uint64_t> response_length_;
   ResponseInfo response_info_;
   bool streaming_ = false;
   bool response_started_ = false;
--- a/relay/upstream_link.cpp
+++ b/relay/upstream_link.cpp
@@ -7,19 +7,20 @@
 UpstreamLink::UpstreamLink(const transport::SocketAddress& address,
                            QObject* parent)
     : QObject(parent) {
-  connect_timer_.setSingleShot(true);
-  connect(&connect_timer_, &QTimer::timeout, this,
-          [this] { Fail(LinkFailure::kUnreachable); });
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this, [this] {
+    Fail(connected_ ? LinkFailure::kMalformed : LinkFailure::kUnreachable);
+  });
   socket_.SetEvents({.on_connected =
                          [this] {
                            connected_ = true;
-                           connect_timer_.stop();
+                           timer_.stop();
                            ReportCheck(true);
                          },
                      .on_bytes = [this](std::string_view it) { OnBytes(it); },
                      .on_end = [this](transport::SocketEnd it) { OnEnd(it); },
                      .on_drained = {}});
-  connect_timer_.start(kConnectTimeout);
+  timer_.start(kConnectTimeout);
   socket_.Connect(address);
 }
 
@@ -36,29 +37,37 @@
 
 void UpstreamLink::Start(std::string_view request, Events events) {
   reusable_ = false;
+  foreign_responses_ = 0;
   events_ = std::move(events);
-  transport::ResponseReader::Events reader_events;
-  reader_events.on_head = [this](const transport::ResponseHead& head,
-                                 std::optional<uint64_t> length) {
-    if (events_.on_head) {
-      events_.on_head(head, length);
-    }
+  body_rule_ = request.starts_with("HEAD ") ? transport::BodyRule::kNone
+                                            : transport::BodyRule::kAsFramed;
+  StartReader();
+  socket_.Write(request);
+}
+
+void UpstreamLink::StartReader() {
+  skipping_ = false;
+  transport::ResponseReader::Events events;
+  events.on_head = [this](const transport::ResponseHead& head,
+                          std::optional<uint64_t> length) {
+    timer_.stop();
+    skipping_ = events_.on_head &&
+                events_.on_head(head, length) == ResponseMatch::kForeign;
   };
-  reader_events.on_body = [this](std::string_view bytes) {
-    if (events_.on_body) {
+  events.on_body = [this](std::string_view bytes) {
+    if (events_.on_body && !skipping_) {
       events_.on_body(bytes);
     }
   };
-  reader_ =
-      std::make_unique<transport::ResponseReader>(std::move(reader_events));
-  socket_.Write(request);
+  reader_ = std::make_unique<transport::ResponseReader>(std::move(events),
+                                                        body_rule_);
 }
 
 void UpstreamLink::Abandon() {
   events_ = {};
   on_idle_end_ = nullptr;
   reusable_ = false;
-  connect_timer_.stop();
+  timer_.stop();
   socket_.Close();
 }
 
@@ -69,23 +78,38 @@
     OnEnd(transport::SocketEnd::kReset);
     return;
   }
-  const core::Result<size_t> used = reader_->Feed(bytes);
-  if (!socket_.is_open()) {
-    return;
-  }
-  if (!core::IsOk(used)) {
-    Fail(LinkFailure::kMalformed);
-    return;
-  }
-  if (!reader_->complete()) {
-    return;
+  while (true) {
+    const core::Result<size_t> used = reader_->Feed(bytes);
+    if (!socket_.is_open()) {
+      return;
+    }
+    if (!core::IsOk(used)) {
+      Fail(LinkFailure::kMalformed);
+      return;
+    }
+    if (!reader_->complete()) {
+      return;
+    }
+    bytes.remove_prefix(core::Value(used));
+    if (!skipping_) {
+      break;
+    }
+    if (++foreign_responses_ > kMaxForeignResponses) {
+      Fail(LinkFailure::kMalformed);
+      return;
+    }
+    StartReader();
+    timer_.start(kOwnResponseTimeout);
+    if (bytes.empty()) {
+      return;
+    }
   }
-  reusable_ = reader_->keep_alive() && core::Value(used) == bytes.size();
+  reusable_ = reader_->keep_alive() && bytes.empty() && foreign_responses_ == 0;
   Complete();
 }
 
 void UpstreamLink::OnEnd(transport::SocketEnd how) {
-  connect_timer_.stop();
+  timer_.stop();
   reusable_ = false;
   if (!reader_) {
     ReportCheck(false);
@@ -102,7 +126,7 @@
     Fail(LinkFailure::kReset);
     return;
   }
-  if (core::IsOk(reader_->FeedEnd())) {
+  if (!skipping_ && core::IsOk(reader_->FeedEnd())) {
     Complete();
     return;
   }
@@ -112,6 +136,7 @@
 void UpstreamLink::Complete() {
   const Events events = std::exchange(events_, {});
   reader_.reset();
+  SetReading(true);
   if (events.on_complete) {
     events.on_complete();
   }
--- a/relay/upstream_link.h
+++ b/relay/upstream_link.h
@@ -23,6 +23,12 @@
   kMalformed,    ///< The received bytes are not a valid HTTP response.
 };
 
+/// What a link does with a response whose head has arrived.
+enum class ResponseMatch {
+  kOwn,      ///< It answers the request of this exchange.
+  kForeign,  ///< It answers another request: skip it, the own one may follow.
+};
+
 /// Connection to an upstream. Carries one exchange, a request and its response,
 /// at a time.
 class UpstreamLink final : public QObject {
@@ -34,9 +40,14 @@
   /// instead.
   static constexpr std::chrono::milliseconds kConnectTimeout{300};
 
+  /// Time that the own response may take after a foreign one.
+  static constexpr std::chrono::milliseconds kOwnResponseTimeout{1000};
+  /// Maximum number of foreign responses in one exchange.
+  static constexpr int kMaxForeignResponses = 4;
+
   struct Events {
-    std::function<void(const transport::ResponseHead&,
-                       std::optional<uint64_t> length)>
+    std::function<ResponseMatch(const transport::ResponseHead&,
+                                std::optional<uint64_t> length)>
         on_head;
     std::function<void(std::string_view)> on_body;
     /// The response is complete.
@@ -66,17 +77,23 @@
 
  private:
   void OnBytes(std::string_view bytes);
+  void StartReader();
   void OnEnd(transport::SocketEnd how);
   void ReportCheck(bool connected);
   void Complete();
   void Fail(LinkFailure failure);
 
   transport::StreamSocket socket_;
-  QTimer connect_timer_;
+  /// Runs while connecting and while an own response is due after a foreign
+  /// one.
+  QTimer timer_;
   std::unique_ptr<transport::ResponseReader> reader_;
   Events events_;
   bool connected_ = false;
   bool reusable_ = false;
+  transport::BodyRule body_rule_ = transport::BodyRule::kAsFramed;
+  bool skipping_ = false;
+  int foreign_responses_ = 0;
   std::function<void()> on_idle_end_;
   std::function<void(bool)> on_checked_;
 };
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -54,6 +54,19 @@
   open_.at(connection)->socket.Write(bytes);
 }
 
+size_t ScriptedUpstream::PendingOn(size_t connection) const {
+  return open_.at(connection)->socket.pending_bytes();
+}
+
+void ScriptedUpstream::End(size_t connection, bool reset) {
+  transport::StreamSocket& socket = open_.at(connection)->socket;
+  if (reset) {
+    socket.Abort();
+  } else {
+    socket.Close();
+  }
+}
+
 void ScriptedUpstream::Stop() {
   listener_.Close();
   for (const auto& it : open_) {
@@ -121,7 +134,7 @@
 
 void Caller::Send(const std::string& bytes) { socket_.Write(bytes); }
 
-RelayFixture::RelayFixture()
+RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout)
     : relay_({clock_, codec_, ledger, metrics_, "a", 1,
               [this](const schema::ReportCrash& report) {
                 crashes.push_back(report.fingerprint());
@@ -136,7 +149,8 @@
               },
               [this](const std::string& upstream, uint64_t) {
                 draining.push_back(upstream);
-              }}),
+              },
+              progress_timeout}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -42,6 +42,10 @@
   void Send(std::string_view bytes);
   /// Sends bytes on the connection with this number, counted from 0.
   void SendOn(size_t connection, std::string_view bytes);
+  /// Bytes for this connection that the kernel has not taken yet.
+  size_t PendingOn(size_t connection) const;
+  /// Ends the connection with this number.
+  void End(size_t connection, bool reset);
   /// Stops listening and resets all connections.
   void Stop();
 
@@ -91,6 +95,7 @@
 
   void Send(const std::string& bytes);
   void Disconnect() { socket_.Close(); }
+  void SetReading(bool reading) { socket_.SetReading(reading); }
   const std::string& received() const { return received_; }
   bool ended() const { return ended_; }
   bool reset() const { return reset_; }
@@ -106,7 +111,8 @@
 /// /once/ (not idempotent) and /read/ (idempotent, two upstreams).
 class RelayFixture {
  public:
-  RelayFixture();
+  explicit RelayFixture(
+      std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout);
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
