platform: Check the range of every number that comes from outside

A heartbeat with a capacity of -1 named an upstream of 4,294,967,295 slots; a configuration with a limit or a timeout of -1 or 1e300 was acknowledged and came into force; "12x" in a request's field was read as 12.

A missing start time stays allowed. A field of another type is still read as missing, as before.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -75,6 +75,44 @@
   CHECK(IsRefused("[]"));
 }
 
+TEST_CASE("Numbers of a configuration that are out of range are refused") {
+  const auto replaced = [](const std::string& from, const std::string& to) {
+    std::string text = Configuration(kTurn);
+    return text.replace(text.find(from), from.size(), to);
+  };
+  for (const char* number : {"-1", "1e300"}) {
+    CAPTURE(number);
+    const std::string value(number);
+    CHECK(IsRefused(replaced("3000", value)));
+    CHECK(IsRefused(replaced(R"("slo_ms":200)", R"("slo_ms":)" + value)));
+    CHECK(IsRefused(replaced(R"("priority":1)", R"("priority":)" + value)));
+    CHECK(IsRefused(
+        replaced(R"("max_attempts":1)", R"("max_attempts":)" + value)));
+    CHECK(IsRefused(replaced("170", value)));
+    CHECK(IsRefused(replaced("9000", value)));
+    CHECK(IsRefused(replaced("16384", value)));
+    CHECK(IsRefused(replaced("4194304", value)));
+    CHECK(IsRefused(replaced("15000", value)));
+    CHECK(IsRefused(
+        replaced(R"("service":"llm")",
+                 R"("backends":[{"service":"llm","weight":)" + value + "}]")));
+  }
+}
+
+TEST_CASE("A number that is followed by other text is not taken") {
+  const PlatformCallCodec codec;
+  transport::RelayRequest request;
+  request.fields = {{"X-Request-Id", "r"},
+                    {"X-Deadline-Ms", "12x"},
+                    {"X-Token-Budget", "500 600"},
+                    {"X-Token-Usage", "100,80"}};
+  const relay::CallHead head = codec.DecodeCall(request);
+  CHECK_FALSE(head.caller_timeout);
+  CHECK_FALSE(head.token_budget);
+  CHECK(head.prompt_tokens == 100);
+  CHECK(head.max_output_tokens == 80);
+}
+
 TEST_CASE("Every finding of a configuration is reported") {
   std::string broken = kTurn;
   broken.replace(broken.find("\"llm\""), 5, "\"nope\"");
