cluster: Know the addresses of other replicas before the log is applied

It hears a leader that is no seed, cannot answer it, so that the leader never learns what it holds and never tells it what is committed; and since it hears a leader it announces itself only there, which fails too. A voter that is lost in this way counts as alive.

Ruled out: a lost membership (all five stayed voters) and the log (it was whole).

Test: "A restarted replica follows a leader that is no seed" (the replica hears the leader before a seed answers) failed: it read nothing in 60 s and had applied nothing. "An instance asks the seeds for a leader that it cannot address" and "Voters that restart together do without one of the seeds" passed before and guard the ways beside it.

Change: addresses are taken from all entries of the stored log, applied or not; an announcement goes to the known instances in turn while the leader has no address.

Result: the three tests pass.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -123,9 +123,7 @@
             Qt::QueuedConnection);
       });
   AddSeeds(options_.seeds);
-  for (const auto& [id, record] : machine_.instances()) {
-    SetPeerAddress(id, record.peer_address());
-  }
+  LearnStoredAddresses();
   last_command_ = Now();
   Log(LogLevel::kInfo, "replica started",
       {{"incarnation", std::to_string(store_->incarnation())},
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -140,6 +140,9 @@
   /// to it.
   size_t CountWatchers() const;
   void SetPeerAddress(const std::string& instance, const std::string& address);
+  /// Takes the addresses of other instances from the snapshot and from the
+  /// entries of the log, applied or not.
+  void LearnStoredAddresses();
   void UpdateWatches();
   void PlanStep();
   GroupView MakeGroupView() const;
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -45,7 +45,8 @@
     return;
   }
   std::string to = IsCurrent() ? RemoteLeader() : std::string();
-  if (to.empty() && !peer_addresses_.empty()) {
+  // A leader without a known address cannot be asked; others know the address.
+  if (!peer_addresses_.contains(to) && !peer_addresses_.empty()) {
     auto target = peer_addresses_.begin();
     std::advance(target, static_cast<ptrdiff_t>(announce_cursor_++ %
                                                 peer_addresses_.size()));
@@ -77,6 +78,22 @@
   return total;
 }
 
+void DeploymentHost::LearnStoredAddresses() {
+  for (const auto& [id, record] : machine_.instances()) {
+    SetPeerAddress(id, record.peer_address());
+  }
+  // Entries are applied once the leader tells that they are committed. To hear
+  // and answer it, its address is needed before.
+  group_->replica().VisitEntries([this](const storage::LogEntry& entry) {
+    schema::DeploymentCommand command;
+    if (entry.kind == storage::EntryKind::kCommand &&
+        command.ParseFromString(entry.data) && command.has_instance()) {
+      SetPeerAddress(command.instance().instance(),
+                     command.instance().peer_address());
+    }
+  });
+}
+
 void DeploymentHost::OnInstanceList(const schema::InstanceList& list) {
   if (list.watchers() > 0) {
     watches_.SetTotal(list.watchers());
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -112,6 +112,13 @@
   const ReplicaId& leader() const { return leader_; }
   uint64_t commit_index() const { return commit_index_; }
   uint64_t last_index() const { return log_.last_index(); }
+  /// Calls `visitor` with each entry of the log, committed or not.
+  template <typename Visitor>
+  void VisitEntries(Visitor&& visitor) const {
+    for (uint64_t n = log_.base_index() + 1; n <= log_.last_index(); ++n) {
+      visitor(log_.At(n));
+    }
+  }
   uint64_t persisted_index() const { return queue_.persisted_index(); }
   const Membership& membership() const { return log_.membership(); }
   bool membership_committed() const {
--- a/tests/cluster/deployment_fixture.cpp
+++ b/tests/cluster/deployment_fixture.cpp
@@ -140,6 +140,16 @@
                                          : std::set<core::InstanceId>{});
 }
 
+void Deployment::Cut(const std::string& id,
+                     const std::vector<std::string>& others) {
+  std::set<core::InstanceId> cut;
+  for (const std::string& other : others) {
+    cut.insert(core::InstanceId(other));
+    nodes_.at(other).peers->CutLinks({core::InstanceId(id)});
+  }
+  nodes_.at(id).peers->CutLinks(cut);
+}
+
 std::string Deployment::Leader() const {
   for (const auto& [id, node] : nodes_) {
     if (node.host && node.host->is_leader() && node.host->IsCurrent()) {
--- a/tests/cluster/deployment_fixture.h
+++ b/tests/cluster/deployment_fixture.h
@@ -37,6 +37,8 @@
   /// Cuts the links between an instance and all others in both directions, or
   /// restores them.
   void SetIsolated(const std::string& id, bool isolated);
+  /// Cuts the links of one instance to `others`, in both directions.
+  void Cut(const std::string& id, const std::vector<std::string>& others);
 
   DeploymentHost& host(const std::string& id) { return *nodes_.at(id).host; }
   const std::string& initial_member(size_t n) const {
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -1,7 +1,9 @@
 #include <QTimer>
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "deployment_fixture.h"
 
@@ -93,6 +95,85 @@
   CHECK(WaitFor([&] { return ReadsVersion(&it, it.initial_member(0), 5); }));
 }
 
+TEST_CASE("A restarted replica follows a leader that is no seed") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  const std::vector<std::string> added{it.Add(false, "a"), it.Add(false, "b")};
+  REQUIRE(WaitFor([&] { return it.VoterCount() == 5; }));
+  REQUIRE(it.Publish(1));
+  const auto is_added = [&added](const std::string& id) {
+    return std::find(added.begin(), added.end(), id) != added.end();
+  };
+  // Elections pick any voter, so this takes a few of them.
+  REQUIRE(WaitFor([&] {
+    const std::string leader = it.Leader();
+    if (leader.empty() || is_added(leader)) {
+      return !leader.empty();
+    }
+    it.Kill(leader);
+    WaitFor([&] { return !it.Leader().empty(); });
+    it.Start(leader);
+    return false;
+  }));
+  // It hears the leader before any seed could tell the leader's address.
+  const std::string restarted = it.initial_member(0);
+  it.Kill(restarted);
+  it.Start(restarted);
+  it.Cut(restarted, {it.initial_member(1), it.initial_member(2)});
+  CHECK(WaitFor([&] { return ReadsVersion(&it, restarted, 1); }));
+  CHECK(it.host(restarted).state().configuration().version() == 1);
+}
+
+TEST_CASE("An instance asks the seeds for a leader that it cannot address") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  const std::vector<std::string> added{it.Add(false, "a"), it.Add(false, "b")};
+  REQUIRE(WaitFor([&] { return it.VoterCount() == 5; }));
+  REQUIRE(it.Publish(1));
+  const auto leads = [&](const std::string& id) { return it.Leader() == id; };
+  REQUIRE(WaitFor([&] {
+    const std::string leader = it.Leader();
+    if (leader.empty() || leads(added[0]) || leads(added[1])) {
+      return !leader.empty();
+    }
+    it.Kill(leader);
+    WaitFor([&] { return !it.Leader().empty(); });
+    it.Start(leader);
+    return false;
+  }));
+  // Nothing is stored that names an address, and the seeds answer later.
+  const std::string wiped = it.initial_member(0);
+  it.Kill(wiped);
+  it.LoseDisk(wiped);
+  it.Start(wiped);
+  it.Cut(wiped, {it.initial_member(1), it.initial_member(2)});
+  test::ProcessEvents();
+  WaitFor([&] { return it.host(wiped).IsCurrent(); });
+  it.SetIsolated(wiped, false);
+  CHECK(WaitFor([&] { return ReadsVersion(&it, wiped, 1); }));
+}
+
+TEST_CASE("Voters that restart together do without one of the seeds") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  const std::vector<std::string> added{it.Add(false, "a"), it.Add(false, "b")};
+  REQUIRE(WaitFor([&] { return it.VoterCount() == 5; }));
+  REQUIRE(it.Publish(1));
+  std::vector<std::string> all = added;
+  for (size_t n = 0; n < 3; ++n) {
+    all.push_back(it.initial_member(n));
+  }
+  for (const std::string& id : all) {
+    it.Kill(id);
+  }
+  all.pop_back();
+  for (const std::string& id : all) {
+    it.Start(id);
+  }
+  CHECK(it.Publish(2));
+  CHECK(WaitFor([&] { return ReadsVersion(&it, added[0], 2); }));
+}
+
 TEST_CASE("An isolated instance neither reads nor commits") {
   Deployment it(3);
   it.StartInitialMembers({0, 1, 2});
