tests/soak: Add a fault soak of real processes

A seeded plan of pauses, kills, lost disks, planned stops (once and twice), reloads, drains, disturbed links (delay, reset, silence both ways and one way, through a loopback proxy) and wrong answers (late copies, doubled, truncated, reset, dribbling, interim, endless) over nine hawthornd processes, with callers that keep their connections and an operator that publishes and reads. It checks: the whole answer to the own request, refusals that have not run, at most once, budgets, accepted requests answered around planned stops, answers in time, time left at upstreams, draining, acknowledged configurations, ends of processes, stops within their grace period, recovery.

--- /dev/null
+++ b/tests/soak/fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <QProcess>
+#include <QTemporaryDir>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "findings.h"
+
+namespace hawthorn::soak {
+
+/// Duty of a process.
+enum class Duty { kControl, kLedger, kEntry };
+
+/// A process of the system on an address of its own in the loopback network.
+struct Instance {
+  std::string name;
+  Duty duty = Duty::kEntry;
+  std::string ip;
+  std::string zone;
+  std::unique_ptr<QProcess> process;
+  bool paused = false;
+  /// It is to be running, so that an end by itself is a finding.
+  bool wanted = false;
+  /// Time of the last fault that may cut its connections; planned stops do not.
+  int64_t last_unplanned = -1'000'000;
+  /// Time of the last planned stop.
+  int64_t last_planned = -1'000'000;
+};
+
+/// The processes of a deployment: real hawthornd processes on loopback.
+class Fleet {
+ public:
+  static constexpr qint64 kGraceSeconds = 8;
+
+  Fleet(Findings& findings, const std::string& logs, int controls, int ledgers,
+        int entries);
+  ~Fleet();
+
+  void StartAll();
+  void Start(Instance& it, bool first_start = false);
+  void Signal(Instance& it, int number);
+  void Pause(Instance& it);
+  void Resume(Instance& it);
+  /// Kills the process; Start runs it again.
+  void Kill(Instance& it);
+  /// Removes the stored state of a stopped process.
+  void WipeDisk(Instance& it);
+  /// Reports processes that ended by themselves and starts them again.
+  void CheckProcesses();
+
+  std::vector<std::unique_ptr<Instance>>& instances() { return instances_; }
+  std::vector<Instance*> Of(Duty duty);
+  std::string CallerAddress(const Instance& it) const;
+  std::string ControlAddress(const Instance& it) const;
+  static std::string ZoneOf(int number);
+
+ private:
+  void Add(const std::string& name, Duty duty, int number, int count);
+  std::string WriteSettings(const Instance& it, bool first_start);
+
+  Findings& findings_;
+  QTemporaryDir folder_;
+  std::string logs_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  uint16_t peer_port_;
+  uint16_t control_port_;
+  uint16_t caller_port_;
+  uint16_t readiness_port_;
+};
+
+}  // namespace hawthorn::soak
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,368 @@
+// Runs a deployment of real processes on loopback, disturbs it by a seeded
+// plan, and checks what callers, upstreams and operators see.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <signal.h>
+
+#include <QCoreApplication>
+#include <QDir>
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "faulty_upstream.h"
+#include "fleet.h"
+#include "tests/support/event_loop.h"
+#include "traffic.h"
+
+ABSL_FLAG(uint64_t, seed, 1, "seed of the plan");
+ABSL_FLAG(int, seconds, 25, "time with faults");
+ABSL_FLAG(int, entries, 4, "entry instances");
+ABSL_FLAG(int, ledgers, 2, "ledger instances");
+ABSL_FLAG(int, upstreams, 6, "upstreams of both services");
+ABSL_FLAG(int, callers, 8, "callers");
+ABSL_FLAG(std::string, logs, "", "folder for the logs; empty: a new one");
+
+namespace hawthorn::soak {
+
+namespace {
+
+constexpr int kControls = 3;
+constexpr int64_t kMsPerSecond = 1000;
+/// Time without faults of machines with a disk before one may lose its disk.
+constexpr int64_t kSyncMs = 6000;
+/// Machines with a disk that may be down or paused at once.
+constexpr size_t kMaxDisturbed = 2;
+
+class Soak {
+ public:
+  explicit Soak(uint64_t seed)
+      : random_(seed),
+        logs_(absl::GetFlag(FLAGS_logs).empty()
+                  ? QDir::tempPath().toStdString() + "/hawthorn-soak-" +
+                        std::to_string(QCoreApplication::applicationPid())
+                  : absl::GetFlag(FLAGS_logs)),
+        fleet_(findings_, logs_, kControls, absl::GetFlag(FLAGS_ledgers),
+               absl::GetFlag(FLAGS_entries)),
+        operator_(findings_, fleet_, random_()) {
+    QDir().mkpath(QString::fromStdString(logs_));
+    for (int n = 0; n < absl::GetFlag(FLAGS_upstreams); ++n) {
+      upstreams_.push_back(std::make_unique<FaultyUpstream>(
+          findings_, n % 2 == 0 ? "llm" : "app", Fleet::ZoneOf(n / 2), n,
+          random_(), [this] {
+            std::vector<std::string> controls;
+            for (const Instance* it : fleet_.Of(Duty::kControl)) {
+              controls.push_back(fleet_.ControlAddress(*it));
+            }
+            return controls;
+          }));
+    }
+    for (int n = 0; n < absl::GetFlag(FLAGS_callers); ++n) {
+      callers_.push_back(
+          std::make_unique<ProgramCaller>(findings_, fleet_, n, random_()));
+    }
+  }
+
+  int Run() {
+    fleet_.StartAll();
+    operator_.Start();
+    if (!WaitServed()) {
+      findings_.Add("start", "the deployment does not serve");
+    }
+    for (const auto& it : callers_) {
+      it->Start();
+    }
+    const int64_t end =
+        findings_.Now() + absl::GetFlag(FLAGS_seconds) * kMsPerSecond;
+    int64_t next = 0;
+    while (findings_.Now() < end) {
+      if (findings_.Now() >= next) {
+        Disturb();
+        next = findings_.Now() + Between(200, 1300);
+      }
+      RunDue(findings_.Now());
+      fleet_.CheckProcesses();
+      QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    RunDue(INT64_MAX);
+    if (!WaitServed()) {
+      findings_.Add("recovery", "not every instance serves after the faults");
+    }
+    Finish();
+    return findings_.broken().empty() ? 0 : 1;
+  }
+
+ private:
+  struct Due {
+    int64_t at;
+    std::function<void()> act;
+  };
+
+  int64_t Between(int64_t low, int64_t high) {
+    return low +
+           static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low));
+  }
+
+  void After(int64_t delay, std::function<void()> act) {
+    due_.push_back({findings_.Now() + delay, std::move(act)});
+  }
+
+  void RunDue(int64_t now) {
+    std::vector<Due> rest;
+    std::vector<Due> due;
+    for (Due& it : std::exchange(due_, {})) {
+      (it.at <= now ? due : rest).push_back(std::move(it));
+    }
+    for (const Due& it : due) {
+      it.act();
+    }
+    due_.insert(due_.end(), rest.begin(), rest.end());
+  }
+
+  void Disturb() {
+    static constexpr std::array<LinkFault, 4> kLinkFaults{
+        LinkFault::kDelayed, LinkFault::kReset, LinkFault::kSilent,
+        LinkFault::kSilentBack};
+    static constexpr std::array<AnswerFault, 7> kAnswerFaults{
+        AnswerFault::kLateCopy, AnswerFault::kSurplus, AnswerFault::kTruncated,
+        AnswerFault::kReset,    AnswerFault::kDribble, AnswerFault::kInterim,
+        AnswerFault::kEndless};
+    FaultyUpstream& upstream = *upstreams_[random_() % upstreams_.size()];
+    const int64_t span = Between(500, 5000);
+    switch (random_() % 8) {
+      case 0: {
+        const LinkFault fault = kLinkFaults[random_() % kLinkFaults.size()];
+        Note("link fault " + std::to_string(static_cast<int>(fault)),
+             upstream.id(), span);
+        upstream.SetLinkFault(fault);
+        After(span, [&upstream] { upstream.SetLinkFault(LinkFault::kNone); });
+        return;
+      }
+      case 1:
+      case 2: {
+        const AnswerFault fault =
+            kAnswerFaults[random_() % kAnswerFaults.size()];
+        Note("answer fault " + std::to_string(static_cast<int>(fault)),
+             upstream.id(), span);
+        upstream.SetAnswerFault(fault);
+        After(span,
+              [&upstream] { upstream.SetAnswerFault(AnswerFault::kNone); });
+        return;
+      }
+      case 3:
+        if (!upstream.draining()) {
+          Note("drain", upstream.id(), 0);
+          upstream.Drain();
+          After(span + 5000, [&upstream] { upstream.Return(); });
+        }
+        return;
+      default:
+        DisturbProcess(span);
+    }
+  }
+
+  void Note(const std::string& fault, const std::string& target, int64_t span) {
+    findings_.Fired(fault, target, findings_.Now() + span);
+  }
+
+  /// Whether one more machine with a disk may be disturbed.
+  bool MayDisturb(const Instance& it) {
+    if (it.duty == Duty::kEntry) {
+      return true;
+    }
+    size_t disturbed = 0;
+    for (const auto& other : fleet_.instances()) {
+      const bool recent = findings_.Now() - std::max(other->last_unplanned,
+                                                     other->last_planned) <
+                          kSyncMs;
+      disturbed += other->duty != Duty::kEntry && (other->paused || recent);
+    }
+    return disturbed < kMaxDisturbed;
+  }
+
+  bool AllDisksCalm() {
+    for (const auto& it : fleet_.instances()) {
+      if (it->duty != Duty::kEntry &&
+          (it->paused ||
+           findings_.Now() - std::max(it->last_unplanned, it->last_planned) <
+               kSyncMs)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void DisturbProcess(int64_t span) {
+    Instance& it = *fleet_.instances()[random_() % fleet_.instances().size()];
+    if (it.paused || !it.wanted || !MayDisturb(it)) {
+      return;
+    }
+    switch (random_() % 6) {
+      case 0:
+      case 1:
+        Note("pause", it.name, span);
+        fleet_.Pause(it);
+        After(span, [this, &it] { fleet_.Resume(it); });
+        return;
+      case 2: {
+        const bool wipe = it.duty != Duty::kEntry && AllDisksCalm();
+        Note(wipe ? "kill and lose the disk" : "kill", it.name, span);
+        fleet_.Kill(it);
+        if (wipe) {
+          fleet_.WipeDisk(it);
+        }
+        After(span / 2, [this, &it] { fleet_.Start(it); });
+        return;
+      }
+      case 3:
+        Note("reload", it.name, 0);
+        fleet_.Signal(it, SIGHUP);
+        return;
+      default:
+        StopAsPlanned(it);
+    }
+  }
+
+  void StopAsPlanned(Instance& it) {
+    if (findings_.Now() - it.last_planned <
+        (Fleet::kGraceSeconds + 2) * kMsPerSecond) {
+      return;
+    }
+    Note("stop", it.name, 3000);
+    it.last_planned = findings_.Now();
+    fleet_.Signal(it, SIGTERM);
+    if (random_() % 2 == 0) {
+      After(Between(10, 2000), [this, &it] { fleet_.Signal(it, SIGTERM); });
+    }
+    After(Fleet::kGraceSeconds * kMsPerSecond,
+          [this, &it, process = it.process.get()] {
+            const int64_t since = findings_.Now() - it.last_planned;
+            if (it.process.get() == process && !it.paused &&
+                since >= Fleet::kGraceSeconds * kMsPerSecond &&
+                findings_.Now() - it.last_unplanned >
+                    Fleet::kGraceSeconds * kMsPerSecond) {
+              findings_.Add("a stop ends in time", it.name);
+            }
+          });
+  }
+
+  /// Waits until each entry serves a request and each control instance reads
+  /// the newest configuration.
+  bool WaitServed() {
+    std::vector<bool> served(fleet_.instances().size());
+    std::vector<std::shared_ptr<Exchange>> exchanges;
+    QElapsedTimer since;
+    since.start();
+    int64_t next = 0;
+    return test::WaitFor([&] {
+      RunDue(findings_.Now());
+      fleet_.CheckProcesses();
+      if (since.elapsed() >= next) {
+        next = since.elapsed() + 300;
+        for (size_t n = 0; n < served.size(); ++n) {
+          if (!served[n]) {
+            Probe(*fleet_.instances()[n], &exchanges,
+                  [&served, n] { served[n] = true; });
+          }
+        }
+      }
+      return std::find(served.begin(), served.end(), false) == served.end();
+    });
+  }
+
+  void Probe(const Instance& it,
+             std::vector<std::shared_ptr<Exchange>>* exchanges,
+             const std::function<void()>& on_served) {
+    if (it.duty == Duty::kLedger) {
+      on_served();
+      return;
+    }
+    if (it.duty == Duty::kControl) {
+      operator_.Read(it, [this, on_served](uint64_t version) {
+        if (version != 0 && version >= operator_.acknowledged()) {
+          on_served();
+        }
+      });
+      return;
+    }
+    exchanges->push_back(std::make_shared<Exchange>(fleet_.CallerAddress(it)));
+    const std::string id = "probe" + std::to_string(++probes_);
+    findings_.Request(id).kind = "read";
+    exchanges->back()->Send(
+        "GET /read/x HTTP/1.1\r\nHost: soak.example\r\nConnection: close\r\n"
+        "X-Request-Id: " +
+            id + "\r\nX-Deadline-Ms: 2000\r\n\r\n",
+        std::chrono::milliseconds(2500),
+        [on_served](const Exchange::Result& result) {
+          if (result.status == 200) {
+            on_served();
+          }
+        });
+  }
+
+  void Finish() {
+    for (const auto& it : callers_) {
+      it->Stop();
+    }
+    operator_.Stop();
+    test::WaitFor([this] {
+      return std::all_of(callers_.begin(), callers_.end(),
+                         [](const auto& it) { return it->idle(); });
+    });
+    size_t runs = 0;
+    for (const auto& [id, request] : findings_.requests()) {
+      runs += static_cast<size_t>(request.runs);
+      if (request.refused && request.runs > 0) {
+        findings_.Add("a refusal says not run", id + " ran");
+      }
+      if (request.kind == "once" && request.runs > 1) {
+        findings_.Add("at most once",
+                      id + " ran " + std::to_string(request.runs) + " times");
+      }
+    }
+    for (const auto& [fault, count] : findings_.faults()) {
+      std::printf("fault %-24s fired %d times\n", fault.c_str(), count);
+    }
+    for (const auto& [status, count] : findings_.statuses) {
+      std::printf("status %3d: %d\n", status, count);
+    }
+    std::printf("%zu requests, %zu runs, configuration %llu\n",
+                findings_.requests().size(), runs,
+                static_cast<unsigned long long>(operator_.acknowledged()));
+    std::printf("logs in %s\n", logs_.c_str());
+  }
+
+  std::mt19937_64 random_;
+  std::string logs_;
+  Findings findings_;
+  Fleet fleet_;
+  Operator operator_;
+  std::vector<std::unique_ptr<FaultyUpstream>> upstreams_;
+  std::vector<std::unique_ptr<ProgramCaller>> callers_;
+  std::vector<Due> due_;
+  int probes_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  const QCoreApplication app(argc, argv);
+  signal(SIGPIPE, SIG_IGN);
+  const uint64_t seed = absl::GetFlag(FLAGS_seed);
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+  std::fflush(stdout);
+  Soak soak(seed);
+  const int verdict = soak.Run();
+  std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed),
+              verdict == 0 ? "nothing was seen" : "a promise was broken");
+  return verdict;
+}
+
+}  // namespace
+
+}  // namespace hawthorn::soak
+
+int main(int argc, char** argv) { return hawthorn::soak::Main(argc, argv); }
--- /dev/null
+++ b/tests/soak/traffic.cpp
@@ -0,0 +1,370 @@
+#include "traffic.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "faulty_upstream.h"
+
+namespace hawthorn::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds kThinkTime{15};
+constexpr std::chrono::milliseconds kOperatorTimeout{1000};
+constexpr std::chrono::milliseconds kPublishInterval{700};
+constexpr std::chrono::milliseconds kReadInterval{300};
+/// Deadline of each request, and what an answer may take beyond it on a busy
+/// machine.
+constexpr int64_t kDeadlineMs = 3000;
+constexpr std::chrono::milliseconds kAnswerTimeout{6000};
+/// A request whose connection ends earlier than this after it was sent may not
+/// have been read.
+constexpr int64_t kLossSlackMs = 200;
+/// A configuration is in force this long after its acknowledgement.
+constexpr int64_t kApplyMs = 2000;
+/// Time for which an unplanned fault of an instance excuses what callers see.
+constexpr int64_t kExcuseMs = 4000;
+constexpr int64_t kTurnTokens = kStreamEvents * kTokensPerEvent;
+constexpr int64_t kBudget = 3 * kTurnTokens;
+constexpr int kCallsOfProgram = 12;
+constexpr const char* kHost = "soak.example";
+
+QJsonObject RouteOf(const char* name, const char* kind, const char* service,
+                    int upstreams) {
+  const QString prefix = QString("/") + name + "/";
+  return {{"name", name},
+          {"host", kHost},
+          {"path_prefix", prefix},
+          {"kind", kind},
+          {"timeout_ms", static_cast<double>(kDeadlineMs)},
+          {"slo_ms", 250},
+          {"priority", 0},
+          {"service", service},
+          {"max_attempts", upstreams},
+          {"retain", false},
+          {"retention_s", 60.0},
+          {"sticky", true},
+          {"resumable", true},
+          {"gap_aim_ms", 150}};
+}
+
+std::string ConfigurationOf(uint64_t version) {
+  QJsonObject once = RouteOf("once", "non_idempotent", "app", 1);
+  QJsonObject read = RouteOf("read", "idempotent", "app", 2);
+  QJsonObject llm{
+      {"name", "llm"},
+      {"health_path", "/health"},
+      {"max_conns", 400},
+      {"protocol", "h1"},
+      {"tls", false},
+      {"engine", QJsonObject{{"capacity", 8},
+                             {"kv_capacity", 100000},
+                             {"tokens_per_event",
+                              static_cast<double>(kTokensPerEvent)}}}};
+  QJsonObject app{{"name", "app"},
+                  {"health_path", "/health"},
+                  {"max_conns", 400},
+                  {"protocol", "h1"},
+                  {"tls", false}};
+  const QJsonObject root{
+      {"version", static_cast<double>(version)},
+      {"routes", QJsonArray{RouteOf("turn", "stream", "llm", 1), once, read}},
+      {"services", QJsonArray{llm, app}},
+      {"limits", QJsonObject{{"max_header_bytes", 16384},
+                             {"max_body_bytes", 4194304},
+                             {"header_timeout_ms", 3000},
+                             {"idle_timeout_ms", 15000}}}};
+  return QJsonDocument(root).toJson(QJsonDocument::Compact).toStdString();
+}
+
+bool IsRefusal(int status) {
+  return status == 402 || status == 408 || status == 421 || status == 429 ||
+         status == 503;
+}
+
+template <typename T>
+T& Pick(std::vector<T>& list, std::mt19937_64& random) {
+  return list[random() % list.size()];
+}
+
+}  // namespace
+
+Exchange::Exchange(const std::string& address) {
+  timer_.setSingleShot(true);
+  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] {
+    result_.timed_out = true;
+    socket_.Close();
+    Finish(0);
+  });
+  transport::StreamSocket::Events events;
+  events.on_connected = [this] { result_.connected = true; };
+  events.on_bytes = [this](std::string_view it) { OnBytes(it); };
+  events.on_end = [this](transport::SocketEnd how) {
+    const bool whole = how == transport::SocketEnd::kFinished && reader_ &&
+                       head_status_ != 0 && core::IsOk(reader_->FeedEnd());
+    Finish(whole ? head_status_ : 0);
+  };
+  socket_.SetEvents(std::move(events));
+  socket_.Connect(core::Value(transport::ParseAddress(address)));
+}
+
+void Exchange::Send(const std::string& request,
+                    std::chrono::milliseconds timeout, Done done) {
+  const bool connected = result_.connected;
+  result_ = {};
+  result_.connected = connected;
+  head_status_ = 0;
+  done_ = std::move(done);
+  transport::ResponseReader::Events events;
+  events.on_head = [this](const transport::ResponseHead& head,
+                          std::optional<uint64_t>) {
+    head_status_ = head.status;
+    result_.fields = head.fields;
+  };
+  events.on_body = [this](std::string_view it) { result_.body += it; };
+  reader_ = std::make_unique<transport::ResponseReader>(std::move(events));
+  timer_.start(timeout);
+  socket_.Write(request);
+}
+
+void Exchange::OnBytes(std::string_view bytes) {
+  if (!done_) {
+    reusable_ = false;
+    socket_.Close();
+    return;
+  }
+  result_.any_bytes = true;
+  const core::Result<size_t> used = reader_->Feed(bytes);
+  if (!core::IsOk(used)) {
+    socket_.Close();
+    Finish(0);
+    return;
+  }
+  if (reader_->complete()) {
+    result_.keep_alive =
+        reader_->keep_alive() && core::Value(used) == bytes.size();
+    Finish(head_status_);
+  }
+}
+
+void Exchange::Finish(int status) {
+  timer_.stop();
+  reusable_ = status != 0 && result_.keep_alive;
+  result_.status = status;
+  if (const Done done = std::exchange(done_, nullptr)) {
+    done(result_);
+  }
+}
+
+ProgramCaller::ProgramCaller(Findings& findings, Fleet& fleet, int number,
+                             uint64_t seed)
+    : findings_(findings),
+      fleet_(fleet),
+      name_("c" + std::to_string(number)),
+      random_(seed) {
+  BeginProgram();
+}
+
+void ProgramCaller::BeginProgram() {
+  program_ = name_ + "p" + std::to_string(++programs_);
+  tokens_ = 0;
+  calls_ = 0;
+}
+
+std::string ProgramCaller::RequestText(const Sent& sent) const {
+  std::string text = sent.kind == "read" ? "GET" : "POST";
+  text += " /" + sent.kind + "/x HTTP/1.1\r\nHost: " + kHost +
+          "\r\nX-Request-Id: " + sent.id + "\r\nX-Program-Id: " + program_ +
+          "\r\nX-Deadline-Ms: " + std::to_string(kDeadlineMs) + "\r\n";
+  if (sent.kind == "turn") {
+    text += "X-Token-Budget: " + std::to_string(kBudget) +
+            "\r\nX-Token-Usage: 100," + std::to_string(kTurnTokens) +
+            "\r\nX-Prompt-Prefix: a:50," + program_ + ":50\r\n";
+  }
+  return text +
+         (sent.kind == "read" ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
+}
+
+void ProgramCaller::Next() {
+  if (stopping_) {
+    idle_ = true;
+    return;
+  }
+  if (++calls_ > kCallsOfProgram) {
+    BeginProgram();
+  }
+  static constexpr std::array<const char*, 4> kKinds{"turn", "once", "turn",
+                                                     "read"};
+  Sent sent;
+  sent.id = name_ + "r" + std::to_string(++next_request_);
+  sent.kind = kKinds[random_() % kKinds.size()];
+  sent.reused = exchange_ && exchange_->reusable() && random_() % 8 != 0;
+  if (!sent.reused) {
+    std::vector<Instance*> entries = fleet_.Of(Duty::kEntry);
+    connected_to_ = Pick(entries, random_);
+    exchange_ =
+        std::make_shared<Exchange>(fleet_.CallerAddress(*connected_to_));
+  }
+  sent.entry = connected_to_;
+  sent.at = findings_.Now();
+  findings_.Request(sent.id).kind = sent.kind;
+  exchange_->Send(
+      RequestText(sent), kAnswerTimeout,
+      [this, sent, guard = exchange_](const Exchange::Result& result) {
+        OnResult(sent, result);
+        // The exchange is not deleted within its own callback.
+        QTimer::singleShot(kThinkTime, [this, guard] { Next(); });
+      });
+}
+
+void ProgramCaller::OnResult(const Sent& sent, const Exchange::Result& result) {
+  ++findings_.statuses[result.status];
+  if (IsRefusal(result.status)) {
+    findings_.Request(sent.id).refused = true;
+  }
+  if (sent.kind == "turn") {
+    CountTokens(sent, result);
+    if (result.status == 402) {
+      BeginProgram();
+    }
+  }
+  if (result.status == 0) {
+    CheckEnd(sent, result);
+  } else if (result.status == 200) {
+    CheckBody(sent, result);
+  }
+}
+
+void ProgramCaller::CheckEnd(const Sent& sent, const Exchange::Result& result) {
+  if (result.any_bytes) {
+    // It broke off visibly, as its upstream's did.
+    return;
+  }
+  const Instance& entry = *sent.entry;
+  if (entry.paused || sent.at - entry.last_unplanned < kExcuseMs) {
+    return;
+  }
+  const int64_t took = findings_.Now() - sent.at;
+  const std::string what =
+      sent.id + " at " + entry.name + " after " + std::to_string(took) + " ms";
+  if (result.timed_out) {
+    if (result.connected) {
+      findings_.Add("an answer in time", what);
+    }
+    return;
+  }
+  const bool read = findings_.Request(sent.id).runs > 0 ||
+                    (result.connected && !sent.reused && took > kLossSlackMs);
+  if (read) {
+    findings_.Add("accepted requests are answered", what);
+  }
+}
+
+void ProgramCaller::CheckBody(const Sent& sent,
+                              const Exchange::Result& result) {
+  const std::string* id = transport::FindField(result.fields, "X-Request-Id");
+  const std::string* mark =
+      transport::FindField(result.fields, "X-Server-Signature");
+  std::string expected = PlainBody(sent.id);
+  if (sent.kind == "turn") {
+    expected.clear();
+    for (int n = 1; n <= kStreamEvents; ++n) {
+      expected += EventOf(sent.id, n);
+    }
+  }
+  if (id == nullptr || *id != sent.id || mark == nullptr ||
+      *mark != "s." + sent.id || result.body != expected) {
+    findings_.Add("the whole answer to the own request",
+                  sent.id + " got " + result.body.substr(0, 80));
+  }
+}
+
+void ProgramCaller::CountTokens(const Sent& sent,
+                                const Exchange::Result& result) {
+  const auto marks =
+      std::count(result.body.begin(), result.body.end(), '\n') / 3;
+  if (result.status == 200 || result.status == 0) {
+    tokens_ += marks * kTokensPerEvent;
+  }
+  if (tokens_ > kBudget + kTurnTokens) {
+    findings_.Add("the budget holds", sent.id + " of " + program_ + " at " +
+                                          std::to_string(tokens_));
+  }
+}
+
+Operator::Operator(Findings& findings, Fleet& fleet, uint64_t seed)
+    : findings_(findings), fleet_(fleet), random_(seed) {}
+
+void Operator::Start() {
+  Publish();
+  ReadBack();
+}
+
+void Operator::Publish() {
+  if (stopping_) {
+    return;
+  }
+  std::vector<Instance*> controls = fleet_.Of(Duty::kControl);
+  const std::string body = ConfigurationOf(version_);
+  auto exchange = std::make_shared<Exchange>(
+      fleet_.ControlAddress(*Pick(controls, random_)));
+  exchanges_.push_back(exchange);
+  exchange->Send(
+      "POST /Config.Put HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
+      "Content-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      kOperatorTimeout, [this](const Exchange::Result& result) {
+        if (result.status == 200) {
+          acknowledged_ = version_;
+          history_.emplace_back(version_, findings_.Now());
+          // Versions rise in uneven steps.
+          version_ += 1 + random_() % 3;
+        }
+        QTimer::singleShot(kPublishInterval, [this] { Publish(); });
+      });
+}
+
+void Operator::Read(const Instance& control,
+                    std::function<void(uint64_t)> on_version) {
+  auto exchange = std::make_shared<Exchange>(fleet_.ControlAddress(control));
+  exchanges_.push_back(exchange);
+  exchange->Send(
+      "GET /Config.Get HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n",
+      kOperatorTimeout,
+      [on_version = std::move(on_version)](const Exchange::Result& result) {
+        const QJsonObject read =
+            QJsonDocument::fromJson(QByteArray::fromStdString(result.body))
+                .object();
+        on_version(result.status == 200
+                       ? static_cast<uint64_t>(read["version"].toDouble())
+                       : 0);
+      });
+}
+
+void Operator::ReadBack() {
+  if (stopping_) {
+    return;
+  }
+  std::vector<Instance*> controls = fleet_.Of(Duty::kControl);
+  const Instance& control = *Pick(controls, random_);
+  uint64_t expected = 0;
+  for (const auto& [version, at] : history_) {
+    if (findings_.Now() - at > kApplyMs) {
+      expected = version;
+    }
+  }
+  Read(control, [this, expected, name = control.name](uint64_t version) {
+    if (version != 0 && version < expected) {
+      findings_.Add("an acknowledged configuration stays",
+                    name + " shows " + std::to_string(version) + " after " +
+                        std::to_string(expected));
+    }
+    QTimer::singleShot(kReadInterval, [this] { ReadBack(); });
+  });
+}
+
+}  // namespace hawthorn::soak
