scheduling: Count a prefill for each call that it delays

Nearly nothing was refused or failed, but from second 8 to 34 half of the programs were late, at a rate that the first seconds served in time. Upstreams read 62.7 million prompt tokens and found 33.4 million kept; on a calm stretch it is the other way round. A turn that left the upstream of its prompt for a slightly emptier one was charged the time of its own prefill only. Engines read prompts between the steps of their batch, so that the prefill delays every call there: no upstream became emptier, and turns kept moving.

Change: an uncached prompt costs its time once for the call and once for each call that runs there. An idle upstream still takes a turn from a busy home.

Test: "A turn stays with its cached prompt while all upstreams are busy", which failed.

What is left: bursts end only as fast as the calm rate lets them; new programs are still let in while half of the begun ones are late.

--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -63,6 +63,10 @@
   }
 }
 
+double SharedPool::PrefillCost(int64_t tokens, double total) {
+  return static_cast<double>(tokens) * kMsPerPromptToken * (1 + total);
+}
+
 double SharedPool::CostOf(const Upstream& upstream, const CallRequest& call,
                           double total) const {
   if (placement_ == SharedPlacement::kLeastLoaded) {
@@ -75,8 +79,7 @@
   if (upstream.state.cache_tokens > 0) {
     const int64_t cached =
         cache_.CachedTokens(upstream.cache_slot, call.prefix);
-    cost +=
-        static_cast<double>(call.prompt_tokens - cached) * kMsPerPromptToken;
+    cost += PrefillCost(call.prompt_tokens - cached, total);
   }
   cost += upstream.state.zone == zone_ ? 0 : kCrossZoneMs;
   return cost + upstream.failures * kFailureMs;
@@ -125,14 +128,15 @@
   const Upstream* best = nullptr;
   double best_cost = 0;
   for (const Upstream* it : usable) {
-    double cost =
-        CostOf(*it, call, it->load.Total(now, others * it->MaxRunning()));
+    const double total = it->load.Total(now, others * it->MaxRunning());
+    double cost = CostOf(*it, call, total);
     const bool is_unseen_home =
         it == home && it->state.cache_tokens > 0 &&
         cache_.CachedTokens(it->cache_slot, call.prefix) == 0;
     if (is_unseen_home) {
-      cost -= static_cast<double>(call.prompt_tokens) * kHomeCachedShare *
-              kMsPerPromptToken;
+      const auto assumed = static_cast<int64_t>(
+          static_cast<double>(call.prompt_tokens) * kHomeCachedShare);
+      cost -= PrefillCost(assumed, total);
     }
     if (best == nullptr || cost < best_cost) {
       best = it;
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -101,6 +101,9 @@
     bool TakesCalls() const { return !state.leaving && !check_at; }
   };
 
+  /// Cost of prefilling `tokens` at an upstream that runs `total` calls: the
+  /// delay of this call and of the others.
+  static double PrefillCost(int64_t tokens, double total);
   /// Cost of running `call` at an upstream with `total` calls of all
   /// instances.
   double CostOf(const Upstream& upstream, const CallRequest& call,
--- a/tests/scheduling/shared_scheduler_test.cpp
+++ b/tests/scheduling/shared_scheduler_test.cpp
@@ -196,6 +196,43 @@
         dispatched[0].upstream);
 }
 
+// The load of a burst that outlasted itself: each turn that left its upstream
+// for a slightly emptier one was read there again and delayed a whole batch, so
+// that no upstream became emptier.
+TEST_CASE("A turn stays with its cached prompt while all upstreams are busy") {
+  const auto second_turn_goes_to = [](uint32_t running_elsewhere) {
+    Fixture fixture;
+    fixture.AddUpstream("home", "a", 6);
+    CallRequest first = fixture.Call(1);
+    first.prefix = {{11, 500}, {12, 2500}};
+    REQUIRE(core::IsOk(fixture.scheduler.Enqueue(first, fixture.now)));
+    REQUIRE(fixture.scheduler.Next(fixture.now).size() == 1);
+    CallResult result;
+    result.call = 1;
+    result.produced = PrefixSegment{12, 2500};
+    fixture.scheduler.OnFinished(result, fixture.now);
+    fixture.AddUpstream("other", "a", 6);
+    fixture.now += milliseconds(1);
+    for (const auto& [id, running] : std::map<std::string, uint32_t>{
+             {"home", 6}, {"other", running_elsewhere}}) {
+      LoadReport report;
+      report.taken_at = fixture.now;
+      report.running = running;
+      fixture.scheduler.OnReport(core::UpstreamId(id), report);
+    }
+    CallRequest next = fixture.Call(2);
+    // Without a program, only what was seen of the caches counts.
+    next.program = core::ProgramId();
+    next.prompt_tokens = 3000;
+    next.prefix = {{11, 500}, {12, 2500}, {13, 3000}};
+    REQUIRE(core::IsOk(fixture.scheduler.Enqueue(next, fixture.now)));
+    return fixture.scheduler.Next(fixture.now).at(0).upstream.text();
+  };
+  CHECK(second_turn_goes_to(3) == "home");
+  // An idle upstream reads the prompt sooner than its home has a slot.
+  CHECK(second_turn_goes_to(0) == "other");
+}
+
 TEST_CASE("A leaving upstream gets no call") {
   Fixture fixture;
   fixture.AddUpstream("near", "a");
