relay: Record the request limits that upstreams name

The platform's codec decodes it now, the relay keeps it for each incarnation, logs each change and counts the requests that it sends in spite of it. A response without a limit ends it only if its request was sent after the limit was learned, since responses of several connections overtake each other.

--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -53,6 +53,11 @@
   bool wrong_upstream = false;
   /// The upstream that sent the response is draining.
   bool draining = false;
+  /// Requests per second that the upstream takes from all instances together,
+  /// if it names a limit.
+  std::optional<double> request_limit;
+  /// The upstream names a limit that cannot be read.
+  bool has_malformed_limit = false;
   /// The body has a content encoding, such as compression.
   bool encoded = false;
   /// Id of the request that the response belongs to; empty if it is missing.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -55,6 +55,11 @@
   return segments;
 }
 
+/// Text form of a request limit for log records.
+std::string LimitText(std::optional<double> per_second) {
+  return per_second ? std::to_string(*per_second) : "none";
+}
+
 /// Digest of what the upstreams receive of a request, whoever sends it. Leaves
 /// out the ids of the request and of its program, which differ between two
 /// sends of the same content.
@@ -213,6 +218,7 @@
     return;
   }
   links_.Forget(id);
+  request_limits_.Forget(id);
   scheduler_.RemoveUpstream(core::UpstreamId(id));
   logging::Log(logging::LogLevel::kInfo, "upstream removed",
                {{"upstream", id}});
@@ -237,6 +243,7 @@
   set("open_calls", calls_.size());
   set("queued_calls", scheduler_.queued());
   set("upstreams_known", upstreams_.size());
+  set("upstreams_limited", request_limits_.size());
   set("upstream_links_idle", links_.TotalIdle());
   set("upstream_links_in_use", links_.TotalInUse());
   set("upstream_links_opened", links_.opened());
@@ -369,13 +376,57 @@
   }
 }
 
+void Relay::OnSent(const RelayCall& call) {
+  if (request_limits_.Of(call.summary().last_upstream,
+                         call.upstream_started_at_ms())) {
+    parts_.metrics.Count("relay_sent_under_limit");
+  }
+}
+
+void Relay::UpdateRequestLimit(const RelayCall& call,
+                               const ResponseInfo& response) {
+  const std::string& upstream = call.summary().last_upstream;
+  const uint64_t started_at_ms = call.upstream_started_at_ms();
+  if (started_at_ms != StartTimeOf(upstream)) {
+    return;
+  }
+  if (response.has_malformed_limit) {
+    parts_.metrics.Count("relay_malformed_limits");
+    logging::Log(logging::LogLevel::kWarn, "malformed request limit",
+                 {{"upstream", upstream}, {"request", call.head().request_id}});
+  }
+  const std::optional<double> before =
+      request_limits_.Of(upstream, started_at_ms);
+  const bool is_own = response.request_id == call.head().request_id;
+  const bool changed =
+      response.request_limit
+          ? request_limits_.OnNamed(upstream, started_at_ms,
+                                    *response.request_limit, parts_.clock.Now())
+          : is_own && !response.has_malformed_limit &&
+                request_limits_.OnNotNamed(upstream, started_at_ms,
+                                           call.sent_at());
+  if (!changed) {
+    return;
+  }
+  logging::Log(logging::LogLevel::kInfo, "upstream limit changed",
+               {{"upstream", upstream},
+                {"started_at_ms", std::to_string(started_at_ms)},
+                {"limit", LimitText(response.request_limit)},
+                {"before", LimitText(before)},
+                {"known_by", "response"},
+                {"request", call.head().request_id}});
+}
+
 void Relay::OnResponseHead(const RelayCall& call,
                            const ResponseInfo& response) {
   const std::string& upstream = call.summary().last_upstream;
   // A wrong upstream speaks for itself, not for the one that the call was
   // meant for.
-  if (response.draining && !response.wrong_upstream) {
-    MarkDraining(call);
+  if (!response.wrong_upstream) {
+    if (response.draining) {
+      MarkDraining(call);
+    }
+    UpdateRequestLimit(call, response);
   }
   if (!response.running) {
     return;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -13,6 +13,7 @@
 #include "core/metrics.h"
 #include "relay/drain_marks.h"
 #include "relay/relay_call.h"
+#include "relay/request_limits.h"
 #include "relay/upstream_link_pool.h"
 #include "scheduling/shared_scheduler.h"
 #include "schema/generated/deployment.pb.h"
@@ -102,6 +103,7 @@
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
   uint64_t StartTimeOf(const std::string& upstream) const override;
+  void OnSent(const RelayCall& call) override;
   void OnResponseHead(const RelayCall& call,
                       const ResponseInfo& response) override;
   bool IsDraining(const RelayCall& call) const override;
@@ -121,6 +123,9 @@
   bool IsDraining(const schema::UpstreamEntry& entry) const;
   /// The upstream of the call says that it is draining.
   void MarkDraining(const RelayCall& call);
+  /// Takes the limit that the upstream of the call names, or that it names
+  /// none.
+  void UpdateRequestLimit(const RelayCall& call, const ResponseInfo& response);
   /// Passes the state of an upstream to the scheduler.
   void UpdateScheduler(const Upstream& upstream);
   void RemoveUpstream(const std::string& id);
@@ -147,6 +152,7 @@
   UpstreamLinkPool links_;
   std::map<std::string, Upstream> upstreams_;
   DrainMarks drain_marks_;
+  RequestLimits request_limits_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -143,6 +143,8 @@
     return;
   }
   ++summary_.attempts;
+  sent_at_ = parts_.host.clock().Now();
+  parts_.host.OnSent(*this);
   if (parts_.route.IsRetryable()) {
     idle_timer_.start(kFirstIdleTimeout);
   }
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -45,7 +45,10 @@
                              scheduling::CallOutcome outcome) = 0;
   /// Start time of the upstream as it announced it; 0 if it is not known.
   virtual uint64_t StartTimeOf(const std::string& upstream) const = 0;
-  /// Takes load and draining of the call's upstream from a response head.
+  /// The call is sent on a connection to its upstream.
+  virtual void OnSent(const RelayCall& call) = 0;
+  /// Takes load, draining and request limit of the call's upstream from a
+  /// response head.
   virtual void OnResponseHead(const RelayCall& call,
                               const ResponseInfo& response) = 0;
   /// Whether the incarnation of the upstream that ran the call last is
@@ -172,6 +175,8 @@
   const CallSummary& summary() const { return summary_; }
   /// Start time of the upstream that was last sent the call.
   uint64_t upstream_started_at_ms() const { return upstream_started_at_ms_; }
+  /// When the call was last sent to an upstream.
+  core::TimePoint sent_at() const { return sent_at_; }
   /// Upstream that runs the call now; empty if none does.
   std::string_view running_at() const {
     return state_ == State::kRunning ? upstream_ : std::string_view();
@@ -232,6 +237,7 @@
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
   uint64_t upstream_started_at_ms_ = 0;
+  core::TimePoint sent_at_;
   UpstreamLink* link_ = nullptr;
   std::vector<core::UpstreamId> excluded_;
   std::optional<TokenClaim> claim_;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -213,5 +213,28 @@
   }
 }
 
+// Guards against a limit of requests that an upstream names and nobody reads.
+TEST_CASE("The request limit that an upstream names is decoded") {
+  const PlatformCallCodec codec;
+  const auto decode = [&](const transport::HeaderList& fields) {
+    return codec.DecodeResponse(HeadWith(fields));
+  };
+  CHECK_FALSE(decode({}).request_limit);
+  CHECK_FALSE(decode({}).has_malformed_limit);
+  CHECK(decode({{"Server-Limit", "8.8"}}).request_limit == 8.8);
+  CHECK(decode({{"server-limit", " 12 "}}).request_limit == 12.0);
+  CHECK(decode({{"Server-Limit", "0"}}).request_limit == 0.0);
+  CHECK(
+      decode({{"Server-Limit", "9"}, {"Server-Limit", "4.5"}}).request_limit ==
+      4.5);
+  CHECK(decode({{"Server-Limit", "9, 4.5"}}).request_limit == 4.5);
+  for (const char* value : {"", "-1", "x", "8x", "nan", "inf", "1e999"}) {
+    CAPTURE(value);
+    const relay::ResponseInfo info = decode({{"Server-Limit", value}});
+    CHECK_FALSE(info.request_limit);
+    CHECK(info.has_malformed_limit);
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::platform
