--- /dev/null
+++ b/tests/relay/request_limit_test.cpp
@@ -0,0 +1,158 @@
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "relay_fixture.h"
+
+namespace hawthorn::relay {
+namespace {
+
+using Step = ScriptedUpstream::Step;
+
+constexpr double kLimit = 2;
+/// Requests that the users' rule allows in any 4 s at kLimit.
+constexpr size_t kMostInWindow = 17;
+constexpr std::chrono::seconds kWindow{4};
+
+/// Serves every request and names a request limit, as long as it is set.
+class LimitedUpstream {
+ public:
+  explicit LimitedUpstream(std::string limit)
+      : limit(std::move(limit)), upstream_([this](const std::string& request) {
+          times_.push_back(std::chrono::steady_clock::now());
+          return Step{Respond(request)};
+        }) {}
+
+  std::string address() const { return upstream_.address(); }
+  size_t request_count() const { return times_.size(); }
+  /// Largest number of requests in any window of `kWindow` that begins with or
+  /// after the request number `first`.
+  size_t MostInWindow(size_t first) const {
+    size_t most = 0;
+    for (size_t from = first; from < times_.size(); ++from) {
+      const auto end = std::find_if(
+          times_.begin() + static_cast<ptrdiff_t>(from), times_.end(),
+          [&](auto at) { return at >= times_[from] + kWindow; });
+      most = std::max(most, static_cast<size_t>(end - times_.begin()) - from);
+    }
+    return most;
+  }
+
+  /// Value of the field that names the limit; empty for none.
+  std::string limit;
+
+ private:
+  std::string Respond(const std::string& request) const {
+    std::string response = SignedResponse(request, "fine");
+    if (!limit.empty()) {
+      response.insert(response.find("\r\n") + 2,
+                      "Server-Limit: " + limit + "\r\n");
+    }
+    return response;
+  }
+
+  std::vector<std::chrono::steady_clock::time_point> times_;
+  ScriptedUpstream upstream_;
+};
+
+/// Sends calls one after the other and returns what their callers receive.
+class CallSequence {
+ public:
+  std::string Send(RelayFixture& relay, const std::string& path) {
+    Caller caller(relay.port());
+    caller.Send(RelayFixture::Request(path, "r" + std::to_string(++sent_),
+                                      "X-Deadline-Ms: 3000\r\n"));
+    REQUIRE(WaitFor([&] { return caller.received().size() > 12; }));
+    return caller.received();
+  }
+
+ private:
+  int sent_ = 0;
+};
+
+/// Three relays of one deployment, without contact to a group.
+class ThreeRelays {
+ public:
+  ThreeRelays() {
+    for (RelayFixture& it : relays) {
+      it.relay().SetInstanceCount(relays.size());
+    }
+  }
+  void AddUpstream(const std::string& id, const std::string& address) {
+    for (RelayFixture& it : relays) {
+      it.AddUpstream(id, address);
+    }
+  }
+
+  std::array<RelayFixture, 3> relays;
+  CallSequence calls;
+};
+
+// Guards against a limit that no instance obeys, or that each obeys for itself.
+TEST_CASE(
+    "known-red: The request limit of an upstream holds over all instances") {
+  ThreeRelays it;
+  LimitedUpstream limited(std::to_string(kLimit));
+  LimitedUpstream other("");
+  it.AddUpstream("u", limited.address());
+  // Each relay learns the limit.
+  for (RelayFixture& relay : it.relays) {
+    it.calls.Send(relay, "/read/x");
+  }
+  const size_t known = limited.request_count();
+  REQUIRE(known == it.relays.size());
+  it.AddUpstream("v", other.address());
+  for (int n = 0; n < 40; ++n) {
+    for (RelayFixture& relay : it.relays) {
+      CHECK(it.calls.Send(relay, "/read/x").starts_with("HTTP/1.1 200 "));
+    }
+  }
+  CHECK(limited.MostInWindow(known) <= kMostInWindow);
+}
+
+// Guards against callers that wait for an upstream that takes no more requests,
+// and against sending all of them back at the same moment.
+TEST_CASE(
+    "known-red: Calls beyond the limits of all upstreams are refused at once") {
+  RelayFixture it;
+  CallSequence calls;
+  LimitedUpstream limited(std::to_string(kLimit));
+  it.AddUpstream("u", limited.address());
+  calls.Send(it, "/once/x");
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int n = 0; n < 20; ++n) {
+    callers.push_back(std::make_unique<Caller>(it.port()));
+    callers.back()->Send(RelayFixture::Request(
+        "/once/x", "c" + std::to_string(n), "X-Deadline-Ms: 60000\r\n"));
+  }
+  REQUIRE(WaitFor([&] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+      return caller->received().ends_with("fine") ||
+             caller->received().starts_with("HTTP/1.1 503 ");
+    });
+  }));
+  CHECK(limited.MostInWindow(1) <= kMostInWindow);
+  std::vector<double> retry_after;
+  for (const auto& caller : callers) {
+    const std::string name = "Retry-After: ";
+    const size_t at = caller->received().find(name);
+    if (at != std::string::npos) {
+      retry_after.push_back(
+          std::stod(caller->received().substr(at + name.size())));
+    }
+  }
+  REQUIRE(retry_after.size() >= callers.size() - kMostInWindow);
+  std::sort(retry_after.begin(), retry_after.end());
+  for (size_t n = 0; n < retry_after.size(); ++n) {
+    CAPTURE(n);
+    // No more callers return by a time than the limit takes until then.
+    CHECK(static_cast<double>(n) <= kLimit * retry_after[n] + 1);
+  }
+}
+
+}  // namespace
+}  // namespace hawthorn::relay
