relay, scheduling: Keep the request limits of upstreams over all instances

Class of fault: a bound that an upstream states for the whole deployment, of which each instance sees only its own part. Ruled out: that the limit was read as load (no decision depended on it), that a part of the instances missed it (all nine had read it).

Change: the limit belongs to an incarnation, spreads through the group like a drain, and each instance sends its own share at even intervals. Calls that the limits leave no time for are refused at once and told staggered times to return.

A tighter use of shares whose instance has few callers is open.

--- a/cluster/command_log.cpp
+++ b/cluster/command_log.cpp
@@ -30,6 +30,8 @@
       return "crashed_request";
     case Command::kDrainingUpstream:
       return "draining_upstream";
+    case Command::kUpstreamLimit:
+      return "upstream_limit";
     case Command::kSucceededRequest:
       return "succeeded_request";
     case Command::BODY_NOT_SET:
--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -297,6 +297,12 @@
   AddReport(command);
 }
 
+void DeploymentClient::ReportLimit(const schema::UpstreamLimit& limit) {
+  schema::DeploymentCommand command;
+  *command.mutable_upstream_limit() = limit;
+  AddReport(command);
+}
+
 void DeploymentClient::AddReport(const schema::DeploymentCommand& command) {
   if (open_reports_ >= kMaxOpenReports) {
     LogLostReport(command, "too many open reports");
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -84,6 +84,10 @@
   /// draining. Retried like a crash.
   void ReportDraining(const std::string& upstream, uint64_t started_at_ms);
 
+  /// Reports to the group that an upstream changed its request limit in a
+  /// response. Retried like a crash.
+  void ReportLimit(const schema::UpstreamLimit& limit);
+
   /// Returns whether the known state is current: an update was received within
   /// kUpdateTimeout.
   bool IsCurrent() const { return HadContactWithin(kUpdateTimeout); }
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -95,6 +95,9 @@
     case schema::DeploymentCommand::kDrainingUpstream:
       MarkDraining(parsed.draining_upstream());
       break;
+    case schema::DeploymentCommand::kUpstreamLimit:
+      SetRequestLimit(parsed.upstream_limit());
+      break;
     case schema::DeploymentCommand::kSucceededRequest:
       crashes_.Succeeded(parsed.succeeded_request());
       break;
@@ -219,6 +222,12 @@
   entry.set_revision(++upstream_revision_);
   schema::UpstreamEntry& stored = upstreams_[entry.upstream()];
   entry.set_draining(entry.draining() || StaysDraining(stored, entry));
+  // Announcements name no limit; responses of the same incarnation do.
+  entry.clear_request_limit();
+  if (stored.has_request_limit() &&
+      stored.started_at_ms() == entry.started_at_ms()) {
+    entry.set_request_limit(stored.request_limit());
+  }
   stored = std::move(entry);
   const auto gone =
       std::count_if(upstreams_.begin(), upstreams_.end(),
@@ -247,6 +256,26 @@
   it->second.set_revision(++upstream_revision_);
 }
 
+void DeploymentState::SetRequestLimit(const schema::UpstreamLimit& limit) {
+  const auto it = upstreams_.find(limit.incarnation().upstream());
+  if (it == upstreams_.end() || it->second.gone() ||
+      it->second.started_at_ms() != limit.incarnation().started_at_ms()) {
+    return;
+  }
+  schema::UpstreamEntry& entry = it->second;
+  const bool limited = limit.has_requests_per_second();
+  if (entry.has_request_limit() == limited &&
+      entry.request_limit() == limit.requests_per_second()) {
+    return;
+  }
+  if (limited) {
+    entry.set_request_limit(limit.requests_per_second());
+  } else {
+    entry.clear_request_limit();
+  }
+  entry.set_revision(++upstream_revision_);
+}
+
 void DeploymentState::Reserve(const schema::TokenReservation& reservation,
                               schema::DeploymentReply* reply) {
   for (const schema::TokenSettlement& it : reservation.settlements()) {
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -67,6 +67,7 @@
   void Publish(const schema::PublishedConfiguration& published);
   void ApplyAnnouncement(schema::UpstreamEntry entry);
   void MarkDraining(const schema::UpstreamIncarnation& draining);
+  void SetRequestLimit(const schema::UpstreamLimit& limit);
   void Reserve(const schema::TokenReservation& reservation,
                schema::DeploymentReply* reply);
   void Settle(const schema::TokenSettlement& settlement);
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -32,6 +32,9 @@
            [this](uint64_t digest) { client_.ReportSuccess(digest); },
            [this](const std::string& upstream, uint64_t started_at_ms) {
              client_.ReportDraining(upstream, started_at_ms);
+           },
+           [this](const schema::UpstreamLimit& it) {
+             client_.ReportLimit(it);
            }}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "logging/log.h"
@@ -198,21 +199,60 @@
       upstream.entry.started_at_ms() != entry.started_at_ms()) {
     links_.Forget(id);
   }
+  TakeRecordedLimit(upstream.entry, entry);
   upstream.entry = entry;
   upstream.address = core::Value(address);
   UpdateScheduler(upstream);
-  logging::Log(logging::LogLevel::kInfo, "upstream changed",
-               {{"upstream", id},
-                {"service", entry.service()},
-                {"address", entry.address()},
-                {"draining", IsDraining(entry) ? "true" : "false"},
-                {"known_by", !IsDraining(entry) ? ""
-                             : entry.draining() ? "record"
-                                                : "response"},
-                {"revision", std::to_string(entry.revision())}});
+  logging::Log(
+      logging::LogLevel::kInfo, "upstream changed",
+      {{"upstream", id},
+       {"service", entry.service()},
+       {"address", entry.address()},
+       {"draining", IsDraining(entry) ? "true" : "false"},
+       {"known_by", !IsDraining(entry) ? ""
+                    : entry.draining() ? "record"
+                                       : "response"},
+       {"limit", LimitText(request_limits_.Of(id, entry.started_at_ms()))},
+       {"revision", std::to_string(entry.revision())}});
   SchedulePump();
 }
 
+void Relay::TakeRecordedLimit(const schema::UpstreamEntry& before,
+                              const schema::UpstreamEntry& entry) {
+  const auto limit_of = [](const schema::UpstreamEntry& it) {
+    return it.has_request_limit() ? std::optional(it.request_limit())
+                                  : std::nullopt;
+  };
+  const std::optional<double> limit = limit_of(entry);
+  const bool same_incarnation = before.started_at_ms() == entry.started_at_ms();
+  if (same_incarnation && limit_of(before) == limit) {
+    return;
+  }
+  if (limit) {
+    request_limits_.OnNamed(entry.upstream(), entry.started_at_ms(), *limit,
+                            parts_.clock.Now());
+  } else if (same_incarnation) {
+    request_limits_.Forget(entry.upstream());
+  }
+}
+
+void Relay::ReportLimit(const Upstream& upstream, std::optional<double> limit) {
+  const schema::UpstreamEntry& entry = upstream.entry;
+  const bool is_known = limit.has_value() == entry.has_request_limit() &&
+                        std::abs(limit.value_or(0) - entry.request_limit()) <=
+                            entry.request_limit() * kReportedLimitChange;
+  if (is_known || !parts_.on_limit) {
+    return;
+  }
+  schema::UpstreamLimit report;
+  report.mutable_incarnation()->set_upstream(entry.upstream());
+  report.mutable_incarnation()->set_started_at_ms(entry.started_at_ms());
+  if (limit) {
+    report.set_requests_per_second(*limit);
+  }
+  parts_.on_limit(report);
+}
+
 void Relay::RemoveUpstream(const std::string& id) {
   if (upstreams_.erase(id) == 0) {
     return;
@@ -263,10 +303,26 @@
 }
 
 void Relay::SetInstanceCount(size_t instances) {
-  if (instances_ == instances || instances == 0) {
+  if (instances == 0) {
     return;
   }
-  instances_ = instances;
+  const core::TimePoint now = parts_.clock.Now();
+  if (instances >= instances_) {
+    lower_instances_ = 0;
+  } else if (lower_instances_ == 0) {
+    lower_instances_ = instances;
+    lower_since_ = now;
+  } else {
+    lower_instances_ = std::max(lower_instances_, instances);
+  }
+  const bool stayed_lower =
+      lower_instances_ > 0 && now - lower_since_ >= kInstanceCountHold;
+  const size_t count = stayed_lower ? std::exchange(lower_instances_, 0)
+                                    : std::max(instances_, instances);
+  if (count != instances_) {
+    instances_ = count;
+    scheduler_.SetInstanceCount(count, now);
+  }
 }
 
 void Relay::UpdateScheduler(const Upstream& upstream) {
@@ -276,12 +332,14 @@
   state.zone = core::ZoneId(upstream.entry.zone());
   state.max_running = upstream.entry.max_running();
   state.leaving = IsDraining(upstream.entry);
+  state.request_limit = request_limits_.Of(upstream.entry.upstream(),
+                                           upstream.entry.started_at_ms());
   const ServiceSettings* service =
       table_ ? table_->FindService(upstream.entry.service()) : nullptr;
   if (service != nullptr && service->engine) {
     state.cache_tokens = service->engine->cache_tokens;
   }
-  scheduler_.SetUpstream(state);
+  scheduler_.SetUpstream(state, parts_.clock.Now());
 }
 
 core::Status Relay::Enqueue(RelayCall& call) {
@@ -376,6 +434,10 @@
   }
 }
 
+bool Relay::TakeRepeat(const RelayCall& call) {
+  return scheduler_.TakeRepeat(call.schedule_id(), parts_.clock.Now());
+}
+
 void Relay::OnSent(const RelayCall& call) {
   if (request_limits_.Of(call.summary().last_upstream,
                          call.upstream_started_at_ms())) {
@@ -387,7 +449,9 @@
                                const ResponseInfo& response) {
   const std::string& upstream = call.summary().last_upstream;
   const uint64_t started_at_ms = call.upstream_started_at_ms();
-  if (started_at_ms != StartTimeOf(upstream)) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end() ||
+      it->second.entry.started_at_ms() != started_at_ms) {
     return;
   }
   if (response.has_malformed_limit) {
@@ -415,6 +479,9 @@
                 {"before", LimitText(before)},
                 {"known_by", "response"},
                 {"request", call.head().request_id}});
+  UpdateScheduler(it->second);
+  ReportLimit(it->second, response.request_limit);
+  SchedulePump();
 }
 
 void Relay::OnResponseHead(const RelayCall& call,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -44,6 +44,8 @@
     /// Receives an upstream and its start time when it says in a response that
     /// it is draining.
     std::function<void(const std::string&, uint64_t)> on_draining = {};
+    /// Receives the request limit of an upstream when a response changes it.
+    std::function<void(const schema::UpstreamLimit&)> on_limit = {};
     /// Time without a complete event after which a stream is given up.
     std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout;
   };
@@ -74,10 +76,19 @@
   void SetShutdownDeadline(core::TimePoint deadline) {
     shutdown_deadline_ = deadline;
   }
-  /// Sets the number of instances that share the connection limits of the
-  /// upstreams.
+  /// Sets the number of instances that share the connection limits and request
+  /// limits of the upstreams. A lower number than before takes effect after
+  /// kInstanceCountHold.
   void SetInstanceCount(size_t instances);
 
+  /// Time for which the number of instances must stay lower until the others'
+  /// shares grow. A leader that was just elected, or an instance that restarts,
+  /// has not heard of all others yet.
+  static constexpr std::chrono::seconds kInstanceCountHold{10};
+  /// Change of a request limit, as a part of it, below which the other
+  /// instances are not told: each of them reads it in a response of its own.
+  static constexpr double kReportedLimitChange = 0.1;
+
   /// Interval of looking for suspended upstreams that are due for a check.
   static constexpr std::chrono::milliseconds kCheckInterval{100};
 
@@ -103,6 +114,7 @@
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
   uint64_t StartTimeOf(const std::string& upstream) const override;
+  bool TakeRepeat(const RelayCall& call) override;
   void OnSent(const RelayCall& call) override;
   void OnResponseHead(const RelayCall& call,
                       const ResponseInfo& response) override;
@@ -121,6 +133,12 @@
   void OnCallEnded(RelayCall& call) override;
 
   bool IsDraining(const schema::UpstreamEntry& entry) const;
+  /// Takes the request limit of a record if it differs from that of the record
+  /// before.
+  void TakeRecordedLimit(const schema::UpstreamEntry& before,
+                         const schema::UpstreamEntry& entry);
+  /// Reports a request limit that differs from the record of the upstream.
+  void ReportLimit(const Upstream& upstream, std::optional<double> limit);
   /// The upstream of the call says that it is draining.
   void MarkDraining(const RelayCall& call);
   /// Takes the limit that the upstream of the call names, or that it names
@@ -157,6 +175,10 @@
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
   size_t instances_ = 1;
+  /// Highest number of instances since it became lower than instances_, and
+  /// when that was.
+  size_t lower_instances_ = 0;
+  core::TimePoint lower_since_;
   std::set<uint64_t> poison_requests_;
   std::set<uint64_t> suspected_requests_;
   std::optional<core::TimePoint> shutdown_deadline_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -67,7 +67,8 @@
   if (const auto shutdown = parts_.host.shutdown_deadline();
       shutdown && deadline_ > *shutdown) {
     Refuse(status::kServiceUnavailable,
-           "the instance stops before the call may be over", kRetryAfter);
+           "the instance stops before the call may be over",
+           WithinPatience(kRetryAfter));
     return;
   }
   deadline_timer_.start(allowed);
@@ -96,7 +97,7 @@
   if (!core::IsOk(reply)) {
     const core::Error& error = core::ErrorOf(reply);
     Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
-           error.retry_after.value_or(kRetryAfter));
+           WithinPatience(error.retry_after.value_or(kRetryAfter)));
     return;
   }
   summary_.budget_remaining = core::Value(reply).remaining;
@@ -118,8 +119,18 @@
 }
 
 void RelayCall::RefuseQueued(const core::Error& error) {
+  const auto retry_after = error.retry_after.value_or(kRetryAfter);
+  // The wait for a request limit is known, so it is told also if the caller
+  // will not wait as long.
+  const bool is_exact = error.code == core::ErrorCode::kLimitExceeded;
   Refuse(status::kServiceUnavailable, error.message,
-         error.retry_after.value_or(kRetryAfter));
+         is_exact ? retry_after : WithinPatience(retry_after));
+}
+
+std::chrono::milliseconds RelayCall::WithinPatience(
+    std::chrono::milliseconds retry_after) const {
+  return std::min(retry_after,
+                  std::max(TimeLeft() / kRetryAfterDivisor, kMinTimeLeft));
 }
 
 void RelayCall::Dispatch(const std::string& upstream) {
@@ -438,7 +449,7 @@
     EnterQueue();
     return true;
   }
-  if (parts_.host.IsDraining(*this)) {
+  if (parts_.host.IsDraining(*this) || !parts_.host.TakeRepeat(*this)) {
     return false;
   }
   // The limit of upstreams is reached, so only an upstream that may already
@@ -493,9 +504,7 @@
   summary_.reason = std::move(reason);
   transport::HeaderList fields;
   if (retry_after) {
-    const auto longest =
-        std::max(TimeLeft() / kRetryAfterDivisor, kMinTimeLeft);
-    fields.push_back({"Retry-After", Seconds(std::min(*retry_after, longest))});
+    fields.push_back({"Retry-After", Seconds(*retry_after)});
   }
   parts_.session.Respond(status, std::move(fields), summary_.reason);
   End();
@@ -506,7 +515,7 @@
   if (response_started_) {
     parts_.session.AbortBody();
   } else if (status == status::kServiceUnavailable) {
-    Refuse(status, summary_.reason, kRetryAfter);
+    Refuse(status, summary_.reason, WithinPatience(kRetryAfter));
     return;
   } else {
     summary_.status = status;
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -45,6 +45,9 @@
                              scheduling::CallOutcome outcome) = 0;
   /// Start time of the upstream as it announced it; 0 if it is not known.
   virtual uint64_t StartTimeOf(const std::string& upstream) const = 0;
+  /// Whether the request limit of the call's upstream allows to send it the
+  /// call once more now; counts the request if so.
+  virtual bool TakeRepeat(const RelayCall& call) = 0;
   /// The call is sent on a connection to its upstream.
   virtual void OnSent(const RelayCall& call) = 0;
   /// Takes load, draining and request limit of the call's upstream from a
@@ -225,6 +228,9 @@
   void Fail(int status, std::string reason);
   void End();
   std::chrono::milliseconds TimeLeft() const;
+  /// Limits an estimated Retry-After to what the caller will wait.
+  std::chrono::milliseconds WithinPatience(
+      std::chrono::milliseconds retry_after) const;
 
   Parts parts_;
   core::TimePoint started_;
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -35,12 +35,42 @@
   return z ^ (z >> 31U);
 }
 
-void SharedPool::Set(const UpstreamState& state) {
+double SharedPool::ShareOf(double limit) const {
+  const double share =
+      std::max(limit, kLeastLimit) / static_cast<double>(instances_);
+  return share < kSparseShare && instances_ > 1 ? share * kSparseReserve
+                                                : share;
+}
+
+void SharedPool::UpdateShare(Upstream* upstream, core::TimePoint now) {
+  if (!upstream->state.request_limit) {
+    upstream->share.reset();
+    return;
+  }
+  const double per_second = ShareOf(*upstream->state.request_limit);
+  if (upstream->share) {
+    upstream->share->SetRate(per_second, now);
+    return;
+  }
+  const double phase =
+      static_cast<double>(NextRandom()) / static_cast<double>(UINT64_MAX);
+  upstream->share.emplace(per_second, phase, now);
+}
+
+void SharedPool::SetInstanceCount(size_t instances, core::TimePoint now) {
+  instances_ = std::max<size_t>(1, instances);
+  for (auto& [id, upstream] : upstreams_) {
+    UpdateShare(&upstream, now);
+  }
+}
+
+void SharedPool::Set(const UpstreamState& state, core::TimePoint now) {
   const auto [it, added] = upstreams_.try_emplace(state.id);
   if (added) {
     it->second.cache_slot = next_cache_slot_++;
   }
   it->second.state = state;
+  UpdateShare(&it->second, now);
 }
 
 void SharedPool::Remove(const core::UpstreamId& upstream) {
@@ -103,6 +133,9 @@
   // upstream without reports is still tried.
   const double bounded_others = std::min(others, 1.0);
   std::erase_if(usable, [bounded_others, now](const Upstream* it) {
+    if (it->share && !it->share->Allows(now)) {
+      return true;
+    }
     const double total =
         it->load.Total(now, bounded_others * (it->MaxRunning() - 1));
     return total + 1 > it->MaxRunning() * (1 + kOverfill);
@@ -150,7 +183,23 @@
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
     it->second.load.OnStart(now);
+    if (it->second.share) {
+      it->second.share->Take(now);
+    }
+  }
+}
+
+bool SharedPool::TakeRepeat(const core::UpstreamId& upstream,
+                            core::TimePoint now) {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end() || !it->second.share) {
+    return true;
+  }
+  if (!it->second.share->Allows(now)) {
+    return false;
   }
+  it->second.share->Take(now);
+  return true;
 }
 
 void SharedPool::End(const core::UpstreamId& upstream, const CallResult& result,
@@ -181,21 +230,30 @@
   }
 }
 
-double SharedPool::Slots() const {
-  double slots = 0;
-  for (const auto& [id, it] : upstreams_) {
-    slots += it.TakesCalls() ? it.MaxRunning() : 0;
-  }
-  return slots;
-}
-
-double SharedPool::Load(core::TimePoint now) const {
+SharedPool::Capacity SharedPool::CapacityAt(core::TimePoint now) const {
   const double others = others_per_slot_.Value(now);
-  double load = 0;
+  Capacity capacity;
   for (const auto& [id, it] : upstreams_) {
-    load += it.TakesCalls() ? it.load.Total(now, others * it.MaxRunning()) : 0;
+    if (!it.TakesCalls()) {
+      continue;
+    }
+    const bool is_limited =
+        it.share &&
+        *it.state.request_limit * mean_run_seconds_ < it.MaxRunning();
+    if (!is_limited) {
+      capacity.running_limit += it.MaxRunning();
+      capacity.load += it.load.Total(now, others * it.MaxRunning());
+      continue;
+    }
+    const auto wait = it.share->Wait(now);
+    capacity.limited_wait = capacity.limited_per_second == 0
+                                ? wait
+                                : std::min(capacity.limited_wait, wait);
+    capacity.limited_per_second += ShareOf(*it.state.request_limit);
   }
-  return load;
+  capacity.running_per_second = capacity.running_limit / mean_run_seconds_ /
+                                static_cast<double>(instances_);
+  return capacity;
 }
 
 void SharedPool::Suspend(const core::UpstreamId& upstream,
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -13,6 +13,7 @@
 #include "scheduling/call.h"
 #include "scheduling/decaying_mean.h"
 #include "scheduling/load_estimate.h"
+#include "scheduling/rate_share.h"
 #include "scheduling/upstream.h"
 
 namespace hawthorn::scheduling {
@@ -51,28 +52,64 @@
   /// Half-life of the estimate of the other instances' load on the pool. It is
   /// as long as a call, so that the estimate follows a burst.
   static constexpr std::chrono::milliseconds kOthersHalfLife{250};
+  /// Least requests per second of all instances together to an upstream that
+  /// limits them to fewer: without any, nobody learns that the limit has ended.
+  static constexpr double kLeastLimit = 0.25;
+  /// Below this rate of one instance, chance decides how many instances have a
+  /// slot in the same seconds.
+  static constexpr double kSparseShare = 0.25;
+  /// Part of a sparse share that is used, so that the sum over all instances
+  /// stays within the limit.
+  static constexpr double kSparseReserve = 0.75;
   /// Slots of an upstream that does not announce how many calls it runs.
   static constexpr uint32_t kDefaultSlots = 8;
 
   SharedPool(core::ZoneId zone, uint64_t seed)
       : zone_(std::move(zone)), random_(seed) {}
 
-  void Set(const UpstreamState& state);
+  void Set(const UpstreamState& state, core::TimePoint now);
+  /// Sets the number of instances that share the request limits.
+  void SetInstanceCount(size_t instances, core::TimePoint now);
   void Remove(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
   void SetPlacement(SharedPlacement placement) { placement_ = placement; }
 
-  /// Upstream for `call`, or nullopt if all are full.
+  /// Upstream for `call`, or nullopt if all are full or have got as many
+  /// requests as their limits allow.
   std::optional<core::UpstreamId> Choose(const CallRequest& call,
                                          core::TimePoint now);
+  /// Counts a call that is sent to the upstream now.
   void Start(const core::UpstreamId& upstream, core::TimePoint now);
+  /// Whether the request limit of the upstream allows this instance to send a
+  /// running call once more now; counts it if so.
+  bool TakeRepeat(const core::UpstreamId& upstream, core::TimePoint now);
   void End(const core::UpstreamId& upstream, const CallResult& result,
            std::chrono::duration<double> ran, core::TimePoint now);
 
-  /// Total slots of the upstreams that take calls.
-  double Slots() const;
-  /// Estimated calls of all instances on the upstreams that take calls.
-  double Load(core::TimePoint now) const;
+  /// What the upstreams that take calls can run. An upstream whose request
+  /// limit keeps it from filling its slots counts by its limit alone.
+  struct Capacity {
+    /// Calls that the upstreams that are not limited run at the same time.
+    double running_limit = 0;
+    /// Estimated calls of all instances on these.
+    double load = 0;
+    /// Calls per second of this instance that these can run if all instances
+    /// use them alike.
+    double running_per_second = 0;
+    /// Requests per second that this instance may send to the limited ones.
+    double limited_per_second = 0;
+    /// Time until this instance may send the next of these.
+    std::chrono::duration<double> limited_wait{0};
+
+    /// Whether request limits keep waiting calls from being sent: the other
+    /// upstreams, if any, are full.
+    bool IsRateBound() const {
+      return limited_per_second > 0 && load >= running_limit;
+    }
+    /// Calls per second of this instance that can be sent while rate-bound.
+    double PerSecond() const { return running_per_second + limited_per_second; }
+  };
+  Capacity CapacityAt(core::TimePoint now) const;
   /// Smoothed run time of a call at an upstream, in seconds.
   double mean_run_seconds() const { return mean_run_seconds_; }
   bool empty() const { return upstreams_.empty(); }
@@ -94,6 +131,8 @@
     /// When a suspended upstream is due for a check.
     std::optional<core::TimePoint> check_at;
     std::chrono::milliseconds suspension{0};
+    /// This instance's share of the request limit.
+    std::optional<RateShare> share;
 
     double MaxRunning() const {
       return state.max_running == 0 ? kDefaultSlots : state.max_running;
@@ -108,6 +147,9 @@
   /// instances.
   double CostOf(const Upstream& upstream, const CallRequest& call,
                 double total) const;
+  /// Requests per second of this instance under `limit`.
+  double ShareOf(double limit) const;
+  void UpdateShare(Upstream* upstream, core::TimePoint now);
   uint64_t NextRandom();
 
   core::ZoneId zone_;
@@ -116,6 +158,7 @@
   size_t next_cache_slot_ = 0;
   SharedPlacement placement_ = SharedPlacement::kCost;
   uint64_t random_;
+  size_t instances_ = 1;
   double mean_run_seconds_ = 0.1;
   /// Load of the other instances on the upstreams, as a fraction of the slots.
   /// It is kept for the whole pool, because one of many instances receives too
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -30,6 +30,7 @@
   if (it == services_.end()) {
     SharedPool pool(settings_.zone, settings_.seed);
     pool.SetPlacement(settings_.placement);
+    pool.SetInstanceCount(instances_, core::TimePoint());
     it = services_.emplace(service, Service(std::move(pool))).first;
   }
   return it->second;
@@ -44,15 +45,53 @@
 }
 
 std::chrono::milliseconds SharedScheduler::ExpectedWait(
-    const Service& service, core::TimePoint now) const {
-  const double slots = service.pool.Slots();
-  if (slots <= 0) {
-    return std::chrono::milliseconds(0);
+    const Service& service, const SharedPool::Capacity& capacity,
+    size_t ahead) const {
+  using Seconds = std::chrono::duration<double>;
+  Seconds wait(0);
+  if (capacity.IsRateBound()) {
+    wait = Seconds(static_cast<double>(ahead) / capacity.PerSecond());
+    if (capacity.running_limit == 0) {
+      wait += capacity.limited_wait;
+    }
+  } else if (capacity.running_limit > 0) {
+    const double waiting =
+        std::max(0.0, capacity.load - capacity.running_limit) +
+        static_cast<double>(ahead);
+    wait = Seconds(waiting / capacity.running_limit *
+                   service.pool.mean_run_seconds());
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+}
+
+bool SharedScheduler::IsTooLate(const Service& service, const CallRequest& call,
+                                std::chrono::milliseconds queued,
+                                std::chrono::milliseconds wait,
+                                core::TimePoint now) const {
+  if (call.attained_tokens == 0 && queued + wait > settings_.max_first_wait) {
+    return true;
+  }
+  const std::chrono::duration<double> run(service.pool.mean_run_seconds());
+  return call.deadline && now + wait + run >= *call.deadline;
+}
+
+core::Error SharedScheduler::LimitRefusal(Service* service,
+                                          const CallRequest& call,
+                                          const SharedPool::Capacity& capacity,
+                                          core::TimePoint now) const {
+  const core::TimePoint at =
+      std::max(service->promised_until,
+               now + ExpectedWait(*service, capacity, service->queue.size()));
+  // A caller that gives up before does not use its turn.
+  if (!call.deadline || at < *call.deadline) {
+    service->promised_until =
+        at + std::chrono::duration_cast<core::TimePoint::duration>(
+                 std::chrono::duration<double>(1 / capacity.PerSecond()));
   }
-  const double ahead = std::max(0.0, service.pool.Load(now) - slots) +
-                       static_cast<double>(service.queue.size());
-  return std::chrono::milliseconds(static_cast<int64_t>(
-      ahead / slots * service.pool.mean_run_seconds() * 1000.0));
+  return MakeRefusal(
+      core::ErrorCode::kLimitExceeded,
+      "the upstreams of the service limit their requests",
+      std::chrono::duration_cast<std::chrono::milliseconds>(at - now));
 }
 
 core::Status SharedScheduler::Enqueue(const CallRequest& call,
@@ -63,16 +102,26 @@
                        "no upstream of the service is known",
                        kNoUpstreamRetryAfter);
   }
-  const auto wait = ExpectedWait(service, now);
+  const SharedPool::Capacity capacity = service.pool.CapacityAt(now);
+  const auto wait = ExpectedWait(service, capacity, service.queue.size());
   if (service.queue.size() >= settings_.max_queued) {
     return MakeRefusal(core::ErrorCode::kOverloaded, "the queue is full", wait);
   }
-  if (call.attained_tokens == 0 && wait > settings_.max_first_wait) {
+  if (capacity.IsRateBound()) {
+    const auto ahead = std::distance(
+        service.queue.begin(),
+        service.queue.lower_bound(QueueKey(RankOf(call), arrivals_)));
+    const auto limited_wait =
+        ExpectedWait(service, capacity, static_cast<size_t>(ahead));
+    if (IsTooLate(service, call, std::chrono::milliseconds(0), limited_wait,
+                  now)) {
+      return LimitRefusal(&service, call, capacity, now);
+    }
+  } else if (call.attained_tokens == 0 && wait > settings_.max_first_wait) {
     return MakeRefusal(core::ErrorCode::kOverloaded,
                        "the service is overloaded and takes no new program",
                        wait - settings_.max_first_wait);
-  }
-  if (call.deadline && now + wait >= *call.deadline) {
+  } else if (call.deadline && now + wait >= *call.deadline) {
     return MakeRefusal(core::ErrorCode::kDeadlineExceeded,
                        "the expected wait exceeds the deadline", wait);
   }
@@ -94,13 +143,27 @@
   return true;
 }
 
-void SharedScheduler::SetUpstream(const UpstreamState& state) {
+void SharedScheduler::SetInstanceCount(size_t instances, core::TimePoint now) {
+  instances_ = instances;
+  for (auto& [id, service] : services_) {
+    service.pool.SetInstanceCount(instances, now);
+  }
+}
+
+bool SharedScheduler::TakeRepeat(CallId call, core::TimePoint now) {
+  const auto it = running_.find(call);
+  return it == running_.end() || ServiceOf(it->second.service)
+                                     .pool.TakeRepeat(it->second.upstream, now);
+}
+
+void SharedScheduler::SetUpstream(const UpstreamState& state,
+                                  core::TimePoint now) {
   const auto it = service_of_.find(state.id);
   if (it != service_of_.end() && it->second != state.service) {
     RemoveUpstream(state.id);
   }
   service_of_[state.id] = state.service;
-  ServiceOf(state.service).pool.Set(state);
+  ServiceOf(state.service).pool.Set(state, now);
 }
 
 void SharedScheduler::RemoveUpstream(const core::UpstreamId& upstream) {
@@ -171,7 +234,7 @@
       const CallRequest& call = it->second.call;
       if (call.deadline && now >= *call.deadline) {
         // The process may have been suspended while the call waited.
-        Refuse(service, it, now);
+        Refuse(&service.queue, it, NoRoom(service, now));
         continue;
       }
       const auto upstream = service.pool.Choose(call, now);
@@ -189,20 +252,52 @@
   return dispatches;
 }
 
-SharedScheduler::Queue::iterator SharedScheduler::Refuse(Service& service,
+SharedScheduler::Queue::iterator SharedScheduler::Refuse(Queue* queue,
                                                          Queue::iterator it,
-                                                         core::TimePoint now) {
+                                                         core::Error error) {
   const CallId call = it->second.call.id;
-  refused_.push_back({call, MakeRefusal(core::ErrorCode::kOverloaded,
-                                        "no upstream had room in time",
-                                        ExpectedWait(service, now))});
+  refused_.push_back({call, std::move(error)});
   queued_keys_.erase(call);
   --queued_;
-  return service.queue.erase(it);
+  return queue->erase(it);
+}
+
+core::Error SharedScheduler::NoRoom(const Service& service,
+                                    core::TimePoint now) const {
+  return MakeRefusal(core::ErrorCode::kOverloaded,
+                     "no upstream had room in time",
+                     ExpectedWait(service, service.pool.CapacityAt(now),
+                                  service.queue.size()));
+}
+
+void SharedScheduler::RefuseBeyondLimits(Service* service,
+                                         core::TimePoint now) {
+  const SharedPool::Capacity capacity = service->pool.CapacityAt(now);
+  if (!capacity.IsRateBound()) {
+    return;
+  }
+  size_t ahead = 0;
+  for (auto it = service->queue.begin(); it != service->queue.end();) {
+    const auto queued = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - it->second.since);
+    const auto wait = ExpectedWait(*service, capacity, ahead);
+    if (IsTooLate(*service, it->second.call, queued, wait - kLimitWaitMargin,
+                  now)) {
+      it = Refuse(&service->queue, it,
+                  LimitRefusal(service, it->second.call, capacity, now));
+      continue;
+    }
+    ++ahead;
+    ++it;
+  }
 }
 
 std::vector<Refusal> SharedScheduler::TakeRefused(core::TimePoint now) {
   for (auto& [id, service] : services_) {
+    if (service.queue.empty()) {
+      continue;
+    }
+    RefuseBeyondLimits(&service, now);
     for (auto it = service.queue.begin(); it != service.queue.end();) {
       const CallRequest& call = it->second.call;
       const bool first = call.attained_tokens == 0;
@@ -212,7 +307,7 @@
         ++it;
         continue;
       }
-      it = Refuse(service, it, now);
+      it = Refuse(&service.queue, it, NoRoom(service, now));
     }
   }
   return std::exchange(refused_, {});
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -42,6 +42,10 @@
     std::chrono::milliseconds max_first_wait{400};
   };
 
+  /// By how much a wait for the request limits of several upstreams may exceed
+  /// its estimate, since their slots are not spread evenly.
+  static constexpr std::chrono::milliseconds kLimitWaitMargin{200};
+
   /// Interval at which a full pool is checked again. No event tells when calls
   /// of other instances end.
   static constexpr std::chrono::milliseconds kRecheckInterval{15};
@@ -51,11 +55,18 @@
   /// Queues a call. Errors: kOverloaded with a retry_after if the queue is
   /// full, or if the call is the first of its program and the expected wait is
   /// too long; kDeadlineExceeded if the expected wait exceeds the deadline;
-  /// kUnavailable if the service has no upstreams.
+  /// kLimitExceeded if all upstreams limit their requests and the call cannot
+  /// be sent in time; kUnavailable if the service has no upstreams.
   core::Status Enqueue(const CallRequest& call, core::TimePoint now);
   /// Removes a queued call; returns false if it is not queued.
   bool Cancel(CallId call);
-  void SetUpstream(const UpstreamState& state);
+  void SetUpstream(const UpstreamState& state, core::TimePoint now);
+  /// Sets the number of instances that share the request limits of the
+  /// upstreams.
+  void SetInstanceCount(size_t instances, core::TimePoint now);
+  /// Whether a running call may be sent to its upstream once more now, without
+  /// passing through the queue; counts it against the request limit if so.
+  bool TakeRepeat(CallId call, core::TimePoint now);
   void RemoveUpstream(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
   /// Sends no calls to an upstream until Resume; see SharedPool.
@@ -67,9 +78,10 @@
   /// Calls to send now; each counts as running until OnFinished. Never returns
   /// a call whose deadline has passed, however long the process was suspended.
   std::vector<Dispatch> Next(core::TimePoint now);
-  /// Removes and returns the queued calls whose deadline has passed, and the
-  /// first calls of programs that have been queued for longer than
-  /// max_first_wait; they did not run.
+  /// Removes and returns the queued calls whose deadline has passed, the first
+  /// calls of programs that have been queued for longer than max_first_wait,
+  /// and those that the request limits will keep from being sent in time; they
+  /// did not run.
   std::vector<Refusal> TakeRefused(core::TimePoint now);
   std::optional<core::TimePoint> NextWakeUp(core::TimePoint now) const;
   size_t queued() const { return queued_; }
@@ -86,6 +98,9 @@
     explicit Service(SharedPool pool) : pool(std::move(pool)) {}
     SharedPool pool;
     Queue queue;
+    /// Until when the callers that were refused for request limits will use up
+    /// this instance's share.
+    core::TimePoint promised_until;
   };
   struct Running {
     core::ServiceId service;
@@ -95,11 +110,26 @@
 
   Service& ServiceOf(const core::ServiceId& service);
   std::chrono::milliseconds ExpectedWait(const Service& service,
-                                         core::TimePoint now) const;
+                                         const SharedPool::Capacity& capacity,
+                                         size_t ahead) const;
+  /// Whether a call that has been queued for `queued` and will wait for `wait`
+  /// until the request limits allow it is too late then.
+  bool IsTooLate(const Service& service, const CallRequest& call,
+                 std::chrono::milliseconds queued,
+                 std::chrono::milliseconds wait, core::TimePoint now) const;
+  /// Refuses a call for the request limits. Each refusal is told a later time,
+  /// so that the callers do not return together.
+  core::Error LimitRefusal(Service* service, const CallRequest& call,
+                           const SharedPool::Capacity& capacity,
+                           core::TimePoint now) const;
+  /// Refuses the queued calls that request limits will keep from being sent in
+  /// time.
+  void RefuseBeyondLimits(Service* service, core::TimePoint now);
   int64_t RankOf(const CallRequest& call) const;
+  /// Refusal of a call that no upstream had room for in time.
+  core::Error NoRoom(const Service& service, core::TimePoint now) const;
   /// Moves a queued call to the refusals; returns the one after it.
-  Queue::iterator Refuse(Service& service, Queue::iterator it,
-                         core::TimePoint now);
+  Queue::iterator Refuse(Queue* queue, Queue::iterator it, core::Error error);
 
   Settings settings_;
   std::map<core::ServiceId, Service> services_;
@@ -107,6 +137,7 @@
   std::unordered_map<CallId, std::pair<core::ServiceId, QueueKey>> queued_keys_;
   std::unordered_map<CallId, Running> running_;
   std::vector<Refusal> refused_;
+  size_t instances_ = 1;
   uint64_t arrivals_ = 0;
   size_t queued_ = 0;
 };
--- a/scheduling/upstream.h
+++ b/scheduling/upstream.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   int64_t cache_tokens = 0;
   /// The upstream is shutting down and gets no new calls.
   bool leaving = false;
+  /// Requests per second that it takes from all instances together, if it
+  /// limits them.
+  std::optional<double> request_limit;
   /// Models and adapters that are loaded; empty if it serves any.
   std::vector<std::string> models;
 
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -1,6 +1,7 @@
 #include "control/deployment_state.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -338,5 +339,55 @@
   CHECK(state.FindInstanceByName("store-1")->retiring());
 }
 
+schema::DeploymentCommand Limit(const std::string& upstream, uint64_t started,
+                                std::optional<double> per_second) {
+  schema::DeploymentCommand command;
+  schema::UpstreamLimit* limit = command.mutable_upstream_limit();
+  limit->mutable_incarnation()->set_upstream(upstream);
+  limit->mutable_incarnation()->set_started_at_ms(started);
+  if (per_second) {
+    limit->set_requests_per_second(*per_second);
+  }
+  return command;
+}
+
+// Guards against instances that do not hear of a limit that another one read,
+// and against a limit that outlives its incarnation.
+TEST_CASE("A request limit spreads and belongs to one incarnation") {
+  DeploymentState state;
+  Announce(&state, Entry("u", "10.0.0.1:80", 5, 1));
+  const uint64_t before = state.upstream_revision();
+  Run(&state, Limit("u", 5, 8.5));
+  CHECK(state.upstreams().at("u").request_limit() == 8.5);
+  const uint64_t limited = state.upstream_revision();
+  CHECK(limited > before);
+  SECTION("a repeated report changes nothing") {
+    Run(&state, Limit("u", 5, 8.5));
+    CHECK(state.upstream_revision() == limited);
+  }
+  SECTION("a later announcement keeps it") {
+    schema::UpstreamEntry later = Entry("u", "10.0.0.1:80", 5, 2);
+    later.set_max_running(9);
+    Announce(&state, later);
+    CHECK(state.upstreams().at("u").request_limit() == 8.5);
+  }
+  SECTION("it ends when the upstream no longer names it") {
+    Run(&state, Limit("u", 5, std::nullopt));
+    CHECK_FALSE(state.upstreams().at("u").has_request_limit());
+    CHECK(state.upstream_revision() > limited);
+  }
+  SECTION("a new incarnation has none, and late reports do not change that") {
+    Announce(&state, Entry("u", "10.0.0.1:80", 6, 1));
+    CHECK_FALSE(state.upstreams().at("u").has_request_limit());
+    Run(&state, Limit("u", 5, 3.0));
+    CHECK_FALSE(state.upstreams().at("u").has_request_limit());
+  }
+  SECTION("a snapshot keeps it") {
+    DeploymentState restored;
+    REQUIRE(core::IsOk(restored.Restore(state.Snapshot())));
+    CHECK(restored.upstreams().at("u").request_limit() == 8.5);
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::control
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -150,6 +150,11 @@
               [this](const std::string& upstream, uint64_t) {
                 draining.push_back(upstream);
               },
+              [this](const schema::UpstreamLimit& limit) {
+                if (on_limit) {
+                  on_limit(limit);
+                }
+              },
               progress_timeout}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
@@ -186,8 +191,12 @@
 
 void RelayFixture::AddUpstream(const std::string& id,
                                const std::string& address,
-                               uint64_t started_at_ms) {
+                               uint64_t started_at_ms,
+                               std::optional<double> request_limit) {
   schema::UpstreamEntry entry;
+  if (request_limit) {
+    entry.set_request_limit(*request_limit);
+  }
   entry.set_upstream(id);
   entry.set_service("llm");
   entry.set_address(address);
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -116,7 +116,8 @@
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
-                   uint64_t started_at_ms = 1);
+                   uint64_t started_at_ms = 1,
+                   std::optional<double> request_limit = std::nullopt);
   static std::string Request(const std::string& path, const std::string& id,
                              const std::string& fields = "");
   uint16_t port() const { return endpoint_.port(); }
@@ -130,6 +131,8 @@
   std::vector<std::string> draining;
   /// Called for each suspected request that succeeded, if set.
   std::function<void(uint64_t)> on_success;
+  /// Called for each request limit that a response changed, if set.
+  std::function<void(const schema::UpstreamLimit&)> on_limit;
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
--- a/tests/relay/request_limit_test.cpp
+++ b/tests/relay/request_limit_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -93,8 +94,7 @@
 };
 
 // Guards against a limit that no instance obeys, or that each obeys for itself.
-TEST_CASE(
-    "known-red: The request limit of an upstream holds over all instances") {
+TEST_CASE("The request limit of an upstream holds over all instances") {
   ThreeRelays it;
   LimitedUpstream limited(std::to_string(kLimit));
   LimitedUpstream other("");
@@ -116,8 +116,7 @@
 
 // Guards against callers that wait for an upstream that takes no more requests,
 // and against sending all of them back at the same moment.
-TEST_CASE(
-    "known-red: Calls beyond the limits of all upstreams are refused at once") {
+TEST_CASE("Calls beyond the limits of all upstreams are refused at once") {
   RelayFixture it;
   CallSequence calls;
   LimitedUpstream limited(std::to_string(kLimit));
@@ -154,5 +153,76 @@
   }
 }
 
+// Guards against a limit that each instance must first run into.
+TEST_CASE("A limit that another instance reported holds at once") {
+  RelayFixture it;
+  CallSequence calls;
+  LimitedUpstream limited(std::to_string(kLimit));
+  LimitedUpstream other("");
+  it.AddUpstream("u", limited.address(), 1, kLimit);
+  it.AddUpstream("v", other.address());
+  for (int n = 0; n < 60; ++n) {
+    CHECK(calls.Send(it, "/read/x").starts_with("HTTP/1.1 200 "));
+  }
+  CHECK(limited.MostInWindow(0) <= kMostInWindow);
+  SECTION("until the group tells that it ended") {
+    limited.limit = "";
+    const size_t before = limited.request_count();
+    it.AddUpstream("u", limited.address());
+    for (int n = 0; n < 60; ++n) {
+      calls.Send(it, "/read/x");
+    }
+    CHECK(limited.request_count() + other.request_count() == 120);
+    CHECK(limited.request_count() > before);
+  }
+}
+
+// Guards against a limit that the other instances do not hear of, and against
+// one that stays after the upstream no longer names it.
+TEST_CASE("A limit is reported when a response names it and when it ends") {
+  RelayFixture it;
+  CallSequence calls;
+  std::vector<schema::UpstreamLimit> reports;
+  LimitedUpstream upstream("1000");
+  it.on_limit = [&](const schema::UpstreamLimit& limit) {
+    reports.push_back(limit);
+    it.AddUpstream("u", upstream.address(), 1,
+                   limit.has_requests_per_second()
+                       ? std::optional(limit.requests_per_second())
+                       : std::nullopt);
+  };
+  it.AddUpstream("u", upstream.address());
+  calls.Send(it, "/read/x");
+  calls.Send(it, "/read/x");
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].requests_per_second() == 1000);
+  CHECK(reports[0].incarnation().upstream() == "u");
+  // A change too small to matter, then one that cannot be read, then the end.
+  upstream.limit = "1050";
+  calls.Send(it, "/read/x");
+  upstream.limit = "many";
+  calls.Send(it, "/read/x");
+  CHECK(reports.size() == 1);
+  upstream.limit = "";
+  calls.Send(it, "/read/x");
+  REQUIRE(reports.size() == 2);
+  CHECK_FALSE(reports[1].has_requests_per_second());
+}
+
+// Guards against a response that overtook the one that named the limit.
+TEST_CASE("A response to a request sent before the limit was known keeps it") {
+  RequestLimits limits;
+  const core::TimePoint learned{std::chrono::hours(1)};
+  CHECK(limits.OnNamed("u", 1, 5, learned));
+  CHECK_FALSE(limits.OnNotNamed("u", 1, learned - std::chrono::seconds(1)));
+  CHECK(limits.Of("u", 1) == 5.0);
+  CHECK_FALSE(limits.Of("u", 2));
+  // Nor does what another incarnation says.
+  CHECK_FALSE(limits.OnNotNamed("u", 2, learned + std::chrono::seconds(1)));
+  CHECK_FALSE(limits.OnNamed("u", 0, 9, learned));
+  CHECK(limits.OnNotNamed("u", 1, learned + std::chrono::seconds(1)));
+  CHECK_FALSE(limits.Of("u", 1));
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
--- a/tests/scheduling/shared_scheduler_test.cpp
+++ b/tests/scheduling/shared_scheduler_test.cpp
@@ -32,7 +32,7 @@
     state.zone = core::ZoneId(zone);
     state.max_running = max_running;
     state.cache_tokens = cache;
-    scheduler.SetUpstream(state);
+    scheduler.SetUpstream(state, now);
   }
 
   CallRequest Call(CallId id, int64_t attained = 100,
@@ -243,7 +243,7 @@
   leaving.zone = core::ZoneId("a");
   leaving.max_running = 4;
   leaving.leaving = true;
-  fixture.scheduler.SetUpstream(leaving);
+  fixture.scheduler.SetUpstream(leaving, fixture.now);
   REQUIRE(core::IsOk(fixture.scheduler.Enqueue(fixture.Call(1), fixture.now)));
   CHECK(fixture.scheduler.Next(fixture.now)[0].upstream.text() == "far");
 }
