relay: Record software versions and the streams that go on

Announcements are decoded with their version, the group keeps it with the record of the upstream, and each continued stream leaves a record with both.

No decision depends on it yet.

--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -32,6 +32,7 @@
                     const schema::UpstreamEntry& b) {
   return a.service() == b.service() && a.address() == b.address() &&
          a.zone() == b.zone() && a.max_running() == b.max_running() &&
+         a.software_version() == b.software_version() &&
          a.draining() == b.draining() && a.gone() == b.gone() &&
          a.started_at_ms() == b.started_at_ms();
 }
--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -38,6 +38,9 @@
   std::string model;
   /// Id of the last event that the caller received, if it resumes a stream.
   std::optional<uint64_t> resume_after;
+  /// Id of the request that brought the first event of the stream that the
+  /// caller resumes; empty if it resumes none.
+  std::string resumed_request;
 
   bool operator==(const CallHead&) const = default;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -207,6 +207,7 @@
       logging::LogLevel::kInfo, "upstream changed",
       {{"upstream", id},
        {"service", entry.service()},
+       {"version", entry.software_version()},
        {"address", entry.address()},
        {"draining", IsDraining(entry) ? "true" : "false"},
        {"known_by", !IsDraining(entry) ? ""
@@ -434,6 +435,11 @@
   }
 }
 
+std::string Relay::VersionOf(const std::string& upstream) const {
+  const auto it = upstreams_.find(upstream);
+  return it == upstreams_.end() ? "" : it->second.entry.software_version();
+}
+
 bool Relay::TakeRepeat(const RelayCall& call) {
   return scheduler_.TakeRepeat(call.schedule_id(), parts_.clock.Now());
 }
@@ -753,6 +759,8 @@
        {"status", std::to_string(it.status)},
        {"reason", it.reason},
        {"upstream", it.last_upstream},
+       {"version", VersionOf(it.last_upstream)},
+       {"resumed_request", call.head().resumed_request},
        {"attempts", std::to_string(it.attempts)},
        {"budget", std::to_string(call.head().token_budget.value_or(-1))},
        {"budget_remaining", std::to_string(it.budget_remaining)},
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -114,6 +114,7 @@
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
   uint64_t StartTimeOf(const std::string& upstream) const override;
+  std::string VersionOf(const std::string& upstream) const override;
   bool TakeRepeat(const RelayCall& call) override;
   void OnSent(const RelayCall& call) override;
   void OnResponseHead(const RelayCall& call,
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -148,6 +148,7 @@
   framer_.Reset();
   response_info_ = {};
   upstream_started_at_ms_ = parts_.host.StartTimeOf(upstream_);
+  upstream_version_ = parts_.host.VersionOf(upstream_);
   link_ = parts_.host.OpenLink(upstream_, must_be_fresh);
   if (link_ == nullptr) {
     OnFailed(LinkFailure::kUnreachable);
@@ -203,6 +204,14 @@
     RejectResponse();
     return ResponseMatch::kOwn;
   }
+  if (streaming_ && (last_event_ || parts_.head.resume_after)) {
+    parts_.host.OnDecision(*this, "stream continued",
+                           last_event_
+                               ? "from version " + summary_.stream_version +
+                                     " to version " + upstream_version_
+                               : "for request " + parts_.head.resumed_request +
+                                     " to version " + upstream_version_);
+  }
   if (streaming_ && last_event_) {
     progress_timer_.start(parts_.progress_timeout);
   }
@@ -274,6 +283,7 @@
       last_event_ = event.id;
     }
     if (summary_.events++ == 0) {
+      summary_.stream_version = upstream_version_;
       summary_.time_to_first_event = Elapsed(started_, now);
     } else {
       summary_.longest_pause =
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -50,6 +50,8 @@
   virtual bool TakeRepeat(const RelayCall& call) = 0;
   /// The call is sent on a connection to its upstream.
   virtual void OnSent(const RelayCall& call) = 0;
+  /// Software version of an upstream as it announced it; empty if unknown.
+  virtual std::string VersionOf(const std::string& upstream) const = 0;
   /// Takes load, draining and request limit of the call's upstream from a
   /// response head.
   virtual void OnResponseHead(const RelayCall& call,
@@ -97,6 +99,8 @@
   std::chrono::milliseconds longest_pause{0};
   std::chrono::milliseconds total{0};
   uint64_t events = 0;
+  /// Software version of the upstream that sent the first of these events.
+  std::string stream_version;
   /// Tokens of the program's budget that were left at the claim; -1 without a
   /// claim.
   int64_t budget_remaining = -1;
@@ -243,6 +247,7 @@
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
   uint64_t upstream_started_at_ms_ = 0;
+  std::string upstream_version_;
   core::TimePoint sent_at_;
   UpstreamLink* link_ = nullptr;
   std::vector<core::UpstreamId> excluded_;
--- a/tests/platform/heartbeat_test.cpp
+++ b/tests/platform/heartbeat_test.cpp
@@ -25,6 +25,7 @@
   CHECK(entry->upstream() == "u1");
   CHECK(entry->max_running() == 12);
   CHECK(entry->sequence() == 4);
+  CHECK(entry->software_version() == "v1");
   CHECK(entry->started_at_ms() == 1700000000000);
   CHECK_FALSE(entry->draining());
   CHECK(DecodeStartTime(kValid) == 1700000000000);
