--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -134,8 +134,11 @@
 
 void Caller::Send(const std::string& bytes) { socket_.Write(bytes); }
 
-RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout)
-    : relay_({clock_, codec_, ledger, metrics_, "a", 1,
+RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
+                           TokenLedger* shared_ledger)
+    : relay_({clock_, codec_,
+              shared_ledger != nullptr ? *shared_ledger : ledger, metrics_, "a",
+              1,
               [this](const schema::ReportCrash& report) {
                 crashes.push_back(report.fingerprint());
                 if (on_crash) {
@@ -207,6 +210,21 @@
   relay_.SetUpstream(entry);
 }
 
+void RelayFixture::AddUpstreamOfVersion(const std::string& id,
+                                        const std::string& address,
+                                        const std::string& version) {
+  schema::UpstreamEntry entry;
+  entry.set_upstream(id);
+  entry.set_service("llm");
+  entry.set_address(address);
+  entry.set_zone("a");
+  entry.set_max_running(4);
+  entry.set_started_at_ms(1);
+  entry.set_software_version(version);
+  entry.set_revision(++revision_);
+  relay_.SetUpstream(entry);
+}
+
 std::string RelayFixture::Request(const std::string& path,
                                   const std::string& id,
                                   const std::string& fields) {
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -46,6 +46,8 @@
   size_t PendingOn(size_t connection) const;
   /// Ends the connection with this number.
   void End(size_t connection, bool reset);
+  /// Stops listening; connections stay open.
+  void StopListening() { listener_.Close(); }
   /// Stops listening and resets all connections.
   void Stop();
 
@@ -111,8 +113,10 @@
 /// /once/ (not idempotent) and /read/ (idempotent, two upstreams).
 class RelayFixture {
  public:
+  /// Claims go to `shared_ledger`, or to `ledger` if it is null.
   explicit RelayFixture(
-      std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout);
+      std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout,
+      TokenLedger* shared_ledger = nullptr);
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
@@ -123,6 +127,10 @@
   uint16_t port() const { return endpoint_.port(); }
 
   MemoryLedger ledger;
+  /// Adds an upstream of a software version.
+  void AddUpstreamOfVersion(const std::string& id, const std::string& address,
+                            const std::string& version);
+
   /// Digests of requests whose upstream crashed while running them.
   std::vector<uint64_t> crashes;
   /// Called for each of them, if set.
--- /dev/null
+++ b/tests/relay/stream_version_test.cpp
@@ -0,0 +1,157 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay_fixture.h"
+
+namespace hawthorn::relay {
+namespace {
+
+using Step = ScriptedUpstream::Step;
+
+/// Sends the events after `Last-Event-Id` up to the third, each with the
+/// software version as its data.
+class VersionedUpstream {
+ public:
+  explicit VersionedUpstream(std::string version)
+      : version_(std::move(version)),
+        upstream_([this](const std::string& it) { return Run(it); }) {}
+
+  std::string address() const { return upstream_.address(); }
+  const std::string& version() const { return version_; }
+  size_t request_count() const { return upstream_.requests().size(); }
+  /// The next request breaks off after one event, and the upstream is gone.
+  /// `before` is called as it arrives.
+  void CrashAtNext(std::function<void()> before) {
+    before_crash_ = std::move(before);
+  }
+
+ private:
+  Step Run(const std::string& request) {
+    const transport::RelayRequest parsed =
+        transport::ParseFramedRequest(request);
+    const std::string* after =
+        transport::FindField(parsed.fields, "Last-Event-Id");
+    std::string bytes = StreamHead(request);
+    for (int n = after == nullptr ? 1 : std::stoi(*after) + 1; n <= 3; ++n) {
+      bytes += transport::SerializeChunk("id: " + std::to_string(n) +
+                                         "\ndata: by " + version_ + "\n\n");
+      if (before_crash_) {
+        std::exchange(before_crash_, {})();
+        upstream_.StopListening();
+        return {bytes, false, true};
+      }
+    }
+    return {bytes + "0\r\n\r\n"};
+  }
+
+  std::string version_;
+  std::function<void()> before_crash_;
+  ScriptedUpstream upstream_;
+};
+
+/// Two entry instances that share upstreams and a ledger.
+class TwoRelays {
+ public:
+  TwoRelays() {
+    for (auto& it : relays) {
+      it = std::make_unique<RelayFixture>(RelayCall::kProgressTimeout, &ledger);
+    }
+  }
+  VersionedUpstream& Add(const std::string& id, const std::string& version) {
+    upstreams.push_back(std::make_unique<VersionedUpstream>(version));
+    for (auto& it : relays) {
+      it->AddUpstreamOfVersion(id, upstreams.back()->address(), version);
+    }
+    return *upstreams.back();
+  }
+  /// Sends a turn and returns what its caller receives until the end.
+  std::string Send(size_t relay, const std::string& id,
+                   const std::string& fields = "") {
+    Caller caller(relays[relay]->port());
+    caller.Send(RelayFixture::Request(
+        "/turn/x", id,
+        "X-Deadline-Ms: 5000\r\nX-Program-Id: p\r\nX-Token-Budget: 10000\r\n"
+        "X-Token-Usage: 10,50\r\n" +
+            fields));
+    REQUIRE(WaitFor([&] {
+      return caller.ended() || caller.received().ends_with("\r\n0\r\n\r\n") ||
+             caller.received().starts_with("HTTP/1.1 503 ");
+    }));
+    return caller.received();
+  }
+
+  MemoryLedger ledger;
+  std::vector<std::unique_ptr<VersionedUpstream>> upstreams;
+  std::array<std::unique_ptr<RelayFixture>, 2> relays;
+};
+
+std::string Resumes(const std::string& request, int event) {
+  return "Resumes: " + request + "\r\nLast-Event-Id: " + std::to_string(event) +
+         "\r\n";
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Guards against a stream that goes on at another software version after its
+// upstream crashed.
+TEST_CASE("known-red: A stream goes on in its response at its own version") {
+  TwoRelays it;
+  VersionedUpstream& first = it.Add("m", "v1");
+  SECTION("where another upstream has it") {
+    first.CrashAtNext([&] {
+      it.Add("a", "v2");
+      it.Add("b", "v2");
+      it.Add("z", "v1");
+    });
+    const std::string got = it.Send(0, "r1");
+    CHECK(Has(got, "id: 3\ndata: by v1"));
+    CHECK_FALSE(Has(got, "by v2"));
+    CHECK(got.ends_with("\r\n0\r\n\r\n"));
+  }
+  SECTION("and nowhere else") {
+    first.CrashAtNext([&] { it.Add("a", "v2"); });
+    const std::string got = it.Send(0, "r1");
+    CHECK(Has(got, "id: 1\ndata: by v1"));
+    CHECK_FALSE(Has(got, "by v2"));
+    CHECK_FALSE(got.ends_with("\r\n0\r\n\r\n"));
+  }
+}
+
+// Guards against a caller that takes its stream up, at any instance, and gets
+// events of another software version.
+TEST_CASE(
+    "known-red: A stream taken up anew goes on at the version that began it") {
+  TwoRelays it;
+  const size_t relay = GENERATE(0U, 1U);
+  CAPTURE(relay);
+  it.Add("m", "v1").CrashAtNext([] {});
+  REQUIRE(Has(it.Send(0, "r1"), "id: 1\ndata: by v1"));
+  it.Add("a", "v2");
+  it.Add("b", "v2");
+  SECTION("where it is served") {
+    VersionedUpstream& same = it.Add("z", "v1");
+    const std::string got = it.Send(relay, "r2", Resumes("r1", 1));
+    CHECK(Has(got, "id: 3\ndata: by v1"));
+    CHECK_FALSE(Has(got, "by v2"));
+    // Also when the attempt in between brought events of its own.
+    same.CrashAtNext([] {});
+    it.Send(relay, "r3", Resumes("r1", 1));
+    it.Add("y", "v1");
+    CHECK(Has(it.Send(1 - relay, "r4", Resumes("r1", 2)), "data: by v1"));
+  }
+  SECTION("and is refused where it is not") {
+    const std::string got = it.Send(relay, "r2", Resumes("r1", 1));
+    CHECK(got.starts_with("HTTP/1.1 503 "));
+    CHECK_FALSE(Has(got, "by v2"));
+  }
+}
+
+}  // namespace
+}  // namespace hawthorn::relay
