relay, control: Bind each stream to the software version that begins it

Cause: the choice of an upstream knew no version, and nothing outside the instance that served a stream knew where it began. Class of fault: state that a continuation depends on, kept nowhere that the one who continues can read. Ruled out for the reported case: an id or address that changes its version (the workers of the case have ids of their own).

Change: the version is committed with the claim of a turn before the turn is sent, a resumption asks for it, and the scheduler places a bound call at that version only, continued streams first. Until the first event a stream may be bound again, so that a version that disappears strands nobody.

The test of a claim's fields compares the binding too.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -208,6 +208,11 @@
   reserve->set_request(claim->claim.request_id);
   reserve->set_budget(claim->claim.budget);
   reserve->set_tokens(claim->claim.tokens);
+  reserve->set_resumed_request(claim->claim.resumed_request);
+  if (claim->claim.stream) {
+    reserve->mutable_stream()->set_version(claim->claim.stream->version);
+    reserve->mutable_stream()->set_round(claim->claim.stream->round);
+  }
   FillSettlements(reserve->mutable_settlements());
   SendToLeader(command, std::min(left, kClaimAttemptTimeout),
                [this, claim, settlements = command.reserve().settlements()](
@@ -242,7 +247,11 @@
           : core::Result<schema::DeploymentMessage>(core::ErrorOf(reply));
   if (core::IsOk(result)) {
     const schema::DeploymentReply& it = core::Value(result).reply();
-    FinishClaim(claim, relay::ClaimReply{it.granted(), it.remaining()});
+    relay::ClaimReply answer{it.granted(), it.remaining()};
+    if (it.has_stream()) {
+      answer.stream = {it.stream().version(), it.stream().round()};
+    }
+    FinishClaim(claim, answer);
     return;
   }
   if (IsRefusedForGood(reply)) {
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -129,6 +129,11 @@
     for (const std::string& request : spending.settled) {
       out->add_settled(request);
     }
+    for (const std::string& request : spending.stream_order) {
+      schema::BoundStream* bound = out->add_streams();
+      bound->set_request(request);
+      *bound->mutable_stream() = spending.streams.at(request);
+    }
   }
   for (const auto& [id, record] : instances_) {
     *snapshot.add_instances() = record;
@@ -161,6 +166,9 @@
       spending.open[open.request()] = open.tokens();
     }
     spending.settled.assign(it.settled().begin(), it.settled().end());
+    for (const schema::BoundStream& bound : it.streams()) {
+      AddStream(bound.request(), bound.stream(), &spending);
+    }
   }
   for (const schema::InstanceRecord& record : parsed.instances()) {
     instances_[record.instance()] = record;
@@ -297,6 +305,46 @@
     reply->set_granted(open);
   }
   reply->set_remaining(reservation.budget() - spending.Committed());
+  if (reply->granted()) {
+    BindStream(reservation, &spending, reply);
+  }
+}
+
+void DeploymentState::BindStream(const schema::TokenReservation& reservation,
+                                 Spending* spending,
+                                 schema::DeploymentReply* reply) {
+  const bool resumes = !reservation.resumed_request().empty();
+  const std::string& request =
+      resumes ? reservation.resumed_request() : reservation.request();
+  const auto bound = spending->streams.find(request);
+  if (resumes) {
+    if (bound != spending->streams.end()) {
+      *reply->mutable_stream() = bound->second;
+    }
+    return;
+  }
+  if (!reservation.has_stream()) {
+    return;
+  }
+  if (bound == spending->streams.end()) {
+    AddStream(request, reservation.stream(), spending);
+  } else if (reservation.stream().round() > bound->second.round()) {
+    bound->second = reservation.stream();
+  }
+  *reply->mutable_stream() = spending->streams.at(request);
+}
+
+void DeploymentState::AddStream(const std::string& request,
+                                const schema::StreamVersion& stream,
+                                Spending* spending) {
+  if (!spending->streams.try_emplace(request, stream).second) {
+    return;
+  }
+  spending->stream_order.push_back(request);
+  if (spending->stream_order.size() > kBoundStreams) {
+    spending->streams.erase(spending->stream_order.front());
+    spending->stream_order.pop_front();
+  }
 }
 
 void DeploymentState::Settle(const schema::TokenSettlement& settlement) {
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -26,6 +26,9 @@
   /// Number of settled requests kept for each program, so that a late
   /// reservation of one of them is refused.
   static constexpr size_t kSettledRequests = 64;
+  /// Number of streams of each program whose software version is kept, so that
+  /// callers can take them up.
+  static constexpr size_t kBoundStreams = 64;
   /// Maximum number of entries of departed upstreams, which are kept to detect
   /// late announcements.
   static constexpr size_t kMaxGoneUpstreams = 1024;
@@ -58,6 +61,10 @@
     int64_t spent = 0;
     std::map<std::string, int64_t> open;
     std::deque<std::string> settled;
+    /// Software versions of streams, by the request that began each.
+    std::map<std::string, schema::StreamVersion> streams;
+    /// These requests, the oldest first.
+    std::deque<std::string> stream_order;
     int64_t last_used_ms = 0;
 
     // Spent tokens and open reservations.
@@ -70,6 +77,13 @@
   void SetRequestLimit(const schema::UpstreamLimit& limit);
   void Reserve(const schema::TokenReservation& reservation,
                schema::DeploymentReply* reply);
+  /// Binds the stream of a reservation to a software version, or finds the one
+  /// that a resumed stream is bound to.
+  static void BindStream(const schema::TokenReservation& reservation,
+                         Spending* spending, schema::DeploymentReply* reply);
+  static void AddStream(const std::string& request,
+                        const schema::StreamVersion& stream,
+                        Spending* spending);
   void Settle(const schema::TokenSettlement& settlement);
   void ApplyInstance(schema::InstanceRecord record);
   void Retire(const std::string& name, schema::DeploymentReply* reply);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -332,6 +332,7 @@
   state.service = core::ServiceId(upstream.entry.service());
   state.zone = core::ZoneId(upstream.entry.zone());
   state.max_running = upstream.entry.max_running();
+  state.software_version = upstream.entry.software_version();
   state.leaving = IsDraining(upstream.entry);
   state.request_limit = request_limits_.Of(upstream.entry.upstream(),
                                            upstream.entry.started_at_ms());
@@ -343,10 +344,9 @@
   scheduler_.SetUpstream(state, parts_.clock.Now());
 }
 
-core::Status Relay::Enqueue(RelayCall& call) {
+scheduling::CallRequest Relay::RequestOf(const RelayCall& call) const {
   const CallHead& head = call.head();
   scheduling::CallRequest request;
-  request.id = next_id_++;
   request.program = core::ProgramId(head.program);
   request.service_class = call.route().name;
   request.priority = call.route().priority;
@@ -355,12 +355,33 @@
   request.max_output_tokens = head.max_output_tokens;
   request.prefix = call.segments();
   const bool is_turn = !head.prompt_parts.empty();
-  const bool begun = is_turn ? head.prompt_parts.size() > kFirstTurnParts
-                             : !head.program.empty();
+  request.software_version = call.software_version();
+  request.continues_stream = call.ContinuesStream();
+  const bool begun = request.continues_stream ? true
+                     : is_turn ? head.prompt_parts.size() > kFirstTurnParts
+                               : !head.program.empty();
   request.attained_tokens =
       begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
   request.deadline = call.deadline();
   request.excluded = call.excluded();
+  return request;
+}
+
+std::string Relay::ProposeVersion(const RelayCall& call) {
+  scheduling::CallRequest request = RequestOf(call);
+  request.software_version.reset();
+  return scheduler_.ProposeVersion(request, parts_.clock.Now());
+}
+
+std::optional<std::string> Relay::OnlyVersion(const RelayCall& call) {
+  const std::set<std::string> versions =
+      scheduler_.Versions(core::ServiceId(call.service()));
+  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+core::Status Relay::Enqueue(RelayCall& call) {
+  scheduling::CallRequest request = RequestOf(call);
+  request.id = next_id_++;
   core::Status status = scheduler_.Enqueue(request, parts_.clock.Now());
   if (core::IsOk(status)) {
     call.set_schedule_id(request.id);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -111,6 +111,8 @@
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
   core::Status Enqueue(RelayCall& call) override;
+  std::string ProposeVersion(const RelayCall& call) override;
+  std::optional<std::string> OnlyVersion(const RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
   uint64_t StartTimeOf(const std::string& upstream) const override;
@@ -145,6 +147,8 @@
   /// Takes the limit that the upstream of the call names, or that it names
   /// none.
   void UpdateRequestLimit(const RelayCall& call, const ResponseInfo& response);
+  /// Describes a call to the scheduler.
+  scheduling::CallRequest RequestOf(const RelayCall& call) const;
   /// Passes the state of an upstream to the scheduler.
   void UpdateScheduler(const Upstream& upstream);
   void RemoveUpstream(const std::string& id);
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -2,6 +2,7 @@
 
 #include <QPointer>
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "transport/http_status.h"
@@ -17,6 +18,9 @@
 /// Maximum timeout of a claim; about the duration of a leader election.
 constexpr std::chrono::milliseconds kMaxClaimTimeout{1500};
 constexpr std::string_view kHeadMethod = "HEAD";
+/// Ledger entry of a stream that belongs to no program or has no budget.
+constexpr const char* kStreamProgramPrefix = "stream ";
+constexpr int64_t kNoBudget = std::numeric_limits<int64_t>::max();
 /// A call is given up after it crashed this many upstreams.
 constexpr int kMaxCrashes = 3;
 
@@ -72,14 +76,33 @@
     return;
   }
   deadline_timer_.start(allowed);
-  if (!parts_.head.token_budget || parts_.head.program.empty()) {
+  const bool has_budget =
+      parts_.head.token_budget && !parts_.head.program.empty();
+  if (!has_budget && !IsBindable()) {
     EnterQueue();
     return;
   }
-  claim_ = TokenClaim{parts_.head.program, parts_.head.request_id,
-                      *parts_.head.token_budget, parts_.head.max_output_tokens};
+  const CallHead& head = parts_.head;
+  const std::string& first_request =
+      head.resumed_request.empty() ? head.request_id : head.resumed_request;
+  TokenClaim& claim = claim_.emplace();
+  claim.request_id = head.request_id;
+  claim.program =
+      has_budget ? head.program : kStreamProgramPrefix + first_request;
+  claim.budget = has_budget ? *head.token_budget : kNoBudget;
+  claim.tokens = has_budget ? head.max_output_tokens : 0;
+  if (IsBindable() && head.resume_after) {
+    claim.resumed_request = head.resumed_request;
+  } else if (IsBindable()) {
+    claim.stream = StreamBinding{parts_.host.ProposeVersion(*this), 1};
+  }
+  Claim();
+}
+
+void RelayCall::Claim() {
+  state_ = State::kClaiming;
   const auto claim_timeout =
-      std::min(kMaxClaimTimeout, allowed / kClaimTimeoutDivisor);
+      std::min(kMaxClaimTimeout, TimeLeft() / kClaimTimeoutDivisor);
   // If the call ends before the reply arrives, End() settles the claim.
   parts_.host.ledger().Claim(*claim_, claim_timeout,
                              [guard = QPointer<RelayCall>(this)](
@@ -100,15 +123,52 @@
            WithinPatience(error.retry_after.value_or(kRetryAfter)));
     return;
   }
-  summary_.budget_remaining = core::Value(reply).remaining;
+  if (claim_->budget != kNoBudget) {
+    summary_.budget_remaining = core::Value(reply).remaining;
+  }
   if (!core::Value(reply).granted) {
     claim_.reset();
     Refuse(status::kPaymentRequired, "budget spent", std::nullopt);
     return;
   }
+  if (IsBindable() && parts_.head.resume_after) {
+    if (!BindResumed(core::Value(reply))) {
+      Refuse(status::kServiceUnavailable,
+             "the version that began the stream is not known", std::nullopt);
+      return;
+    }
+  } else {
+    binding_ = core::Value(reply).stream;
+  }
   EnterQueue();
 }
 
+bool RelayCall::BindResumed(const ClaimReply& reply) {
+  binding_ = reply.stream;
+  if (!binding_) {
+    if (const auto only = parts_.host.OnlyVersion(*this)) {
+      binding_ = StreamBinding{*only, 1};
+    }
+  }
+  return binding_.has_value();
+}
+
+bool RelayCall::BindAgain() {
+  if (!binding_ || ContinuesStream() || binding_->round >= kMaxBindings) {
+    return false;
+  }
+  const std::string version = parts_.host.ProposeVersion(*this);
+  if (version == binding_->version) {
+    return false;
+  }
+  parts_.host.OnDecision(*this, "stream bound again",
+                         "no upstream of version " + binding_->version +
+                             " is left, now version " + version);
+  claim_->stream = StreamBinding{version, binding_->round + 1};
+  Claim();
+  return true;
+}
+
 void RelayCall::EnterQueue() {
   state_ = State::kQueued;
   queued_at_ = parts_.host.clock().Now();
@@ -119,6 +179,12 @@
 }
 
 void RelayCall::RefuseQueued(const core::Error& error) {
+  if (error.code == core::ErrorCode::kNotFound) {
+    if (!BindAgain()) {
+      Refuse(status::kServiceUnavailable, error.message, error.retry_after);
+    }
+    return;
+  }
   const auto retry_after = error.retry_after.value_or(kRetryAfter);
   // The wait for a request limit is known, so it is told also if the caller
   // will not wait as long.
@@ -459,7 +525,10 @@
     EnterQueue();
     return true;
   }
-  if (parts_.host.IsDraining(*this) || !parts_.host.TakeRepeat(*this)) {
+  const bool other_version =
+      binding_ && parts_.host.VersionOf(upstream_) != binding_->version;
+  if (other_version || parts_.host.IsDraining(*this) ||
+      !parts_.host.TakeRepeat(*this)) {
     return false;
   }
   // The limit of upstreams is reached, so only an upstream that may already
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -38,6 +38,11 @@
   /// Queues the call. Dispatch or RefuseQueued is called later, never from
   /// within this call.
   virtual core::Status Enqueue(RelayCall& call) = 0;
+  /// Software version that the stream of the call is best bound to.
+  virtual std::string ProposeVersion(const RelayCall& call) = 0;
+  /// The only software version of the call's service; nullopt if several serve
+  /// side by side, or none.
+  virtual std::optional<std::string> OnlyVersion(const RelayCall& call) = 0;
   /// Removes the call from the queue.
   virtual void Dequeue(RelayCall& call) = 0;
   /// Reports the outcome of an attempt and frees its slot at the upstream.
@@ -179,6 +184,14 @@
   core::TimePoint started() const { return started_; }
   core::TimePoint deadline() const { return deadline_; }
   const std::vector<core::UpstreamId>& excluded() const { return excluded_; }
+  /// Software version that the upstream must have; any if absent.
+  std::optional<std::string> software_version() const {
+    return binding_ ? std::optional(binding_->version) : std::nullopt;
+  }
+  /// Whether the caller already has events of the stream.
+  bool ContinuesStream() const {
+    return last_event_ || (IsBindable() && parts_.head.resume_after);
+  }
   const CallSummary& summary() const { return summary_; }
   /// Start time of the upstream that was last sent the call.
   uint64_t upstream_started_at_ms() const { return upstream_started_at_ms_; }
@@ -196,7 +209,23 @@
  private:
   enum class State { kClaiming, kQueued, kRunning, kEnded };
 
+  /// Maximum number of software versions that a stream is bound to until its
+  /// first event.
+  static constexpr uint32_t kMaxBindings = 4;
+
+  /// Whether the call is a stream that may go on at another upstream.
+  bool IsBindable() const {
+    return parts_.route.kind == CallKind::kStream && parts_.route.resumable;
+  }
+  /// Claims the budget and the binding of the stream, then queues the call.
+  void Claim();
   void OnClaimed(const core::Result<ClaimReply>& reply);
+  /// Binds a stream that a caller takes up. Returns false if nobody knows which
+  /// version began it, and several serve.
+  bool BindResumed(const ClaimReply& reply);
+  /// Binds the stream to another version, as none of its own is left; only
+  /// before its first event. Returns false if that is not possible.
+  bool BindAgain();
   void EnterQueue();
   void BeginExchange(bool must_be_fresh);
   ResponseMatch OnHead(const transport::ResponseHead& head,
@@ -252,6 +281,8 @@
   UpstreamLink* link_ = nullptr;
   std::vector<core::UpstreamId> excluded_;
   std::optional<TokenClaim> claim_;
+  /// Software version of the stream, as the group has recorded it.
+  std::optional<StreamBinding> binding_;
   /// Upstreams that may have run the call and are not known to have crashed.
   std::set<std::string> ran_at_;
   int not_run_attempts_ = 0;
--- a/relay/token_ledger.h
+++ b/relay/token_ledger.h
@@ -3,12 +3,22 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/error.h"
 
 namespace hawthorn::relay {
 
+/// Software version of the upstreams that may serve a stream.
+struct StreamBinding {
+  std::string version;
+  /// Counts the choices of a version for one request.
+  uint32_t round = 0;
+
+  bool operator==(const StreamBinding&) const = default;
+};
+
 /// Claim of a turn on the token budget of its program.
 struct TokenClaim {
   std::string program;
@@ -16,6 +26,12 @@
   int64_t budget = 0;
   /// Maximum number of tokens that the turn may generate.
   int64_t tokens = 0;
+  /// Version that the stream of the turn is to be bound to, if it may go on at
+  /// another upstream.
+  std::optional<StreamBinding> stream = {};
+  /// Request that began the stream if the caller takes it up; the binding of
+  /// that one holds. Empty otherwise.
+  std::string resumed_request = {};
 
   bool operator==(const TokenClaim&) const = default;
 };
@@ -26,11 +42,15 @@
   bool granted = false;
   /// Tokens of the budget that are neither spent nor claimed.
   int64_t remaining = 0;
+  /// Version that the stream is bound to; nullopt if it is not bound, or if the
+  /// request that began it is not known.
+  std::optional<StreamBinding> stream = {};
 
   bool operator==(const ClaimReply&) const = default;
 };
 
-/// Durable record of the tokens that programs have spent.
+/// Durable record of the tokens that programs have spent, and of the software
+/// versions that their streams are bound to.
 class TokenLedger {
  public:
   /// Receives the reply or an error.
--- a/scheduling/call.h
+++ b/scheduling/call.h
@@ -54,6 +54,10 @@
   /// Suspected of crashing upstreams: must be the only call on its upstream
   /// while it runs.
   bool isolate = false;
+  /// Software version that the upstream must have; any if absent.
+  std::optional<std::string> software_version;
+  /// The call continues a stream, so that no other version can serve it.
+  bool continues_stream = false;
   /// Upstreams that failed this call before.
   std::vector<core::UpstreamId> excluded;
 
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -24,6 +24,11 @@
          call.excluded.end();
 }
 
+bool IsOfVersion(const CallRequest& call, const UpstreamState& upstream) {
+  return !call.software_version ||
+         *call.software_version == upstream.software_version;
+}
+
 }  // namespace
 
 uint64_t SharedPool::NextRandom() {
@@ -120,7 +125,8 @@
   std::vector<const Upstream*> usable;
   for (const bool allow_excluded : {false, true}) {
     for (const auto& [id, upstream] : upstreams_) {
-      if (upstream.TakesCalls() && (allow_excluded || !IsExcluded(call, id))) {
+      if (upstream.TakesCalls() && IsOfVersion(call, upstream.state) &&
+          (allow_excluded || !IsExcluded(call, id))) {
         usable.push_back(&upstream);
       }
     }
@@ -179,6 +185,52 @@
   return best->state.id;
 }
 
+std::string SharedPool::ProposeVersion(const CallRequest& call,
+                                       core::TimePoint now) {
+  std::map<std::string, double> slots;
+  for (const auto& [id, it] : upstreams_) {
+    if (!it.state.leaving) {
+      slots[it.state.software_version] += it.TakesCalls() ? it.MaxRunning() : 0;
+    }
+  }
+  if (slots.size() > 1) {
+    if (const auto upstream = Choose(call, now)) {
+      return upstreams_.at(*upstream).state.software_version;
+    }
+  }
+  const auto most = std::max_element(
+      slots.begin(), slots.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == slots.end() ? "" : most->first;
+}
+
+bool SharedPool::HasVersionFor(const CallRequest& call) const {
+  if (!call.software_version) {
+    return true;
+  }
+  bool may_return = false;
+  bool others_take_calls = false;
+  for (const auto& [id, it] : upstreams_) {
+    const bool is_of_version = IsOfVersion(call, it.state);
+    if (is_of_version && it.TakesCalls()) {
+      return true;
+    }
+    may_return = may_return || (is_of_version && !it.state.leaving);
+    others_take_calls = others_take_calls || it.TakesCalls();
+  }
+  return call.continues_stream ? may_return : !others_take_calls;
+}
+
+std::set<std::string> SharedPool::Versions() const {
+  std::set<std::string> versions;
+  for (const auto& [id, it] : upstreams_) {
+    if (!it.state.leaving) {
+      versions.insert(it.state.software_version);
+    }
+  }
+  return versions;
+}
+
 void SharedPool::Start(const core::UpstreamId& upstream, core::TimePoint now) {
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,14 @@
   /// requests as their limits allow.
   std::optional<core::UpstreamId> Choose(const CallRequest& call,
                                          core::TimePoint now);
+  /// Software version that a new stream is best bound to: that of the upstream
+  /// that `call` would be sent to now, or of most upstreams if all are full.
+  std::string ProposeVersion(const CallRequest& call, core::TimePoint now);
+  /// Whether `call` should wait for an upstream of its version. A new stream
+  /// should not while upstreams of another version take calls.
+  bool HasVersionFor(const CallRequest& call) const;
+  /// Versions of the upstreams that are not shutting down.
+  std::set<std::string> Versions() const;
   /// Counts a call that is sent to the upstream now.
   void Start(const core::UpstreamId& upstream, core::TimePoint now);
   /// Whether the request limit of the upstream allows this instance to send a
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/shared_scheduler.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace hawthorn::scheduling {
@@ -13,12 +14,25 @@
 constexpr std::chrono::milliseconds kLeastRetryAfter{100};
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{300};
 
+/// Subtracted from the rank of a call that continues a stream: only upstreams
+/// of its version can serve it, and its caller already has a part of the
+/// stream.
+constexpr int64_t kContinuedRank = 1000;
+
 core::Error MakeRefusal(core::ErrorCode code, const char* message,
                         std::chrono::milliseconds retry_after) {
   return core::Error{code, message, core::Execution::kNotRun,
                      std::max(retry_after, kLeastRetryAfter)};
 }
 
+/// Refusal of a call whose software version no upstream has. A retry cannot
+/// help, so it is told no time.
+core::Error NoVersion() {
+  return core::Error{core::ErrorCode::kNotFound,
+                     "no upstream has the software version of the stream",
+                     core::Execution::kNotRun, std::nullopt};
+}
+
 }  // namespace
 
 SharedScheduler::SharedScheduler(Settings settings)
@@ -38,6 +52,9 @@
 
 int64_t SharedScheduler::RankOf(const CallRequest& call) const {
   int64_t rank = settings_.order.by_priority ? call.priority : 0;
+  if (call.continues_stream) {
+    return rank - kContinuedRank;
+  }
   if (settings_.order.started_first && call.attained_tokens == 0) {
     rank += kFirstCallRank;
   }
@@ -102,6 +119,9 @@
                        "no upstream of the service is known",
                        kNoUpstreamRetryAfter);
   }
+  if (!service.pool.HasVersionFor(call)) {
+    return NoVersion();
+  }
   const SharedPool::Capacity capacity = service.pool.CapacityAt(now);
   const auto wait = ExpectedWait(service, capacity, service.queue.size());
   if (service.queue.size() >= settings_.max_queued) {
@@ -132,6 +152,16 @@
   return std::monostate{};
 }
 
+std::string SharedScheduler::ProposeVersion(const CallRequest& call,
+                                            core::TimePoint now) {
+  return ServiceOf(call.service).pool.ProposeVersion(call, now);
+}
+
+std::set<std::string> SharedScheduler::Versions(
+    const core::ServiceId& service) {
+  return ServiceOf(service).pool.Versions();
+}
+
 bool SharedScheduler::Cancel(CallId call) {
   const auto it = queued_keys_.find(call);
   if (it == queued_keys_.end()) {
@@ -229,23 +259,40 @@
 std::vector<Dispatch> SharedScheduler::Next(core::TimePoint now) {
   std::vector<Dispatch> dispatches;
   for (auto& [id, service] : services_) {
-    while (!service.queue.empty()) {
-      const auto it = service.queue.begin();
+    // Versions whose upstreams are all full.
+    std::set<std::string> full;
+    for (auto it = service.queue.begin(); it != service.queue.end();) {
       const CallRequest& call = it->second.call;
       if (call.deadline && now >= *call.deadline) {
         // The process may have been suspended while the call waited.
-        Refuse(&service.queue, it, NoRoom(service, now));
+        it = Refuse(&service.queue, it, NoRoom(service, now));
+        continue;
+      }
+      if (!service.pool.HasVersionFor(call)) {
+        it = Refuse(&service.queue, it, NoVersion());
+        continue;
+      }
+      if (call.software_version && full.contains(*call.software_version)) {
+        ++it;
         continue;
       }
       const auto upstream = service.pool.Choose(call, now);
       if (!upstream) {
-        break;
+        if (!call.software_version) {
+          break;
+        }
+        full.insert(*call.software_version);
+        if (full.size() >= service.pool.Versions().size()) {
+          break;
+        }
+        ++it;
+        continue;
       }
       service.pool.Start(*upstream, now);
       running_[call.id] = {id, *upstream, now};
       dispatches.push_back({call.id, *upstream, false, 0});
       queued_keys_.erase(call.id);
-      service.queue.erase(it);
+      it = service.queue.erase(it);
       --queued_;
     }
   }
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -55,9 +56,15 @@
   /// Queues a call. Errors: kOverloaded with a retry_after if the queue is
   /// full, or if the call is the first of its program and the expected wait is
   /// too long; kDeadlineExceeded if the expected wait exceeds the deadline;
+  /// kNotFound if no upstream has the software version of the call;
   /// kLimitExceeded if all upstreams limit their requests and the call cannot
   /// be sent in time; kUnavailable if the service has no upstreams.
   core::Status Enqueue(const CallRequest& call, core::TimePoint now);
+  /// Software version that the stream of a new call is best bound to.
+  std::string ProposeVersion(const CallRequest& call, core::TimePoint now);
+  /// Software versions of the upstreams of a service that are not shutting
+  /// down.
+  std::set<std::string> Versions(const core::ServiceId& service);
   /// Removes a queued call; returns false if it is not queued.
   bool Cancel(CallId call);
   void SetUpstream(const UpstreamState& state, core::TimePoint now);
--- a/scheduling/upstream.h
+++ b/scheduling/upstream.h
@@ -23,6 +23,8 @@
   uint32_t max_running = 0;
   /// Size of its KV cache in tokens; 0 for a plain service.
   int64_t cache_tokens = 0;
+  /// Version of its software.
+  std::string software_version;
   /// The upstream is shutting down and gets no new calls.
   bool leaving = false;
   /// Requests per second that it takes from all instances together, if it
--- a/tests/control/deployment_state_test.cpp
+++ b/tests/control/deployment_state_test.cpp
@@ -389,5 +389,56 @@
   }
 }
 
+schema::DeploymentCommand ReserveStream(const std::string& request,
+                                        const std::string& version,
+                                        uint32_t round = 1) {
+  schema::DeploymentCommand command = Reserve(request, 10, 1000000);
+  command.mutable_reserve()->mutable_stream()->set_version(version);
+  command.mutable_reserve()->mutable_stream()->set_round(round);
+  return command;
+}
+
+schema::DeploymentCommand ReserveResumed(const std::string& request,
+                                         const std::string& resumed) {
+  schema::DeploymentCommand command = Reserve(request, 10, 1000000);
+  command.mutable_reserve()->set_resumed_request(resumed);
+  return command;
+}
+
+// Guards against a stream that goes on at another software version because the
+// instance that began it is gone.
+TEST_CASE("The version of a stream is kept for callers that take it up") {
+  DeploymentState state;
+  CHECK(Run(&state, ReserveStream("r1", "v1")).stream().version() == "v1");
+  Run(&state, Settle("r1", 5));
+  SECTION("after its end, any number of times, and in a snapshot") {
+    DeploymentState restored;
+    REQUIRE(core::IsOk(restored.Restore(state.Snapshot())));
+    for (const char* request : {"r2", "r3"}) {
+      const auto reply = Run(&restored, ReserveResumed(request, "r1"));
+      CHECK(reply.granted());
+      CHECK(reply.stream().version() == "v1");
+    }
+  }
+  SECTION("not that of an attempt in between, nor of an unknown request") {
+    Run(&state, ReserveResumed("r2", "r1"));
+    CHECK_FALSE(Run(&state, ReserveResumed("r3", "r2")).has_stream());
+    CHECK_FALSE(Run(&state, ReserveResumed("r4", "r9")).has_stream());
+  }
+  SECTION("with the later of two choices, in whatever order they arrive") {
+    Run(&state, ReserveStream("r5", "v1", 1));
+    CHECK(Run(&state, ReserveStream("r5", "v2", 2)).stream().version() == "v2");
+    CHECK(Run(&state, ReserveStream("r5", "v1", 1)).stream().version() == "v2");
+    CHECK(Run(&state, ReserveResumed("r6", "r5")).stream().version() == "v2");
+  }
+  SECTION("for a bounded number of streams, the latest") {
+    for (size_t n = 0; n < DeploymentState::kBoundStreams; ++n) {
+      Run(&state, ReserveStream("s" + std::to_string(n), "v2"));
+    }
+    CHECK_FALSE(Run(&state, ReserveResumed("r7", "r1")).has_stream());
+    CHECK(Run(&state, ReserveResumed("r8", "s0")).stream().version() == "v2");
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::control
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -104,15 +104,26 @@
 void MemoryLedger::Claim(const TokenClaim& claim, std::chrono::milliseconds,
                          ClaimCallback callback) {
   claims.push_back(claim);
-  QTimer::singleShot(0, [this, callback = std::move(callback)] {
-    if (!grants) {
-      callback(core::Error{core::ErrorCode::kUnavailable, "no leader",
-                           core::Execution::kNotRun,
-                           std::chrono::milliseconds(600)});
-      return;
+  ClaimReply reply;
+  if (!claim.resumed_request.empty()) {
+    const auto it = streams.find(claim.resumed_request);
+    if (it != streams.end()) {
+      reply.stream = it->second;
     }
-    callback(ClaimReply{*grants, 0});
-  });
+  } else if (claim.stream) {
+    reply.stream = streams[claim.request_id] = *claim.stream;
+  }
+  QTimer::singleShot(
+      0, [this, reply, callback = std::move(callback)]() mutable {
+        if (!grants) {
+          callback(core::Error{core::ErrorCode::kUnavailable, "no leader",
+                               core::Execution::kNotRun,
+                               std::chrono::milliseconds(600)});
+          return;
+        }
+        reply.granted = *grants;
+        callback(reply);
+      });
 }
 
 void MemoryLedger::Settle(const TokenClaim& claim, int64_t used) {
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -88,6 +88,8 @@
   std::optional<bool> grants = true;
   std::vector<TokenClaim> claims;
   std::map<std::string, int64_t> settled;
+  /// Bindings of streams by the request that began each.
+  std::map<std::string, StreamBinding> streams;
 };
 
 /// Caller with one connection.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -365,7 +365,9 @@
   REQUIRE(WaitFor([&] { return it.ledger.settled.contains("r1"); }));
   CHECK(it.ledger.settled.at("r1") == 22);
   REQUIRE(it.ledger.claims.size() == 1);
-  CHECK(it.ledger.claims[0] == TokenClaim{"p", "r1", 500, 80});
+  TokenClaim claim{"p", "r1", 500, 80};
+  claim.stream = StreamBinding{"", 1};
+  CHECK(it.ledger.claims[0] == claim);
 }
 
 TEST_CASE("A stream continues at another upstream after its upstream stopped") {
--- a/tests/relay/stream_version_test.cpp
+++ b/tests/relay/stream_version_test.cpp
@@ -101,7 +101,7 @@
 
 // Guards against a stream that goes on at another software version after its
 // upstream crashed.
-TEST_CASE("known-red: A stream goes on in its response at its own version") {
+TEST_CASE("A stream goes on in its response at its own version") {
   TwoRelays it;
   VersionedUpstream& first = it.Add("m", "v1");
   SECTION("where another upstream has it") {
@@ -126,8 +126,7 @@
 
 // Guards against a caller that takes its stream up, at any instance, and gets
 // events of another software version.
-TEST_CASE(
-    "known-red: A stream taken up anew goes on at the version that began it") {
+TEST_CASE("A stream taken up anew goes on at the version that began it") {
   TwoRelays it;
   const size_t relay = GENERATE(0U, 1U);
   CAPTURE(relay);
@@ -153,5 +152,38 @@
   }
 }
 
+// Guards against streams that are stranded by the version that was chosen for
+// them: until the first event any version will do.
+TEST_CASE("A stream without an event moves to a version that is left") {
+  TwoRelays it;
+  ScriptedUpstream silent([](const std::string&) -> Step { return {}; });
+  it.relays[0]->AddUpstreamOfVersion("m", silent.address(), "v1");
+  Caller caller(it.relays[0]->port());
+  caller.Send(
+      RelayFixture::Request("/turn/x", "r1", "X-Deadline-Ms: 9000\r\n"));
+  REQUIRE(WaitFor([&] { return silent.requests().size() == 1; }));
+  it.Add("a", "v2");
+  silent.Stop();
+  REQUIRE(
+      WaitFor([&] { return caller.received().ends_with("\r\n0\r\n\r\n"); }));
+  CHECK(Has(caller.received(), "id: 1\ndata: by v2"));
+  // What the caller takes up later is bound to the version of its events.
+  CHECK(Has(it.Send(1, "r2", Resumes("r1", 1)), "by v2"));
+}
+
+// Guards against refusing callers that name no request where only one version
+// serves, and against guessing where several do.
+TEST_CASE("A stream of unknown origin goes on only where one version serves") {
+  TwoRelays it;
+  it.Add("a", "v1");
+  it.Add("b", "v1");
+  CHECK(Has(it.Send(0, "r1", "Last-Event-Id: 1\r\n"), "id: 2\ndata: by v1"));
+  CHECK(Has(it.Send(0, "r2", Resumes("lost", 1)), "id: 2\ndata: by v1"));
+  it.Add("c", "v2");
+  CHECK(it.Send(0, "r3", "Last-Event-Id: 1\r\n").starts_with("HTTP/1.1 503 "));
+  CHECK(it.Send(0, "r4", Resumes("lost", 1)).starts_with("HTTP/1.1 503 "));
+  CHECK(Has(it.Send(0, "r5"), "id: 1\ndata: by v"));
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
