scheduling: Let no new program in that would wait for request limits

Under limits a first call could wait 400 ms for a slot. Each later call of its program waits as long again, so that programs that were let in slowly all ended late, and those refused at the end of the wait learned it late. First calls wait 50 ms at most while limits hold calls up.

--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -85,7 +85,8 @@
                                 std::chrono::milliseconds queued,
                                 std::chrono::milliseconds wait,
                                 core::TimePoint now) const {
-  if (call.attained_tokens == 0 && queued + wait > settings_.max_first_wait) {
+  if (call.attained_tokens == 0 &&
+      queued + wait > settings_.max_first_limited_wait) {
     return true;
   }
   const std::chrono::duration<double> run(service.pool.mean_run_seconds());
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -41,6 +41,9 @@
     /// Expected wait beyond which the first call of a program is refused. A
     /// program that retries early enough can still meet its objective.
     std::chrono::milliseconds max_first_wait{400};
+    /// The same while request limits hold calls up. Such a wait meets each call
+    /// of a program, so that programs that are let in slowly all end late.
+    std::chrono::milliseconds max_first_limited_wait{50};
   };
 
   /// By how much a wait for the request limits of several upstreams may exceed
