scheduling: Keep the queue of one version from holding up another

A call that continues a stream waits for suspended upstreams of its version, a new one does not; the mark that a version is full was shared by both, and each pump looked for upstreams for each queued call of a full version. Continued calls come first, so the marks are cleared once after them, and a full version is skipped.

--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -260,8 +260,10 @@
 std::vector<Dispatch> SharedScheduler::Next(core::TimePoint now) {
   std::vector<Dispatch> dispatches;
   for (auto& [id, service] : services_) {
-    // Versions whose upstreams are all full.
+    // Versions whose upstreams are all full. Calls that continue streams come
+    // first; they also wait for suspended upstreams, which others do not.
     std::set<std::string> full;
+    bool continued = true;
     for (auto it = service.queue.begin(); it != service.queue.end();) {
       const CallRequest& call = it->second.call;
       if (call.deadline && now >= *call.deadline) {
@@ -269,14 +271,18 @@
         it = Refuse(&service.queue, it, NoRoom(service, now));
         continue;
       }
-      if (!service.pool.HasVersionFor(call)) {
-        it = Refuse(&service.queue, it, NoVersion());
-        continue;
+      if (std::exchange(continued, call.continues_stream) &&
+          !call.continues_stream) {
+        full.clear();
       }
       if (call.software_version && full.contains(*call.software_version)) {
         ++it;
         continue;
       }
+      if (!service.pool.HasVersionFor(call)) {
+        it = Refuse(&service.queue, it, NoVersion());
+        continue;
+      }
       const auto upstream = service.pool.Choose(call, now);
       if (!upstream) {
         if (!call.software_version) {
