--- a/relay/relay.h
+++ b/relay/relay.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "relay/drain_marks.h"
+#include "relay/instance_count.h"
 #include "relay/relay_call.h"
 #include "relay/request_limits.h"
 #include "relay/upstream_link_pool.h"
@@ -77,14 +78,9 @@
     shutdown_deadline_ = deadline;
   }
   /// Sets the number of instances that share the connection limits and request
-  /// limits of the upstreams. A lower number than before takes effect after
-  /// kInstanceCountHold.
+  /// limits of the upstreams.
   void SetInstanceCount(size_t instances);
 
-  /// Time for which the number of instances must stay lower until the others'
-  /// shares grow. A leader that was just elected, or an instance that restarts,
-  /// has not heard of all others yet.
-  static constexpr std::chrono::seconds kInstanceCountHold{10};
   /// Change of a request limit, as a part of it, below which the other
   /// instances are not told: each of them reads it in a response of its own.
   static constexpr double kReportedLimitChange = 0.1;
@@ -179,11 +175,7 @@
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
-  size_t instances_ = 1;
-  /// Highest number of instances since it became lower than instances_, and
-  /// when that was.
-  size_t lower_instances_ = 0;
-  core::TimePoint lower_since_;
+  InstanceCount instances_;
   std::set<uint64_t> poison_requests_;
   std::set<uint64_t> suspected_requests_;
   std::optional<core::TimePoint> shutdown_deadline_;
