relay: Look for another upstream when a request limit allows no repeat

A stream that breaks off is first sent to the same upstream once more, and goes on elsewhere only if that one has ended. The reachability of the upstream is checked instead, which sends no request.

The number of instances has its own test here.

--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -527,10 +527,13 @@
   }
   const bool other_version =
       binding_ && parts_.host.VersionOf(upstream_) != binding_->version;
-  if (other_version || parts_.host.IsDraining(*this) ||
-      !parts_.host.TakeRepeat(*this)) {
+  if (other_version || parts_.host.IsDraining(*this)) {
     return false;
   }
+  if (!parts_.host.TakeRepeat(*this)) {
+    CheckInsteadOfRepeat();
+    return true;
+  }
   // The limit of upstreams is reached, so only an upstream that may already
   // have run the call may run it again.
   parts_.host.OnDecision(*this, "call sent again", "same upstream");
@@ -540,6 +543,26 @@
   return true;
 }
 
+void RelayCall::CheckInsteadOfRepeat() {
+  idle_timer_.stop();
+  progress_timer_.stop();
+  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
+  parts_.host.CheckUpstream(upstream_, [guard = QPointer<RelayCall>(this),
+                                        upstream = upstream_](bool reachable) {
+    if (!guard || guard->state_ != State::kRunning || guard->link_ != nullptr ||
+        guard->upstream_ != upstream) {
+      return;
+    }
+    if (!reachable) {
+      guard->OnChecked(upstream, false);
+      return;
+    }
+    guard->ReleaseUpstream(scheduling::CallOutcome::kFailed);
+    guard->Fail(status::kBadGateway,
+                "the request limit of the upstream allows no repeat");
+  });
+}
+
 void RelayCall::ReleaseUpstream(scheduling::CallOutcome outcome) {
   idle_timer_.stop();
   progress_timer_.stop();
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -251,6 +251,9 @@
   /// Retries a call that may have run. Returns false if its kind or its limits
   /// do not allow that.
   bool Retry();
+  /// Finds out whether the upstream has ended, so that another one may run the
+  /// call; its request limit allows no repeat now.
+  void CheckInsteadOfRepeat();
   void OnCallerDisconnected();
   void OnDeadline();
   /// Ends the call with a response that it was not run, or by Fail if it may
--- a/tests/relay/request_limit_test.cpp
+++ b/tests/relay/request_limit_test.cpp
@@ -224,5 +224,50 @@
   CHECK_FALSE(limits.Of("u", 1));
 }
 
+// Guards against a stream that ends with its upstream because the limit of that
+// one allows no repeat.
+TEST_CASE("A stream of a limited upstream that crashed goes on elsewhere") {
+  RelayFixture it;
+  ScriptedUpstream other([](const std::string& request) -> Step {
+    return {StreamHead(request) + EventChunk(2) + "0\r\n\r\n"};
+  });
+  ScriptedUpstream* crashing = nullptr;
+  ScriptedUpstream limited([&](const std::string& request) -> Step {
+    it.AddUpstream("v", other.address());
+    crashing->StopListening();
+    std::string head = StreamHead(request);
+    head.insert(head.find("\r\n") + 2, "Server-Limit: 0\r\n");
+    return {head + EventChunk(1), false, true};
+  });
+  crashing = &limited;
+  it.AddUpstream("u", limited.address());
+  Caller caller(it.port());
+  caller.Send(
+      RelayFixture::Request("/turn/x", "r1", "X-Deadline-Ms: 9000\r\n"));
+  REQUIRE(WaitFor([&] {
+    return caller.ended() || caller.received().ends_with("\r\n0\r\n\r\n");
+  }));
+  CHECK(caller.received().find("e2") != std::string::npos);
+  CHECK(limited.requests().size() == 1);
+}
+
+// Guards against shares that grow because a new leader has not heard of all
+// instances yet.
+TEST_CASE("The number of instances rises at once and falls late") {
+  const core::TimePoint start{std::chrono::hours(1)};
+  InstanceCount count;
+  CHECK(count.Update(9, start));
+  CHECK_FALSE(count.Update(0, start));
+  CHECK_FALSE(count.Update(2, start + std::chrono::seconds(1)));
+  CHECK_FALSE(count.Update(8, start + std::chrono::seconds(5)));
+  CHECK_FALSE(count.Update(7, start + std::chrono::seconds(10)));
+  CHECK(count.value() == 9);
+  // The highest number of the time counts.
+  CHECK(count.Update(7, start + std::chrono::seconds(11)));
+  CHECK(count.value() == 8);
+  CHECK(count.Update(12, start + std::chrono::seconds(12)));
+  CHECK(count.value() == 12);
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
