--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -525,11 +525,17 @@
     EnterQueue();
     return true;
   }
-  const bool other_version =
-      binding_ && parts_.host.VersionOf(upstream_) != binding_->version;
-  if (other_version || parts_.host.IsDraining(*this)) {
+  if (parts_.host.IsDraining(*this)) {
     return false;
   }
+  const bool is_restarted =
+      parts_.host.StartTimeOf(upstream_) != upstream_started_at_ms_;
+  if (is_restarted && binding_ &&
+      parts_.host.VersionOf(upstream_) != binding_->version) {
+    // The incarnation that ran the call has ended.
+    ran_at_.erase(upstream_);
+    return TryAnotherUpstream(scheduling::CallOutcome::kFailed);
+  }
   if (!parts_.host.TakeRepeat(*this)) {
     CheckInsteadOfRepeat();
     return true;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -223,14 +223,15 @@
 
 void RelayFixture::AddUpstreamOfVersion(const std::string& id,
                                         const std::string& address,
-                                        const std::string& version) {
+                                        const std::string& version,
+                                        uint64_t started_at_ms) {
   schema::UpstreamEntry entry;
   entry.set_upstream(id);
   entry.set_service("llm");
   entry.set_address(address);
   entry.set_zone("a");
   entry.set_max_running(4);
-  entry.set_started_at_ms(1);
+  entry.set_started_at_ms(started_at_ms);
   entry.set_software_version(version);
   entry.set_revision(++revision_);
   relay_.SetUpstream(entry);
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -131,7 +131,8 @@
   MemoryLedger ledger;
   /// Adds an upstream of a software version.
   void AddUpstreamOfVersion(const std::string& id, const std::string& address,
-                            const std::string& version);
+                            const std::string& version,
+                            uint64_t started_at_ms = 1);
 
   /// Digests of requests whose upstream crashed while running them.
   std::vector<uint64_t> crashes;
--- a/tests/relay/stream_version_test.cpp
+++ b/tests/relay/stream_version_test.cpp
@@ -185,5 +185,27 @@
   CHECK(Has(it.Send(0, "r5"), "id: 1\ndata: by v"));
 }
 
+// Guards against giving up a stream because its upstream is no longer listed,
+// or runs another version under the same id.
+TEST_CASE("A stream goes on after its upstream left or was started anew") {
+  TwoRelays it;
+  const bool is_restarted = GENERATE(false, true);
+  CAPTURE(is_restarted);
+  it.Add("m", "v1").CrashAtNext([&] {
+    it.Add("y", "v1");
+    it.Add("z", "v2");
+    if (is_restarted) {
+      it.relays[0]->AddUpstreamOfVersion("m", it.upstreams[2]->address(), "v2",
+                                         2);
+    } else {
+      it.relays[0]->relay().RetainUpstreams({"y", "z"});
+    }
+  });
+  const std::string got = it.Send(0, "r1");
+  CHECK(Has(got, "id: 1\ndata: by v1"));
+  CHECK(Has(got, "id: 3\ndata: by v1"));
+  CHECK_FALSE(Has(got, "by v2"));
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
