relay, scheduling: Record how many upstreams an instance cannot reach

Callers of cut instances were refused with "no upstream had room in time" although nothing was full, and the record of an unreachable upstream is the same for a crashed upstream and for a cut instance.

Refusals name unreachable upstreams; a deadline that passes before the claim is no longer said to have passed in the queue; the records and a gauge count the unreachable upstreams of the instance. No decision changes: the error code of the refusal is kUnavailable instead of kOverloaded, and nothing acts on it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -189,6 +189,7 @@
   set("queued_calls", scheduler_.queued());
   set("upstreams_known", upstreams_.size());
   set("upstreams_limited", request_limits_.size());
+  set("upstreams_unreachable", scheduler_.SuspendedCount());
   set("upstream_links_idle", links_.TotalIdle());
   set("upstream_links_in_use", links_.TotalInUse());
   set("upstream_links_opened", links_.opened());
@@ -345,9 +346,7 @@
 
 void Relay::OnUnreachable(const std::string& upstream) {
   parts_.metrics.Count("relay_unreachable");
-  logging::Log(
-      logging::LogLevel::kWarn, "upstream unreachable",
-      {{"upstream", upstream}, {"reason", "a call could not reach it"}});
+  LogUnreachable(upstream, "a call could not reach it");
   if (!check_timer_.isActive()) {
     check_timer_.start(kCheckInterval);
   }
@@ -363,14 +362,22 @@
     }
     CheckUpstream(id, [this, id = id](bool reachable) {
       if (!reachable) {
-        logging::Log(logging::LogLevel::kWarn, "upstream unreachable",
-                     {{"upstream", id}, {"reason", "its zone was checked"}});
         scheduler_.Suspend(core::UpstreamId(id), parts_.clock.Now());
+        LogUnreachable(id, "its zone was checked");
       }
     });
   }
 }
 
+void Relay::LogUnreachable(const std::string& upstream,
+                           const char* reason) const {
+  logging::Log(logging::LogLevel::kWarn, "upstream unreachable",
+               {{"upstream", upstream},
+                {"reason", reason},
+                {"unreachable", std::to_string(scheduler_.SuspendedCount())},
+                {"known", std::to_string(upstreams_.size())}});
+}
+
 void Relay::CheckSuspended() {
   for (const core::UpstreamId& id : scheduler_.DueChecks(parts_.clock.Now())) {
     // Prevents a second check while this one runs.
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -151,6 +151,7 @@
   /// Starts the periodic checks of suspended upstreams. If the upstream is in
   /// another zone, also checks the other upstreams of that zone.
   void OnUnreachable(const std::string& upstream);
+  void LogUnreachable(const std::string& upstream, const char* reason) const;
   /// Checks suspended upstreams and resumes those that are reachable again.
   void CheckSuspended();
   void SchedulePump();
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -599,7 +599,8 @@
   }
   Fail(summary_.may_have_run ? status::kGatewayTimeout
                              : status::kServiceUnavailable,
-       "the deadline passed in the queue");
+       state_ == State::kClaiming ? "the deadline passed before the claim"
+                                  : "the deadline passed in the queue");
 }
 
 void RelayCall::Refuse(int status, std::string reason,
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -338,10 +338,23 @@
   return due;
 }
 
-bool SharedPool::HasSuspended() const {
-  return std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& it) {
-    return it.second.check_at.has_value();
-  });
+bool SharedPool::HasSuspended() const { return SuspendedCount() > 0; }
+
+size_t SharedPool::SuspendedCount() const {
+  return static_cast<size_t>(std::count_if(
+      upstreams_.begin(), upstreams_.end(),
+      [](const auto& it) { return it.second.check_at.has_value(); }));
+}
+
+bool SharedPool::IsUnreachable() const {
+  bool any = false;
+  for (const auto& [id, it] : upstreams_) {
+    if (it.TakesCalls()) {
+      return false;
+    }
+    any = any || !it.state.leaving;
+  }
+  return any;
 }
 
 }  // namespace hawthorn::scheduling
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -129,6 +129,9 @@
   /// Suspended upstreams that are due for a check.
   std::vector<core::UpstreamId> DueChecks(core::TimePoint now) const;
   bool HasSuspended() const;
+  size_t SuspendedCount() const;
+  /// Whether upstreams would take calls but all of them are unreachable.
+  bool IsUnreachable() const;
 
  private:
   struct Upstream {
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -239,10 +239,14 @@
   return due;
 }
 
-bool SharedScheduler::HasSuspended() const {
-  return std::any_of(services_.begin(), services_.end(), [](const auto& it) {
-    return it.second.pool.HasSuspended();
-  });
+bool SharedScheduler::HasSuspended() const { return SuspendedCount() > 0; }
+
+size_t SharedScheduler::SuspendedCount() const {
+  size_t count = 0;
+  for (const auto& [id, service] : services_) {
+    count += service.pool.SuspendedCount();
+  }
+  return count;
 }
 
 void SharedScheduler::OnFinished(const CallResult& result,
@@ -318,8 +322,11 @@
 
 core::Error SharedScheduler::NoRoom(const Service& service,
                                     core::TimePoint now) const {
-  return MakeRefusal(core::ErrorCode::kOverloaded,
-                     "no upstream had room in time",
+  const bool is_unreachable = service.pool.IsUnreachable();
+  return MakeRefusal(is_unreachable ? core::ErrorCode::kUnavailable
+                                    : core::ErrorCode::kOverloaded,
+                     is_unreachable ? "no upstream of the service is reachable"
+                                    : "no upstream had room in time",
                      ExpectedWait(service, service.pool.CapacityAt(now),
                                   service.queue.size()));
 }
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -84,6 +84,8 @@
   void Resume(const core::UpstreamId& upstream);
   std::vector<core::UpstreamId> DueChecks(core::TimePoint now) const;
   bool HasSuspended() const;
+  /// Number of suspended upstreams of all services.
+  size_t SuspendedCount() const;
   void OnFinished(const CallResult& result, core::TimePoint now);
   /// Calls to send now; each counts as running until OnFinished. Never returns
   /// a call whose deadline has passed, however long the process was suspended.
@@ -136,7 +138,8 @@
   /// time.
   void RefuseBeyondLimits(Service* service, core::TimePoint now);
   int64_t RankOf(const CallRequest& call) const;
-  /// Refusal of a call that no upstream had room for in time.
+  /// Refusal of a call that could not be sent in time, since all upstreams were
+  /// full or unreachable.
   core::Error NoRoom(const Service& service, core::TimePoint now) const;
   /// Moves a queued call to the refusals; returns the one after it.
   Queue::iterator Refuse(Queue* queue, Queue::iterator it, core::Error error);
