--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -135,11 +135,15 @@
                                     QIODevice::Append);
   it.process->setStandardErrorFile(Text(logs_ + "/" + it.name + ".err"),
                                    QIODevice::Append);
+  QProcessEnvironment environment = QProcessEnvironment::systemEnvironment();
+  environment.insert("LD_PRELOAD", NETWORK_FAULT);
+  it.process->setProcessEnvironment(environment);
   it.process->start(HAWTHORND,
                     {"--platform", "--settings",
                      Text(WriteSettings(it, first_start)), "--metrics_port=0"});
   it.process->waitForStarted();
   it.paused = false;
+  it.partition = Partition::kNone;
   it.wanted = true;
 }
 
@@ -162,6 +166,16 @@
   }
 }
 
+void Fleet::SetPartition(Instance& it, Partition partition) {
+  it.partition = partition;
+  if (it.process && it.process->state() == QProcess::Running) {
+    sigval value{};
+    value.sival_int = static_cast<int>(partition);
+    sigqueue(static_cast<pid_t>(it.process->processId()), PartitionSignal(),
+             value);
+  }
+}
+
 void Fleet::Kill(Instance& it) {
   it.last_unplanned = findings_.Now();
   it.wanted = false;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "findings.h"
+#include "network_fault.h"
 
 namespace hawthorn::soak {
 
@@ -22,6 +23,7 @@
   std::string zone;
   std::unique_ptr<QProcess> process;
   bool paused = false;
+  Partition partition = Partition::kNone;
   /// It is to be running, so that an end by itself is a finding.
   bool wanted = false;
   /// Time of the last fault that may cut its connections; planned stops do not.
@@ -44,6 +46,8 @@
   void Signal(Instance& it, int number);
   void Pause(Instance& it);
   void Resume(Instance& it);
+  /// Partitions an instance from all upstreams, or ends that.
+  void SetPartition(Instance& it, Partition partition);
   /// Kills the process; Start runs it again.
   void Kill(Instance& it);
   /// Removes the stored state of a stopped process.
