relay: Keep a forwarded call at its upstream when the forwarder fails

Cause: a check of the link that got no answer from the forwarder, which was frozen or stopped, was taken for an upstream that is cut off; and three partitioned instances that do not reach an upstream were taken for the proof that it has crashed. Ruled out: the shares of limits; both runs of each call had one and the same caller and instance.

A check tells an unreachable upstream from an instance that failed. Only an instance that reached an upstream within 300 ms may say that another one is unreachable. A direct path in probation is checked once a second at most.

--- a/relay/forward_server.cpp
+++ b/relay/forward_server.cpp
@@ -71,7 +71,11 @@
     };
     events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
     events.on_complete = [this] { End(schema::FORWARD_END_COMPLETE); };
-    events.on_failed = [this](LinkFailure failure) { End(EndOf(failure)); };
+    events.on_failed = [this](LinkFailure failure) {
+      const bool is_partitioned =
+          failure == LinkFailure::kUnreachable && !server_.host_.HadContact();
+      End(is_partitioned ? schema::FORWARD_END_PARTITIONED : EndOf(failure));
+    };
     link_->Start(std::exchange(*request_.mutable_request(), {}),
                  std::move(events));
   }
--- a/relay/forward_server.h
+++ b/relay/forward_server.h
@@ -31,6 +31,9 @@
   virtual void CheckForwarded(
       const schema::ForwardRequest& request,
       std::function<void(schema::ForwardEnd)> on_checked) = 0;
+  /// Whether this instance has reached an upstream recently, so that its word
+  /// on another one counts.
+  virtual bool HadContact() const = 0;
   /// An exchange for `origin` has ended.
   virtual void OnForwardedEnded(const schema::ForwardRequest& request,
                                 const std::string& origin,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -109,6 +109,9 @@
   /// and the way there and back.
   static constexpr size_t kProbes = 3;
   static constexpr std::chrono::milliseconds kProbeTimeout{500};
+  /// Time since the last contact with any upstream after which this instance
+  /// may be partitioned from all of them.
+  static constexpr std::chrono::milliseconds kContactTime{300};
   /// Least time between two checks of all upstreams.
   static constexpr std::chrono::milliseconds kSurveyInterval{500};
 
@@ -147,7 +150,7 @@
   void CloseLink(const RelayCall& call, ExchangeLink* link,
                  const ResponseInfo& response) override;
   void CheckLink(const RelayCall& call,
-                 std::function<void(bool)> on_checked) override;
+                 std::function<void(ReachCheck)> on_checked) override;
   void CheckAlive(const std::string& upstream,
                   std::function<void(bool)> on_checked) override;
   void OnWrongUpstream(const std::string& upstream) override;
@@ -165,6 +168,8 @@
   void CheckForwarded(
       const schema::ForwardRequest& request,
       std::function<void(schema::ForwardEnd)> on_checked) override;
+  /// Within kContactTime.
+  bool HadContact() const override;
   void OnForwardedEnded(const schema::ForwardRequest& request,
                         const std::string& origin,
                         schema::ForwardEnd end) override;
@@ -179,14 +184,16 @@
                    std::function<void(bool)> on_checked);
   /// Asks `forwarder` whether it reaches the upstream.
   void AskForwarder(const std::string& forwarder, const Upstream& upstream,
-                    std::function<void(bool)> on_answer);
+                    std::function<void(ReachCheck)> on_answer);
   /// Asks several other instances whether they reach an upstream that this one
   /// does not reach. If one does, calls go there through others from now on.
-  /// `on_answer` is never called from within this call.
+  /// `on_answer` is never called from within this call, and learns whether the
+  /// upstream may be alive.
   void ProbeForwarders(const std::string& upstream,
                        std::function<void(bool)> on_answer);
-  void OnProbed(const std::string& upstream, bool reached,
-                const std::string& forwarder);
+  /// `reached_by` is the instance that reached the upstream; empty if none did.
+  void OnProbed(const std::string& upstream, const std::string& reached_by,
+                bool may_be_alive);
   /// Checks the upstreams for which `includes` is true, as one was found to be
   /// unreachable.
   void SurveyUpstreams(
@@ -261,6 +268,8 @@
   /// Who waits for the answers of other instances about an upstream.
   std::map<std::string, std::vector<std::function<void(bool)>>> probes_;
   core::TimePoint next_survey_;
+  /// When an upstream last responded to this instance or took a connection.
+  core::TimePoint last_contact_;
   std::set<uint64_t> poison_requests_;
   std::set<uint64_t> suspected_requests_;
   std::optional<core::TimePoint> shutdown_deadline_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -543,21 +543,31 @@
     return;
   }
   parts_.host.CheckLink(*this, [guard = QPointer<RelayCall>(this), link = link_,
-                                upstream = upstream_](bool reachable) {
+                                upstream = upstream_](ReachCheck result) {
     if (guard && guard->link_ == link && !guard->idle_timer_.isActive()) {
-      guard->OnChecked(upstream, reachable);
+      guard->OnChecked(upstream, result);
     }
   });
 }
 
-void RelayCall::OnChecked(const std::string& upstream, bool reachable) {
+void RelayCall::OnChecked(const std::string& upstream, ReachCheck result) {
   if (state_ != State::kRunning || upstream != upstream_) {
     return;
   }
-  if (reachable) {
+  if (result == ReachCheck::kReachable) {
     idle_timer_.start(kNextIdleTimeout);
     return;
   }
+  if (result == ReachCheck::kUnknown) {
+    // The instance that carries the exchange out has failed, while the upstream
+    // may still run the call.
+    ran_at_.insert(upstream_);
+    if (!Retry()) {
+      ReleaseUpstream(scheduling::CallOutcome::kFailed);
+      Fail(status::kBadGateway, "the instance that forwarded the call failed");
+    }
+    return;
+  }
   // The link is cut: the upstream cannot deliver its response, and it drops the
   // call when the connection ends.
   summary_.may_have_run = true;
@@ -630,7 +640,7 @@
       return;
     }
     if (!reachable) {
-      guard->OnChecked(upstream, false);
+      guard->OnChecked(upstream, ReachCheck::kUnreachable);
       return;
     }
     guard->ReleaseUpstream(scheduling::CallOutcome::kFailed);
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -27,6 +27,15 @@
 
 class RelayCall;
 
+/// Result of a check whether an upstream can be reached.
+enum class ReachCheck {
+  kReachable,
+  kUnreachable,
+  /// The check failed for another reason than the upstream: the instance that
+  /// was asked did not respond, or it cannot tell.
+  kUnknown,
+};
+
 /// Functions of the relay that a call uses.
 class CallHost {
  public:
@@ -77,8 +86,9 @@
   /// call uses; `on_checked` is never called from within this call. A removed
   /// upstream cannot be tested and counts as reachable.
   virtual void CheckLink(const RelayCall& call,
-                         std::function<void(bool)> on_checked) = 0;
-  /// Tests whether any instance reaches the upstream. Otherwise as CheckLink.
+                         std::function<void(ReachCheck)> on_checked) = 0;
+  /// Tests whether the upstream has ended: no instance that reaches others
+  /// reaches it. Otherwise as CheckLink.
   virtual void CheckAlive(const std::string& upstream,
                           std::function<void(bool)> on_checked) = 0;
   /// The connection to the upstream failed before the response was complete.
@@ -260,7 +270,7 @@
   void OnAliveChecked(bool alive);
   void OnNotRun();
   void OnUpstreamIdle();
-  void OnChecked(const std::string& upstream, bool reachable);
+  void OnChecked(const std::string& upstream, ReachCheck result);
   void ForwardEvents(std::string_view bytes);
   /// Sends bytes of the body to the caller. Pauses reading from the upstream
   /// while the caller is slow.
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -18,6 +18,8 @@
       return "complete";
     case schema::FORWARD_END_UNREACHABLE:
       return "the upstream is unreachable";
+    case schema::FORWARD_END_PARTITIONED:
+      return "no upstream was reached recently";
     case schema::FORWARD_END_CLOSED:
       return "the upstream closed the connection";
     case schema::FORWARD_END_RESET:
@@ -102,17 +104,30 @@
     return;
   }
   parts_.metrics.Count("relay_upstream_checks");
-  links_.Check(upstream, it->second.address, std::move(on_checked));
+  links_.Check(upstream, it->second.address,
+               [this, on_checked = std::move(on_checked)](bool reachable) {
+                 if (reachable) {
+                   last_contact_ = parts_.clock.Now();
+                 }
+                 on_checked(reachable);
+               });
+}
+
+bool Relay::HadContact() const {
+  return last_contact_ != core::TimePoint() &&
+         parts_.clock.Now() - last_contact_ < kContactTime;
 }
 
 void Relay::CheckLink(const RelayCall& call,
-                      std::function<void(bool)> on_checked) {
+                      std::function<void(ReachCheck)> on_checked) {
   const std::string& upstream = call.summary().last_upstream;
   const std::string forwarder =
       call.link() == nullptr ? "" : call.link()->forwarder();
   const auto it = upstreams_.find(upstream);
   if (forwarder.empty() || it == upstreams_.end()) {
-    CheckDirect(upstream, std::move(on_checked));
+    CheckDirect(upstream, [on_checked = std::move(on_checked)](bool reachable) {
+      on_checked(reachable ? ReachCheck::kReachable : ReachCheck::kUnreachable);
+    });
     return;
   }
   AskForwarder(forwarder, it->second, std::move(on_checked));
@@ -131,7 +146,7 @@
 }
 
 void Relay::AskForwarder(const std::string& forwarder, const Upstream& upstream,
-                         std::function<void(bool)> on_answer) {
+                         std::function<void(ReachCheck)> on_answer) {
   schema::PeerMessage message;
   schema::ForwardRequest* request = message.mutable_forward();
   request->set_upstream(upstream.entry.upstream());
@@ -148,12 +163,18 @@
             core::IsOk(reply) ? core::Value(reply).forwarded().end()
                               : schema::FORWARD_END_UNSPECIFIED;
         const core::TimePoint now = guard->parts_.clock.Now();
-        if (end == schema::FORWARD_END_COMPLETE) {
-          guard->forwarders_.OnSuccess(forwarder, now);
-        } else if (end != schema::FORWARD_END_UNREACHABLE) {
-          guard->forwarders_.OnFailure(forwarder, now);
+        switch (end) {
+          case schema::FORWARD_END_COMPLETE:
+            guard->forwarders_.OnSuccess(forwarder, now);
+            on_answer(ReachCheck::kReachable);
+            return;
+          case schema::FORWARD_END_UNREACHABLE:
+            on_answer(ReachCheck::kUnreachable);
+            return;
+          default:
+            guard->forwarders_.OnFailure(forwarder, now);
+            on_answer(ReachCheck::kUnknown);
         }
-        on_answer(end == schema::FORWARD_END_COMPLETE);
       });
 }
 
@@ -172,28 +193,40 @@
           : forwarders_.ChooseProbes(kProbes, parts_.clock.Now());
   if (asked.empty()) {
     QMetaObject::invokeMethod(
-        this, [this, upstream] { OnProbed(upstream, false, ""); },
+        this, [this, upstream] { OnProbed(upstream, "", false); },
         Qt::QueuedConnection);
     return;
   }
   parts_.metrics.Count("relay_probes", asked.size());
-  const auto unanswered = std::make_shared<size_t>(asked.size());
+  struct Answers {
+    size_t missing = 0;
+    bool unreachable = false;
+  };
+  const auto answers = std::make_shared<Answers>(Answers{asked.size(), false});
   for (const std::string& forwarder : asked) {
     AskForwarder(forwarder, it->second,
-                 [this, upstream, forwarder, unanswered](bool reached) {
-                   if (*unanswered == 0) {
+                 [this, upstream, forwarder, answers](ReachCheck result) {
+                   if (answers->missing == 0) {
                      return;
                    }
-                   *unanswered = reached ? 0 : *unanswered - 1;
-                   if (*unanswered == 0) {
-                     OnProbed(upstream, reached, forwarder);
+                   --answers->missing;
+                   if (result == ReachCheck::kReachable) {
+                     answers->missing = 0;
+                     OnProbed(upstream, forwarder, true);
+                     return;
+                   }
+                   answers->unreachable = answers->unreachable ||
+                                          result == ReachCheck::kUnreachable;
+                   if (answers->missing == 0) {
+                     OnProbed(upstream, "", !answers->unreachable);
                    }
                  });
   }
 }
 
-void Relay::OnProbed(const std::string& upstream, bool reached,
-                     const std::string& forwarder) {
+void Relay::OnProbed(const std::string& upstream, const std::string& reached_by,
+                     bool may_be_alive) {
+  const bool reached = !reached_by.empty();
   const auto waiting = std::exchange(probes_[upstream], {});
   probes_.erase(upstream);
   const bool is_new = reached && upstreams_.contains(upstream) &&
@@ -207,7 +240,7 @@
     logging::Log(logging::LogLevel::kWarn,
                  "upstream reached through other instances",
                  {{"upstream", upstream},
-                  {"forwarder", forwarder},
+                  {"forwarder", reached_by},
                   {"forwarded", std::to_string(paths_.forwarded_count())},
                   {"known", std::to_string(upstreams_.size())}});
     if (!check_timer_.isActive()) {
@@ -220,7 +253,7 @@
   }
   for (const auto& it : waiting) {
     if (it) {
-      it(reached);
+      it(may_be_alive);
     }
   }
   if (is_new && parts_.clock.Now() >= next_survey_) {
@@ -285,7 +318,8 @@
     return schema::FORWARD_END_PARTITIONED;
   }
   if (scheduler_.IsSuspended(core::UpstreamId(request.upstream()))) {
-    return schema::FORWARD_END_UNREACHABLE;
+    return HadContact() ? schema::FORWARD_END_UNREACHABLE
+                        : schema::FORWARD_END_PARTITIONED;
   }
   return std::nullopt;
 }
@@ -307,6 +341,9 @@
   if (--served_links_[id] == 0) {
     served_links_.erase(id);
   }
+  if (!response.request_id.empty()) {
+    last_contact_ = parts_.clock.Now();
+  }
   const auto it = upstreams_.find(id);
   const bool is_kept =
       link->reusable() && it != upstreams_.end() &&
@@ -347,7 +384,9 @@
                 {"origin", origin},
                 {"upstream", request.upstream()},
                 {"end", ToString(end)}});
-  if (end == schema::FORWARD_END_UNREACHABLE &&
+  const bool failed_to_connect = end == schema::FORWARD_END_UNREACHABLE ||
+                                 end == schema::FORWARD_END_PARTITIONED;
+  if (failed_to_connect &&
       !scheduler_.IsSuspended(core::UpstreamId(request.upstream()))) {
     Suspend(request.upstream(), "an exchange of another instance failed");
   }
--- a/relay/upstream_paths.cpp
+++ b/relay/upstream_paths.cpp
@@ -42,7 +42,7 @@
     return false;
   }
   state.interval = kCheckInterval;
-  state.check_at = now + kCheckInterval;
+  state.check_at = now + std::min(state.probation, kLongestInterval);
   if (!state.reachable_since) {
     state.reachable_since = now;
   }
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -146,7 +146,8 @@
 void Caller::Send(const std::string& bytes) { socket_.Write(bytes); }
 
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
-                           TokenLedger* shared_ledger)
+                           TokenLedger* shared_ledger,
+                           peer::PeerTransport* peers)
     : relay_({clock_, codec_,
               shared_ledger != nullptr ? *shared_ledger : ledger, metrics_, "a",
               1,
@@ -169,7 +170,7 @@
                   on_limit(limit);
                 }
               },
-              progress_timeout}),
+              progress_timeout, peers}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -118,7 +118,8 @@
   /// Claims go to `shared_ledger`, or to `ledger` if it is null.
   explicit RelayFixture(
       std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout,
-      TokenLedger* shared_ledger = nullptr);
+      TokenLedger* shared_ledger = nullptr,
+      peer::PeerTransport* peers = nullptr);
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -42,6 +42,7 @@
  public:
   explicit Soak(uint64_t seed)
       : random_(seed),
+        partition_random_(seed),
         logs_(absl::GetFlag(FLAGS_logs).empty()
                   ? QDir::tempPath().toStdString() + "/hawthorn-soak-" +
                         std::to_string(QCoreApplication::applicationPid())
@@ -79,11 +80,15 @@
     const int64_t end =
         findings_.Now() + absl::GetFlag(FLAGS_seconds) * kMsPerSecond;
     int64_t next = 0;
+    int64_t next_partition = 0;
     while (findings_.Now() < end) {
       if (findings_.Now() >= next) {
         Disturb();
         next = findings_.Now() + Between(200, 1300);
       }
+      if (findings_.Now() >= next_partition) {
+        next_partition = findings_.Now() + PartitionEntries();
+      }
       RunDue(findings_.Now());
       fleet_.CheckProcesses();
       QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
@@ -165,6 +170,28 @@
     }
   }
 
+  /// Partitions some entry instances, up to all but one, from the upstreams.
+  /// Returns the time until the next partition. Has random numbers of its own,
+  /// so that the other faults of a seed stay the same.
+  int64_t PartitionEntries() {
+    static constexpr std::array<Partition, 4> kPartitions{
+        Partition::kHung, Partition::kRefused, Partition::kRefusedNew,
+        Partition::kHalfOpen};
+    const Partition partition =
+        kPartitions[partition_random_() % kPartitions.size()];
+    const auto span = static_cast<int64_t>(300 + partition_random_() % 5000);
+    std::vector<Instance*> entries = fleet_.Of(Duty::kEntry);
+    std::shuffle(entries.begin(), entries.end(), partition_random_);
+    entries.resize(1 + partition_random_() % (entries.size() - 1));
+    for (Instance* it : entries) {
+      Note("partition " + std::to_string(static_cast<int>(partition)), it->name,
+           span);
+      fleet_.SetPartition(*it, partition);
+      After(span, [this, it] { fleet_.SetPartition(*it, Partition::kNone); });
+    }
+    return span + static_cast<int64_t>(partition_random_() % 4000);
+  }
+
   void Note(const std::string& fault, const std::string& target, int64_t span) {
     findings_.Fired(fault, target, findings_.Now() + span);
   }
@@ -337,6 +364,7 @@
   }
 
   std::mt19937_64 random_;
+  std::mt19937_64 partition_random_;
   std::string logs_;
   Findings findings_;
   Fleet fleet_;
