relay: Take no word on an upstream from an instance that reaches none

With most instances partitioned, calls of sound upstreams would be counted as crashes.

Such an instance now answers that it is partitioned. It also no longer suspends an upstream that it was only asked about: the question would spread from each instance to three others when an upstream ends. Links between instances that carry nothing for 10 s are closed, since an open one costs a ping every 400 ms.

"An instance that reaches no upstream proves no crash" failed before (one crash reported) and passes.

--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -58,6 +58,9 @@
   options.handshake_timeout = std::chrono::milliseconds(250);
   options.initial_backoff = std::chrono::milliseconds(30);
   options.max_backoff = std::chrono::milliseconds(300);
+  // An open link costs pings. Links to instances that are asked about an
+  // upstream or forward exchanges are seldom needed.
+  options.idle_timeout = std::chrono::milliseconds(10000);
   options.seed = std::hash<std::string>{}(settings.ip);
   return options;
 }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -353,6 +353,7 @@
     link->deleteLater();
     return;
   }
+  // A link without a forwarder is an own connection.
   auto* own = static_cast<UpstreamLink*>(link);
   const bool is_current =
       StartTimeOf(upstream) == call.upstream_started_at_ms();
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -365,15 +365,12 @@
     on_checked(*obstacle);
     return;
   }
-  const std::string& id = request.upstream();
-  CheckDirect(
-      id, [this, id, on_checked = std::move(on_checked)](bool reachable) {
-        on_checked(reachable ? schema::FORWARD_END_COMPLETE
-                             : schema::FORWARD_END_UNREACHABLE);
-        if (!reachable && !scheduler_.IsSuspended(core::UpstreamId(id))) {
-          Suspend(id, "it was checked for another instance");
-        }
-      });
+  CheckDirect(request.upstream(),
+              [this, on_checked = std::move(on_checked)](bool reachable) {
+                on_checked(reachable      ? schema::FORWARD_END_COMPLETE
+                           : HadContact() ? schema::FORWARD_END_UNREACHABLE
+                                          : schema::FORWARD_END_PARTITIONED);
+              });
 }
 
 void Relay::OnForwardedEnded(const schema::ForwardRequest& request,
--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -231,6 +231,26 @@
   CHECK(cut.relay.crashes.empty());
 }
 
+// Three partitioned instances were taken for the proof that an upstream has
+// crashed.
+TEST_CASE("An instance that reaches no upstream proves no crash") {
+  std::unique_ptr<ScriptedUpstream> resetting;
+  resetting = std::make_unique<ScriptedUpstream>([&](const std::string&) {
+    resetting->StopListening();
+    return ScriptedUpstream::Step{"", true};
+  });
+  Instance cut("127.0.0.31");
+  Instance other("127.0.0.32");
+  cut.SetForwarders({&other});
+  cut.relay.AddUpstream("u1", resetting->address());
+  other.relay.AddUpstream("u1", RefusingAddress());
+  Caller caller(cut.relay.port());
+  caller.Send(RelayFixture::Request("/read/0", "r0"));
+  REQUIRE(WaitFor([&] { return Has(caller, "502"); }));
+  test::ProcessEvents();
+  CHECK(cut.relay.crashes.empty());
+}
+
 // A call that met the connection limit of its own instance suspended a sound
 // upstream for all calls.
 TEST_CASE("A call beyond the connection limit does not suspend the upstream") {
