relay: Check another upstream before doubting the own contact

An instance without contact for 300 ms checks another upstream first, and the instance that asks counts its own word like that of the others.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -182,6 +182,10 @@
   /// counts as reachable.
   void CheckDirect(const std::string& upstream,
                    std::function<void(bool)> on_checked);
+  /// Finds out whether this instance reaches any upstream but `except`, if it
+  /// had no contact within kContactTime; HadContact tells the result then. May
+  /// call `on_known` at once.
+  void EnsureContact(const std::string& except, std::function<void()> on_known);
   /// Asks `forwarder` whether it reaches the upstream.
   void AskForwarder(const std::string& forwarder, const Upstream& upstream,
                     std::function<void(ReachCheck)> on_answer);
@@ -208,6 +212,11 @@
   /// why.
   std::optional<schema::ForwardEnd> ForwardObstacle(
       const schema::ForwardRequest& request) const;
+  /// What this instance says of an upstream that it does not reach.
+  schema::ForwardEnd UnreachableEnd() const {
+    return HadContact() ? schema::FORWARD_END_UNREACHABLE
+                        : schema::FORWARD_END_PARTITIONED;
+  }
   bool IsDraining(const schema::UpstreamEntry& entry) const;
   /// Takes the request limit of a record if it differs from that of the record
   /// before.
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -1,4 +1,5 @@
 #include <QPointer>
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -118,6 +119,22 @@
          parts_.clock.Now() - last_contact_ < kContactTime;
 }
 
+void Relay::EnsureContact(const std::string& except,
+                          std::function<void()> on_known) {
+  const auto other =
+      std::find_if(upstreams_.begin(), upstreams_.end(), [&](const auto& it) {
+        return it.first != except &&
+               paths_.Of(it.first) == UpstreamPath::kDirect &&
+               !scheduler_.IsSuspended(core::UpstreamId(it.first));
+      });
+  if (HadContact() || other == upstreams_.end()) {
+    on_known();
+    return;
+  }
+  CheckDirect(other->first,
+              [on_known = std::move(on_known)](bool) { on_known(); });
+}
+
 void Relay::CheckLink(const RelayCall& call,
                       std::function<void(ReachCheck)> on_checked) {
   const std::string& upstream = call.summary().last_upstream;
@@ -139,9 +156,12 @@
                             bool reachable) mutable {
     if (reachable) {
       on_checked(true);
-    } else {
-      ProbeForwarders(upstream, std::move(on_checked));
+      return;
     }
+    EnsureContact(upstream, [this, upstream,
+                             on_checked = std::move(on_checked)]() mutable {
+      ProbeForwarders(upstream, std::move(on_checked));
+    });
   });
 }
 
@@ -204,23 +224,25 @@
   };
   const auto answers = std::make_shared<Answers>(Answers{asked.size(), false});
   for (const std::string& forwarder : asked) {
-    AskForwarder(forwarder, it->second,
-                 [this, upstream, forwarder, answers](ReachCheck result) {
-                   if (answers->missing == 0) {
-                     return;
-                   }
-                   --answers->missing;
-                   if (result == ReachCheck::kReachable) {
-                     answers->missing = 0;
-                     OnProbed(upstream, forwarder, true);
-                     return;
-                   }
-                   answers->unreachable = answers->unreachable ||
-                                          result == ReachCheck::kUnreachable;
-                   if (answers->missing == 0) {
-                     OnProbed(upstream, "", !answers->unreachable);
-                   }
-                 });
+    AskForwarder(
+        forwarder, it->second,
+        [this, upstream, forwarder, answers](ReachCheck result) {
+          if (answers->missing == 0) {
+            return;
+          }
+          --answers->missing;
+          if (result == ReachCheck::kReachable) {
+            answers->missing = 0;
+            OnProbed(upstream, forwarder, true);
+            return;
+          }
+          answers->unreachable =
+              answers->unreachable || result == ReachCheck::kUnreachable;
+          if (answers->missing == 0) {
+            // The word of this instance counts like that of others.
+            OnProbed(upstream, "", !answers->unreachable && !HadContact());
+          }
+        });
   }
 }
 
@@ -318,8 +340,7 @@
     return schema::FORWARD_END_PARTITIONED;
   }
   if (scheduler_.IsSuspended(core::UpstreamId(request.upstream()))) {
-    return HadContact() ? schema::FORWARD_END_UNREACHABLE
-                        : schema::FORWARD_END_PARTITIONED;
+    return schema::FORWARD_END_UNREACHABLE;
   }
   return std::nullopt;
 }
@@ -327,7 +348,8 @@
 std::variant<UpstreamLink*, schema::ForwardEnd> Relay::OpenForwarded(
     const schema::ForwardRequest& request) {
   if (const auto obstacle = ForwardObstacle(request)) {
-    return *obstacle;
+    return *obstacle == schema::FORWARD_END_UNREACHABLE ? UnreachableEnd()
+                                                        : *obstacle;
   }
   const std::string& id = request.upstream();
   parts_.metrics.Count("relay_forwarded_for_others");
@@ -361,15 +383,24 @@
 
 void Relay::CheckForwarded(const schema::ForwardRequest& request,
                            std::function<void(schema::ForwardEnd)> on_checked) {
+  const auto report_unreachable = [this, id = request.upstream(), on_checked] {
+    EnsureContact(id, [this, on_checked] { on_checked(UnreachableEnd()); });
+  };
   if (const auto obstacle = ForwardObstacle(request)) {
-    on_checked(*obstacle);
+    if (*obstacle == schema::FORWARD_END_UNREACHABLE) {
+      report_unreachable();
+    } else {
+      on_checked(*obstacle);
+    }
     return;
   }
   CheckDirect(request.upstream(),
-              [this, on_checked = std::move(on_checked)](bool reachable) {
-                on_checked(reachable      ? schema::FORWARD_END_COMPLETE
-                           : HadContact() ? schema::FORWARD_END_UNREACHABLE
-                                          : schema::FORWARD_END_PARTITIONED);
+              [on_checked, report_unreachable](bool reachable) {
+                if (reachable) {
+                  on_checked(schema::FORWARD_END_COMPLETE);
+                } else {
+                  report_unreachable();
+                }
               });
 }
 
--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -251,6 +251,38 @@
   CHECK(cut.relay.crashes.empty());
 }
 
+// The word of instances that made no call for a while did not count, so that a
+// call stayed with an upstream that had crashed.
+TEST_CASE("A crash is believed though no instance made a call for long") {
+  std::unique_ptr<ScriptedUpstream> crashing;
+  crashing = std::make_unique<ScriptedUpstream>([&](const std::string&) {
+    crashing->StopListening();
+    return ScriptedUpstream::Step{"", true};
+  });
+  ScriptedUpstream sound(Answer);
+  Instance one("127.0.0.33");
+  Instance other("127.0.0.34");
+  one.SetForwarders({&other});
+  for (Instance* it : {&one, &other}) {
+    it->relay.AddUpstream("u1", crashing->address());
+    it->relay.AddUpstream("u2", sound.address());
+  }
+  int n = 0;
+  while (crashing->requests().empty()) {
+    Caller caller(one.relay.port());
+    caller.Send(RelayFixture::Request("/turn/1", "r" + std::to_string(++n)));
+    REQUIRE(WaitFor([&] { return Has(caller, "0\r\n\r\n"); }));
+    CHECK(Has(caller, "200"));
+    QElapsedTimer idle;
+    idle.start();
+    REQUIRE(WaitFor(
+        [&] { return idle.hasExpired(2 * Relay::kContactTime.count()); }));
+  }
+  CHECK(crashing->requests().size() == 1);
+  CHECK(WaitFor([&] { return one.relay.crashes.size() == 1; }));
+  CHECK(one.Count("relay_paths_forwarded") == 0);
+}
+
 // A call that met the connection limit of its own instance suspended a sound
 // upstream for all calls.
 TEST_CASE("A call beyond the connection limit does not suspend the upstream") {
