tests/relay: Watch the connection that carries the slow caller's response

The test was wrong: it watched the latest connection of the upstream, and on a busy machine a check of the upstream had opened a further one, which carries nothing. A pause for slow callers in the idle check was tried first: three of four runs still failed, and it was taken back.

It watches the connection with the most bytes pending; the bounds are the same. No code outside the test changes.

--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -1,5 +1,6 @@
 // Relays that cannot reach an upstream, and others that carry their exchanges
 // out.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -339,7 +340,11 @@
   REQUIRE(WaitFor([&] { return upstream.requests().size() == 1; }));
   size_t before = 0;
   REQUIRE(WaitFor([&] {
-    const size_t pending = upstream.PendingOn(upstream.connections() - 1);
+    // Checks of the upstream open further connections.
+    size_t pending = 0;
+    for (size_t n = 0; n < upstream.connections(); ++n) {
+      pending = std::max(pending, upstream.PendingOn(n));
+    }
     test::ProcessEvents();
     return pending > 0 && pending == std::exchange(before, pending);
   }));
