--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -85,8 +85,7 @@
 
 void DeploymentClient::UpdateGauges() const {
   metrics_.SetGauge("reports_open", static_cast<double>(open_reports_));
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      clock_.Now() - last_update_);
+  const auto age = core::MillisecondsBetween(last_update_, clock_.Now());
   const bool has_update = last_update_ != core::TimePoint();
   metrics_.SetGauge("update_age_ms",
                     has_update ? static_cast<double>(age.count()) : -1);
@@ -182,8 +181,7 @@
   if (claim->done) {
     return;
   }
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      claim->deadline - clock_.Now());
+  const auto left = core::MillisecondsBetween(clock_.Now(), claim->deadline);
   if (left <= kClaimRetryDelay || !IsCurrent()) {
     metrics_.Count("claims_unanswered");
     FinishClaim(
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -148,10 +148,7 @@
   set("members", group_->replica().membership().members().size());
   // The value is -1 before the first contact.
   set("leader_contact_age_ms",
-      contact ? std::chrono::duration_cast<std::chrono::milliseconds>(Now() -
-                                                                      *contact)
-                    .count()
-              : -1);
+      contact ? core::MillisecondsBetween(*contact, Now()).count() : -1);
   set("applied_index", group_->applied_index());
   set("configuration_version", machine_.configuration().version());
   set("upstreams_known", machine_.upstreams().size());
@@ -365,8 +362,7 @@
 void DeploymentHost::ProposeLocally(schema::DeploymentCommand command,
                                     ProposeCallback callback) {
   const core::TimePoint now = Now();
-  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - last_command_);
+  const auto elapsed = core::MillisecondsBetween(last_command_, now);
   if (is_leader()) {
     command.set_elapsed_ms(elapsed.count());
     last_command_ = now;
--- a/core/clock.h
+++ b/core/clock.h
@@ -14,6 +14,12 @@
 /// state and messages.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Time from `from` to `to` in whole milliseconds; negative if `to` is earlier.
+inline std::chrono::milliseconds MillisecondsBetween(TimePoint from,
+                                                     TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
+}
+
 /// Source of time. Implementations are safe to call from any thread.
 class Clock {
  public:
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -203,6 +203,7 @@
   const transport::RelayRequest& request() const { return parts_.request; }
   core::TimePoint started() const { return started_; }
   core::TimePoint deadline() const { return deadline_; }
+  std::chrono::milliseconds TimeLeft() const;
   const std::vector<core::UpstreamId>& excluded() const { return excluded_; }
   /// Instances that did not carry out the current attempt.
   const std::set<std::string>& failed_forwarders() const {
@@ -296,7 +297,6 @@
   /// Ends the call with an error response; aborts a response that has started.
   void Fail(int status, std::string reason);
   void End();
-  std::chrono::milliseconds TimeLeft() const;
   /// Limits an estimated Retry-After to what the caller will wait.
   std::chrono::milliseconds WithinPatience(
       std::chrono::milliseconds retry_after) const;
--- /dev/null
+++ b/relay/relay_call_response.cpp
@@ -0,0 +1,205 @@
+#include <QPointer>
+#include <algorithm>
+#include <utility>
+
+#include "relay/relay_call.h"
+#include "transport/http_status.h"
+
+// The way of a response from an upstream to the caller of a call.
+namespace hawthorn::relay {
+
+namespace {
+
+namespace status = transport::status;
+
+constexpr std::string_view kHeadMethod = "HEAD";
+
+}  // namespace
+
+ResponseMatch RelayCall::OnHead(const transport::ResponseHead& head,
+                                std::optional<uint64_t> length) {
+  const ResponseInfo info = parts_.host.codec().DecodeResponse(head);
+  parts_.host.OnResponseHead(*this, info);
+  const bool success = transport::IsSuccess(head.status);
+  if (!info.request_id.empty() && info.request_id != parts_.head.request_id) {
+    parts_.host.OnDecision(*this, "response skipped",
+                           "it belongs to request " + info.request_id);
+    return ResponseMatch::kForeign;
+  }
+  response_ = head;
+  response_length_ = length;
+  response_info_ = info;
+  const bool untrusted = success && (info.request_id.empty() ||
+                                     !info.has_signature || info.encoded);
+  if (untrusted) {
+    RejectResponse();
+    return ResponseMatch::kOwn;
+  }
+  if (info.not_run || info.wrong_upstream) {
+    ignore_body_ = true;
+    return ResponseMatch::kOwn;
+  }
+  streaming_ = success && parts_.route.kind == CallKind::kStream;
+  if (response_started_ && !streaming_) {
+    RejectResponse();
+    return ResponseMatch::kOwn;
+  }
+  if (streaming_ && (last_event_ || parts_.head.resume_after)) {
+    parts_.host.OnDecision(*this, "stream continued",
+                           last_event_
+                               ? "from version " + summary_.stream_version +
+                                     " to version " + upstream_version_
+                               : "for request " + parts_.head.resumed_request +
+                                     " to version " + upstream_version_);
+  }
+  if (streaming_ && last_event_) {
+    progress_timer_.start(parts_.progress_timeout);
+  }
+  if (!streaming_ && length && *length > kMaxBufferedBodyBytes) {
+    BeginResponse();
+  }
+  return ResponseMatch::kOwn;
+}
+
+void RelayCall::RejectResponse() {
+  link_->Abandon();
+  OnFailed(LinkFailure::kMalformed);
+}
+
+void RelayCall::OnBody(std::string_view bytes) {
+  if (ignore_body_ || state_ != State::kRunning) {
+    return;
+  }
+  if (parts_.route.IsRetryable()) {
+    idle_timer_.start(kFirstIdleTimeout);
+  }
+  if (streaming_) {
+    ForwardEvents(bytes);
+    return;
+  }
+  if (!response_started_) {
+    buffered_body_.append(bytes);
+    if (buffered_body_.size() <= kMaxBufferedBodyBytes) {
+      return;
+    }
+    BeginResponse();
+    SendBody(std::exchange(buffered_body_, {}));
+    return;
+  }
+  SendBody(bytes);
+}
+
+void RelayCall::SendBody(std::string_view bytes) {
+  parts_.session.WriteBody(bytes);
+  if (parts_.session.pending_bytes() > kCallerHighWater && link_ != nullptr) {
+    link_->SetReading(false);
+    parts_.session.SetDrainedHandler([guard = QPointer<ExchangeLink>(link_)] {
+      if (guard) {
+        guard->SetReading(true);
+      }
+    });
+  }
+}
+
+void RelayCall::BeginResponse() {
+  if (std::exchange(response_started_, true)) {
+    return;
+  }
+  summary_.status = response_.status;
+  // A stream may go on at another upstream, so that its length is not known.
+  parts_.session.BeginBody(
+      {response_.status, parts_.host.codec().ReturnedFields(response_)},
+      streaming_ ? std::nullopt : response_length_);
+}
+
+void RelayCall::ForwardEvents(std::string_view bytes) {
+  const core::TimePoint now = parts_.host.clock().Now();
+  std::string out;
+  for (StreamEvent& event : framer_.Feed(bytes)) {
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      continue;
+    }
+    if (event.id) {
+      last_event_ = event.id;
+    }
+    if (summary_.events++ == 0) {
+      summary_.stream_version = upstream_version_;
+      summary_.time_to_first_event = core::MillisecondsBetween(started_, now);
+    } else {
+      summary_.longest_pause =
+          std::max(summary_.longest_pause,
+                   core::MillisecondsBetween(last_event_at_, now));
+    }
+    last_event_at_ = now;
+    out += event.bytes;
+  }
+  if (framer_.overflowed()) {
+    RejectResponse();
+    return;
+  }
+  if (out.empty()) {
+    return;
+  }
+  BeginResponse();
+  progress_timer_.start(parts_.progress_timeout);
+  SendBody(out);
+}
+
+void RelayCall::OnNoProgress() {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  if (parts_.session.pending_bytes() > 0) {
+    // The caller holds the stream up, not the upstream.
+    progress_timer_.start(parts_.progress_timeout);
+    return;
+  }
+  parts_.host.OnDecision(*this, "stream stalled",
+                         "the upstream sent no complete event in time");
+  RejectResponse();
+}
+
+void RelayCall::OnComplete() {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  if (response_info_.not_run || response_info_.wrong_upstream) {
+    OnNotRun();
+    return;
+  }
+  if (streaming_) {
+    if (!framer_.rest().empty()) {
+      // Every event ends with a blank line, so the stream was truncated.
+      OnFailed(LinkFailure::kClosed);
+      return;
+    }
+    BeginResponse();
+    ReleaseUpstream(scheduling::CallOutcome::kSucceeded);
+    parts_.session.EndBody();
+    End();
+    return;
+  }
+  const bool failed = response_.status >= status::kInternalServerError;
+  if (failed && !response_started_) {
+    ran_at_.insert(upstream_);
+    if (ran_at_.size() < parts_.route.max_upstreams && Retry()) {
+      return;
+    }
+  }
+  ReleaseUpstream(failed ? scheduling::CallOutcome::kFailed
+                         : scheduling::CallOutcome::kSucceeded);
+  summary_.status = response_.status;
+  if (parts_.request.method == kHeadMethod) {
+    BeginResponse();
+  }
+  if (response_started_) {
+    parts_.session.EndBody();
+  } else {
+    parts_.session.Respond(response_.status,
+                           parts_.host.codec().ReturnedFields(response_),
+                           buffered_body_);
+  }
+  End();
+}
+
+}  // namespace hawthorn::relay
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -75,10 +75,7 @@
   request.set_started_at_ms(upstream.entry.started_at_ms());
   request.set_request_id(call.head().request_id);
   request.set_must_be_fresh(must_be_fresh);
-  request.set_time_left_ms(
-      std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline() -
-                                                            parts_.clock.Now())
-          .count());
+  request.set_time_left_ms(call.TimeLeft().count());
   ++forwarded_links_[id];
   forwarders_.OnStarted(*forwarder);
   return new ForwardedLink(
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -106,10 +106,9 @@
         at + std::chrono::duration_cast<core::TimePoint::duration>(
                  std::chrono::duration<double>(1 / capacity.PerSecond()));
   }
-  return MakeRefusal(
-      core::ErrorCode::kLimitExceeded,
-      "the upstreams of the service limit their requests",
-      std::chrono::duration_cast<std::chrono::milliseconds>(at - now));
+  return MakeRefusal(core::ErrorCode::kLimitExceeded,
+                     "the upstreams of the service limit their requests",
+                     core::MillisecondsBetween(now, at));
 }
 
 core::Status SharedScheduler::Enqueue(const CallRequest& call,
@@ -345,8 +344,7 @@
   }
   size_t ahead = 0;
   for (auto it = service->queue.begin(); it != service->queue.end();) {
-    const auto queued = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - it->second.since);
+    const auto queued = core::MillisecondsBetween(it->second.since, now);
     const auto wait = ExpectedWait(*service, capacity, ahead);
     if (IsTooLate(*service, it->second.call, queued, wait - kLimitWaitMargin,
                   now)) {
