relay: Use one piece of code for what links and failures share

The two directions of how a forwarded exchange ends stood in two files (relay/forwarded_parts holds both now); own and forwarded exchanges each decided whether a connection is kept; two maps counted links by hand; the checks were started in four places; a call dropped its link, waited for the answer whether its upstream is alive, and ended after a failed attempt in three or more places each.

--- a/relay/forward_server.cpp
+++ b/relay/forward_server.cpp
@@ -5,7 +5,7 @@
 #include <deque>
 #include <utility>
 
-#include "relay/forwarded_link.h"
+#include "relay/forwarded_parts.h"
 
 namespace hawthorn::relay {
 
@@ -14,27 +14,8 @@
 /// Size of the largest part of a body.
 constexpr size_t kMaxPartBytes = size_t{64} * 1024;
 
-schema::ForwardEnd EndOf(LinkFailure failure) {
-  switch (failure) {
-    case LinkFailure::kUnreachable:
-      return schema::FORWARD_END_UNREACHABLE;
-    case LinkFailure::kClosed:
-      return schema::FORWARD_END_CLOSED;
-    case LinkFailure::kMalformed:
-      return schema::FORWARD_END_MALFORMED;
-    default:
-      return schema::FORWARD_END_RESET;
-  }
-}
-
-schema::ForwardedPart EndPart(schema::ForwardEnd end) {
-  schema::ForwardedPart part;
-  part.set_end(end);
-  return part;
-}
-
 void ReplyEnd(const peer::Replier& replier, schema::ForwardEnd end) {
-  replier.Reply(PackForwarded(EndPart(end)));
+  replier.Reply(Pack(EncodeEnd(end)));
 }
 
 }  // namespace
@@ -59,7 +40,7 @@
     const QPointer<Exchange> guard(this);
     replier_.OnCancel([guard] {
       if (guard) {
-        guard->Close(schema::FORWARD_END_UNSPECIFIED);
+        guard->OnOriginLeft();
       }
     });
     deadline_timer_.start(std::chrono::milliseconds(
@@ -88,7 +69,7 @@
       return ResponseMatch::kForeign;
     }
     response_ = info;
-    Send(PartOf(head, length));
+    Send(EncodeHead(head, length));
     return ResponseMatch::kOwn;
   }
 
@@ -102,7 +83,7 @@
   }
 
   void Send(schema::ForwardedPart part) {
-    waiting_.push_back(PackForwarded(std::move(part)));
+    waiting_.push_back(Pack(std::move(part)));
     Flush();
   }
 
@@ -142,12 +123,11 @@
     }
     end_ = end;
     ReleaseLink(end);
-    Send(EndPart(end));
+    Send(EncodeEnd(end));
   }
 
-  /// The other instance no longer waits.
-  void Close(schema::ForwardEnd end) {
-    ReleaseLink(end);
+  void OnOriginLeft() {
+    ReleaseLink(schema::FORWARD_END_UNSPECIFIED);
     Leave();
   }
 
--- a/relay/forwarded_link.cpp
+++ b/relay/forwarded_link.cpp
@@ -3,42 +3,9 @@
 #include <QPointer>
 #include <utility>
 
-namespace hawthorn::relay {
-
-namespace {
+#include "relay/forwarded_parts.h"
 
-transport::ResponseHead HeadOf(const schema::ForwardedHead& encoded) {
-  transport::ResponseHead head;
-  head.status = encoded.status();
-  for (const schema::HttpField& field : encoded.fields()) {
-    head.fields.push_back({field.name(), field.value()});
-  }
-  return head;
-}
-
-}  // namespace
-
-schema::PeerMessage PackForwarded(schema::ForwardedPart part) {
-  schema::PeerMessage message;
-  *message.mutable_forwarded() = std::move(part);
-  return message;
-}
-
-schema::ForwardedPart PartOf(const transport::ResponseHead& head,
-                             std::optional<uint64_t> length) {
-  schema::ForwardedPart part;
-  schema::ForwardedHead* encoded = part.mutable_head();
-  encoded->set_status(head.status);
-  for (const transport::HeaderField& field : head.fields) {
-    schema::HttpField* it = encoded->add_fields();
-    it->set_name(field.name);
-    it->set_value(field.value);
-  }
-  if (length) {
-    encoded->set_length(*length);
-  }
-  return part;
-}
+namespace hawthorn::relay {
 
 ForwardedLink::ForwardedLink(peer::PeerTransport& peers, std::string forwarder,
                              schema::ForwardRequest request,
@@ -97,7 +64,7 @@
                               ? std::optional(part.head().length())
                               : std::nullopt;
       const ResponseMatch match =
-          events_.on_head ? events_.on_head(HeadOf(part.head()), length)
+          events_.on_head ? events_.on_head(DecodeHead(part.head()), length)
                           : ResponseMatch::kOwn;
       if (match == ResponseMatch::kForeign) {
         Fail(LinkFailure::kMalformed);
@@ -118,32 +85,18 @@
 }
 
 void ForwardedLink::OnEnd(schema::ForwardEnd end) {
-  switch (end) {
-    case schema::FORWARD_END_COMPLETE: {
-      const Events events = std::exchange(events_, {});
-      Abandon();
-      if (events.on_complete) {
-        events.on_complete();
-      }
-      return;
-    }
-    case schema::FORWARD_END_UNREACHABLE:
-      Fail(LinkFailure::kUnreachable);
-      return;
-    case schema::FORWARD_END_PARTITIONED:
-    case schema::FORWARD_END_UNKNOWN_UPSTREAM:
-    case schema::FORWARD_END_REFUSED:
+  if (end != schema::FORWARD_END_COMPLETE) {
+    const LinkFailure failure = FailureOf(end);
+    if (failure == LinkFailure::kForwarderFailed) {
       on_outcome_(false);
-      Fail(LinkFailure::kForwarderFailed);
-      return;
-    case schema::FORWARD_END_CLOSED:
-      Fail(LinkFailure::kClosed);
-      return;
-    case schema::FORWARD_END_MALFORMED:
-      Fail(LinkFailure::kMalformed);
-      return;
-    default:
-      Fail(LinkFailure::kReset);
+    }
+    Fail(failure);
+    return;
+  }
+  const Events events = std::exchange(events_, {});
+  Abandon();
+  if (events.on_complete) {
+    events.on_complete();
   }
 }
 
--- a/relay/forwarded_link.h
+++ b/relay/forwarded_link.h
@@ -48,10 +48,4 @@
   bool is_open_ = false;
 };
 
-/// Part of a forwarded response as a message between instances.
-schema::PeerMessage PackForwarded(schema::ForwardedPart part);
-/// Head of a response as a part.
-schema::ForwardedPart PartOf(const transport::ResponseHead& head,
-                             std::optional<uint64_t> length);
-
 }  // namespace hawthorn::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -310,12 +310,8 @@
   if (limit == SIZE_MAX) {
     return false;
   }
-  const auto count = [&id](const std::map<std::string, size_t>& links) {
-    const auto it = links.find(id);
-    return it == links.end() ? size_t{0} : it->second;
-  };
-  return links_.OpenCount(id) + count(forwarded_links_) >=
-         limit + count(served_links_);
+  return links_.OpenCount(id) + forwarded_links_.CountOf(id) >=
+         limit + served_links_.CountOf(id);
 }
 
 std::variant<ExchangeLink*, LinkFailure> Relay::OpenLink(const RelayCall& call,
@@ -346,32 +342,40 @@
   const std::string forwarder = link->forwarder();
   if (!forwarder.empty()) {
     forwarders_.OnEnded(forwarder);
-    if (--forwarded_links_[upstream] == 0) {
-      forwarded_links_.erase(upstream);
-    }
+    forwarded_links_.Remove(upstream);
     link->Abandon();
     link->deleteLater();
     return;
   }
   // A link without a forwarder is an own connection.
-  auto* own = static_cast<UpstreamLink*>(link);
-  const bool is_current =
-      StartTimeOf(upstream) == call.upstream_started_at_ms();
-  if (!own->reusable() || !is_current || IsDraining(call)) {
-    links_.Discard(upstream, own);
+  ReturnLink(upstream, call.upstream_started_at_ms(), true,
+             static_cast<UpstreamLink*>(link), response);
+}
+
+void Relay::ReturnLink(const std::string& upstream, uint64_t started_at_ms,
+                       bool is_kept, UpstreamLink* link,
+                       const ResponseInfo& response) {
+  const bool is_current = StartTimeOf(upstream) == started_at_ms &&
+                          !drain_marks_.Contains(upstream, started_at_ms);
+  if (!is_kept || !link->reusable() || !is_current) {
+    links_.Discard(upstream, link);
     return;
   }
   links_.Release(
-      upstream, own,
+      upstream, link,
       response.idle_timeout.value_or(UpstreamLinkPool::kDefaultIdleTimeout));
 }
 
-void Relay::OnUnreachable(const std::string& upstream) {
-  parts_.metrics.Count("relay_unreachable");
-  LogUnreachable(upstream, "a call could not reach it");
+void Relay::StartChecks() {
   if (!check_timer_.isActive()) {
     check_timer_.start(kCheckInterval);
   }
+}
+
+void Relay::OnUnreachable(const std::string& upstream) {
+  parts_.metrics.Count("relay_unreachable");
+  LogUnreachable(upstream, "a call could not reach it");
+  StartChecks();
   ProbeForwarders(upstream, nullptr);
   const auto it = upstreams_.find(upstream);
   if (it == upstreams_.end() || it->second.entry.zone() == parts_.zone) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -17,6 +17,7 @@
 #include "relay/forward_server.h"
 #include "relay/forwarder_table.h"
 #include "relay/instance_count.h"
+#include "relay/link_counter.h"
 #include "relay/relay_call.h"
 #include "relay/request_limits.h"
 #include "relay/upstream_link_pool.h"
@@ -174,6 +175,13 @@
                         const std::string& origin,
                         schema::ForwardEnd end) override;
 
+  /// Keeps a connection of this instance to an incarnation of an upstream for
+  /// reuse if it may be used again, and closes it otherwise.
+  void ReturnLink(const std::string& upstream, uint64_t started_at_ms,
+                  bool is_kept, UpstreamLink* link,
+                  const ResponseInfo& response);
+  /// Names the upstream and its incarnation to another instance.
+  static schema::ForwardRequest ForwardRequestFor(const Upstream& upstream);
   /// Opens a link through another instance.
   std::variant<ExchangeLink*, LinkFailure> OpenThroughForwarder(
       const RelayCall& call, const Upstream& upstream, bool must_be_fresh);
@@ -239,6 +247,8 @@
   /// zone, also checks the other upstreams of that zone.
   void OnUnreachable(const std::string& upstream);
   void LogUnreachable(const std::string& upstream, const char* reason) const;
+  /// Starts the periodic checks of upstreams that are suspended or forwarded.
+  void StartChecks();
   /// Checks suspended upstreams and resumes those that are reachable again.
   void CheckSuspended();
   void SchedulePump();
@@ -271,9 +281,9 @@
   UpstreamPaths paths_;
   ForwardServer forward_server_;
   /// Exchanges that other instances carry out for this one, by upstream.
-  std::map<std::string, size_t> forwarded_links_;
+  LinkCounter forwarded_links_;
   /// Connections of this instance that carry exchanges of others, by upstream.
-  std::map<std::string, size_t> served_links_;
+  LinkCounter served_links_;
   /// Who waits for the answers of other instances about an upstream.
   std::map<std::string, std::vector<std::function<void(bool)>>> probes_;
   core::TimePoint next_survey_;
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -266,9 +266,19 @@
   /// Nothing of the current exchange was sent, as another instance did not
   /// help.
   void OnForwarderFailed();
-  /// The upstream may have run the call, and it is now known whether any
-  /// instance reaches it.
+  /// Closes the link of an exchange that has ended, without its attempt.
+  void DropLink();
+  /// Drops the link and calls `on_checked` once it is known whether the
+  /// upstream is alive, unless the call has gone on or ended by then.
+  void CheckAlive(void (RelayCall::*on_checked)(bool alive));
+  /// The upstream may have run the call and cannot be reached now.
   void OnAliveChecked(bool alive);
+  /// The request limit of the upstream allowed no repeat.
+  void OnAliveInsteadOfRepeat(bool alive);
+  /// Ends a call whose last exchange was not sent.
+  void FailUnsent(std::string reason);
+  /// Ends the attempt and the call, which the upstream may have run.
+  void FailAttempt(std::string reason);
   void OnNotRun();
   void OnUpstreamIdle();
   void OnChecked(const std::string& upstream, ReachCheck result);
@@ -285,9 +295,6 @@
   /// Retries a call that may have run. Returns false if its kind or its limits
   /// do not allow that.
   bool Retry();
-  /// Finds out whether the upstream has ended, so that another one may run the
-  /// call; its request limit allows no repeat now.
-  void CheckInsteadOfRepeat();
   void OnCallerDisconnected();
   void OnDeadline();
   /// Ends the call with a response that it was not run, or by Fail if it may
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -82,9 +82,7 @@
     case LinkFailure::kConnectionLimit:
       // The upstream is sound, so that it is not suspended.
       if (!TryAnotherUpstream(scheduling::CallOutcome::kCancelled)) {
-        Fail(summary_.may_have_run ? status::kBadGateway
-                                   : status::kServiceUnavailable,
-             "the connection limits of the upstreams are reached");
+        FailUnsent("the connection limits of the upstreams are reached");
       }
       return;
     case LinkFailure::kClosed:
@@ -95,31 +93,48 @@
   parts_.host.OnConnectionBroken(*this, upstream_);
   ran_at_.insert(upstream_);
   if (!Retry()) {
-    ReleaseUpstream(scheduling::CallOutcome::kFailed);
-    Fail(status::kBadGateway, "the upstream broke its answer off");
+    FailAttempt("the upstream broke its answer off");
   }
 }
 
 void RelayCall::OnUnreachable() {
   if (ran_at_.contains(upstream_)) {
     // The upstream has crashed, or only this instance cannot reach it.
-    idle_timer_.stop();
-    parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
-    parts_.host.CheckAlive(upstream_, [guard = QPointer<RelayCall>(this),
-                                       upstream = upstream_](bool alive) {
-      if (guard && guard->state_ == State::kRunning &&
-          guard->link_ == nullptr && guard->upstream_ == upstream) {
-        guard->OnAliveChecked(alive);
-      }
-    });
+    CheckAlive(&RelayCall::OnAliveChecked);
     return;
   }
-  if (TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
-    return;
+  if (!TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
+    FailUnsent("no upstream could be reached");
   }
+}
+
+void RelayCall::DropLink() {
+  idle_timer_.stop();
+  progress_timer_.stop();
+  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
+}
+
+void RelayCall::CheckAlive(void (RelayCall::*on_checked)(bool)) {
+  DropLink();
+  parts_.host.CheckAlive(
+      upstream_, [guard = QPointer<RelayCall>(this), upstream = upstream_,
+                  on_checked](bool alive) {
+        if (guard && guard->state_ == State::kRunning &&
+            guard->link_ == nullptr && guard->upstream_ == upstream) {
+          (guard.data()->*on_checked)(alive);
+        }
+      });
+}
+
+void RelayCall::FailUnsent(std::string reason) {
   Fail(
       summary_.may_have_run ? status::kBadGateway : status::kServiceUnavailable,
-      "no upstream could be reached");
+      std::move(reason));
+}
+
+void RelayCall::FailAttempt(std::string reason) {
+  ReleaseUpstream(scheduling::CallOutcome::kFailed);
+  Fail(status::kBadGateway, std::move(reason));
 }
 
 void RelayCall::OnAliveChecked(bool alive) {
@@ -128,16 +143,13 @@
     if (++summary_.crashes >= kMaxCrashes) {
       ReleaseUpstream(scheduling::CallOutcome::kUnreachable);
       Fail(status::kBadGateway, "the request ended every upstream that ran it");
-      return;
-    }
-    if (!TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
-      Fail(status::kBadGateway, "no upstream could be reached");
+    } else if (!TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
+      FailUnsent("no upstream could be reached");
     }
     return;
   }
   if (summary_.attempts >= kMaxAttempts || TimeLeft() < kMinTimeLeft) {
-    ReleaseUpstream(scheduling::CallOutcome::kFailed);
-    Fail(status::kBadGateway, "the upstream broke its answer off");
+    FailAttempt("the upstream broke its answer off");
     return;
   }
   parts_.host.OnDecision(*this, "call sent again",
@@ -151,8 +163,7 @@
   failed_forwarders_.insert(summary_.forwarder);
   // The attempt did not begin.
   --summary_.attempts;
-  idle_timer_.stop();
-  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
+  DropLink();
   if (failed_forwarders_.size() >= kMaxForwarders ||
       TimeLeft() <= kMinTimeLeft) {
     OnUnreachable();
@@ -186,8 +197,7 @@
     // may still run the call.
     ran_at_.insert(upstream_);
     if (!Retry()) {
-      ReleaseUpstream(scheduling::CallOutcome::kFailed);
-      Fail(status::kBadGateway, "the instance that forwarded the call failed");
+      FailAttempt("the instance that forwarded the call failed");
     }
     return;
   }
@@ -197,10 +207,9 @@
   ran_at_.erase(upstream_);
   parts_.host.OnDecision(*this, "call moved",
                          "the link to the upstream is cut");
-  if (TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
-    return;
+  if (!TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
+    Fail(status::kBadGateway, "the link to the upstream was cut");
   }
-  Fail(status::kBadGateway, "the link to the upstream was cut");
 }
 
 bool RelayCall::TryAnotherUpstream(scheduling::CallOutcome outcome) {
@@ -240,36 +249,24 @@
     return TryAnotherUpstream(scheduling::CallOutcome::kFailed);
   }
   if (!parts_.host.TakeRepeat(*this)) {
-    CheckInsteadOfRepeat();
+    // It may have ended, so that another one may run the call.
+    CheckAlive(&RelayCall::OnAliveInsteadOfRepeat);
     return true;
   }
   // The limit of upstreams is reached, so only an upstream that may already
   // have run the call may run it again.
   parts_.host.OnDecision(*this, "call sent again", "same upstream");
-  progress_timer_.stop();
-  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
+  DropLink();
   BeginExchange(true);
   return true;
 }
 
-void RelayCall::CheckInsteadOfRepeat() {
-  idle_timer_.stop();
-  progress_timer_.stop();
-  parts_.host.CloseLink(*this, std::exchange(link_, nullptr), {});
-  parts_.host.CheckAlive(upstream_, [guard = QPointer<RelayCall>(this),
-                                     upstream = upstream_](bool reachable) {
-    if (!guard || guard->state_ != State::kRunning || guard->link_ != nullptr ||
-        guard->upstream_ != upstream) {
-      return;
-    }
-    if (!reachable) {
-      guard->OnChecked(upstream, ReachCheck::kUnreachable);
-      return;
-    }
-    guard->ReleaseUpstream(scheduling::CallOutcome::kFailed);
-    guard->Fail(status::kBadGateway,
-                "the request limit of the upstream allows no repeat");
-  });
+void RelayCall::OnAliveInsteadOfRepeat(bool alive) {
+  if (alive) {
+    FailAttempt("the request limit of the upstream allows no repeat");
+  } else {
+    OnChecked(upstream_, ReachCheck::kUnreachable);
+  }
 }
 
 void RelayCall::ReleaseUpstream(scheduling::CallOutcome outcome) {
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -5,35 +5,13 @@
 
 #include "logging/log.h"
 #include "relay/forwarded_link.h"
+#include "relay/forwarded_parts.h"
 #include "relay/relay.h"
 
 // Exchanges that other instances carry out for this one, since it cannot reach
 // an upstream, and those that this one carries out for them.
 namespace hawthorn::relay {
 
-namespace {
-
-const char* ToString(schema::ForwardEnd end) {
-  switch (end) {
-    case schema::FORWARD_END_COMPLETE:
-      return "complete";
-    case schema::FORWARD_END_UNREACHABLE:
-      return "the upstream is unreachable";
-    case schema::FORWARD_END_PARTITIONED:
-      return "no upstream was reached recently";
-    case schema::FORWARD_END_CLOSED:
-      return "the upstream closed the connection";
-    case schema::FORWARD_END_RESET:
-      return "the connection broke or the deadline passed";
-    case schema::FORWARD_END_MALFORMED:
-      return "the response is malformed";
-    default:
-      return "the other instance left";
-  }
-}
-
-}  // namespace
-
 void Relay::SetForwarders(const std::vector<schema::Forwarder>& forwarders) {
   if (parts_.peers == nullptr) {
     return;
@@ -60,6 +38,13 @@
   forward_server_.OnRequest(message.forward(), message.from(), replier);
 }
 
+schema::ForwardRequest Relay::ForwardRequestFor(const Upstream& upstream) {
+  schema::ForwardRequest request;
+  request.set_upstream(upstream.entry.upstream());
+  request.set_started_at_ms(upstream.entry.started_at_ms());
+  return request;
+}
+
 std::variant<ExchangeLink*, LinkFailure> Relay::OpenThroughForwarder(
     const RelayCall& call, const Upstream& upstream, bool must_be_fresh) {
   const auto forwarder =
@@ -69,14 +54,11 @@
     return LinkFailure::kUnreachable;
   }
   parts_.metrics.Count("relay_forwarded");
-  const std::string& id = upstream.entry.upstream();
-  schema::ForwardRequest request;
-  request.set_upstream(id);
-  request.set_started_at_ms(upstream.entry.started_at_ms());
+  schema::ForwardRequest request = ForwardRequestFor(upstream);
   request.set_request_id(call.head().request_id);
   request.set_must_be_fresh(must_be_fresh);
   request.set_time_left_ms(call.TimeLeft().count());
-  ++forwarded_links_[id];
+  forwarded_links_.Add(upstream.entry.upstream());
   forwarders_.OnStarted(*forwarder);
   return new ForwardedLink(
       *parts_.peers, *forwarder, std::move(request),
@@ -165,9 +147,7 @@
 void Relay::AskForwarder(const std::string& forwarder, const Upstream& upstream,
                          std::function<void(ReachCheck)> on_answer) {
   schema::PeerMessage message;
-  schema::ForwardRequest* request = message.mutable_forward();
-  request->set_upstream(upstream.entry.upstream());
-  request->set_started_at_ms(upstream.entry.started_at_ms());
+  *message.mutable_forward() = ForwardRequestFor(upstream);
   parts_.peers->Request(
       core::InstanceId(forwarder), std::move(message), kProbeTimeout,
       [guard = QPointer<Relay>(this), forwarder,
@@ -262,9 +242,7 @@
                   {"forwarder", reached_by},
                   {"forwarded", std::to_string(paths_.forwarded_count())},
                   {"known", std::to_string(upstreams_.size())}});
-    if (!check_timer_.isActive()) {
-      check_timer_.start(kCheckInterval);
-    }
+    StartChecks();
   }
   if (reached) {
     scheduler_.Resume(core::UpstreamId(upstream));
@@ -307,9 +285,7 @@
   }
   scheduler_.Suspend(core::UpstreamId(upstream), parts_.clock.Now());
   LogUnreachable(upstream, reason);
-  if (!check_timer_.isActive()) {
-    check_timer_.start(kCheckInterval);
-  }
+  StartChecks();
   ProbeForwarders(upstream, nullptr);
 }
 
@@ -350,32 +326,22 @@
   }
   const std::string& id = request.upstream();
   parts_.metrics.Count("relay_forwarded_for_others");
-  ++served_links_[id];
+  served_links_.Add(id);
   return links_.Acquire(id, upstreams_.at(id).address, request.must_be_fresh());
 }
 
 void Relay::CloseForwarded(const schema::ForwardRequest& request,
                            UpstreamLink* link, const ResponseInfo& response) {
   const std::string& id = request.upstream();
-  if (--served_links_[id] == 0) {
-    served_links_.erase(id);
-  }
+  served_links_.Remove(id);
   if (!response.request_id.empty()) {
     last_contact_ = parts_.clock.Now();
   }
   const auto it = upstreams_.find(id);
-  const bool is_kept =
-      link->reusable() && it != upstreams_.end() &&
-      it->second.entry.started_at_ms() == request.started_at_ms() &&
-      !IsDraining(it->second.entry) && !response.draining &&
-      links_.OpenCount(id) <= ConnectionLimit(it->second);
-  if (!is_kept) {
-    links_.Discard(id, link);
-    return;
-  }
-  links_.Release(
-      id, link,
-      response.idle_timeout.value_or(UpstreamLinkPool::kDefaultIdleTimeout));
+  const bool is_kept = it != upstreams_.end() &&
+                       !IsDraining(it->second.entry) && !response.draining &&
+                       links_.OpenCount(id) <= ConnectionLimit(it->second);
+  ReturnLink(id, request.started_at_ms(), is_kept, link, response);
 }
 
 void Relay::CheckForwarded(const schema::ForwardRequest& request,
