relay: Take no caller that does not read for a silent upstream

While a caller holds a response up, its instance pauses the link and then finds it idle: every 250 to 600 ms it opened a connection to check the upstream. A check through another instance that takes over 500 ms, as on a busy machine, ended the response. OnNoProgress has the same guard already.

Ruled out on the way: holding up for 1.8 s ends the response before and after, since the socket to the caller gives it up after 1.5 s without room (TCP_USER_TIMEOUT of StreamSocket). That is left as it is and noted.

--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -176,6 +176,11 @@
   if (state_ != State::kRunning) {
     return;
   }
+  if (parts_.session.pending_bytes() > 0) {
+    // The caller holds the response up, not the upstream.
+    idle_timer_.start(kNextIdleTimeout);
+    return;
+  }
   parts_.host.CheckLink(*this, [guard = QPointer<RelayCall>(this), link = link_,
                                 upstream = upstream_](ReachCheck result) {
     if (guard && guard->link_ == link && !guard->idle_timer_.isActive()) {
--- a/tests/relay/faulty_response_test.cpp
+++ b/tests/relay/faulty_response_test.cpp
@@ -251,6 +251,38 @@
   CHECK(WaitFor([&] { return caller.received().size() >= kBodyBytes; }));
 }
 
+// While a caller did not read, its upstream was checked for being silent. A
+// check that failed broke the response, which only the caller held up.
+TEST_CASE("An upstream is not checked while its caller holds the response up") {
+  constexpr size_t kBodyBytes = size_t{48} * 1024 * 1024;
+  // Sockets give up a peer that takes no bytes for 1.5 s.
+  constexpr auto kHeld = 2 * RelayCall::kFirstIdleTimeout;
+  ScriptedUpstream upstream([](const std::string& request) {
+    return Step{SignedResponse(request, std::string(kBodyBytes, 'x'))};
+  });
+  RelayFixture it;
+  it.AddUpstream("u1", upstream.address());
+  Caller caller(it.port());
+  caller.SetReading(false);
+  caller.Send(RelayFixture::Request("/read/x", "r1"));
+  size_t before = 0;
+  REQUIRE(WaitFor([&] {
+    if (upstream.connections() == 0) {
+      return false;
+    }
+    const size_t pending = upstream.PendingOn(0);
+    test::ProcessEvents();
+    return pending > 0 && pending == std::exchange(before, pending);
+  }));
+  const uint64_t checks = it.metrics().CounterValue("relay_upstream_checks");
+  QElapsedTimer held;
+  held.start();
+  REQUIRE(WaitFor([&] { return held.hasExpired(kHeld.count()); }));
+  CHECK(it.metrics().CounterValue("relay_upstream_checks") == checks);
+  caller.SetReading(true);
+  CHECK(WaitFor([&] { return caller.received().size() > kBodyBytes; }));
+}
+
 TEST_CASE("A connection that was paused for a slow caller serves the next") {
   RelayFixture it;
   const std::string data(size_t{4} * 1024 * 1024, 'b');
