tests: Share the main program of tests that need an application

Five test programs had a main function of their own with the same lines, three tests of crashed upstreams the same script, and two fixtures the same record of an upstream.

--- a/tests/peer/peer_test_main.cpp
+++ /dev/null
@@ -1,8 +0,0 @@
-#define CATCH_CONFIG_RUNNER
-#include <QCoreApplication>
-#include <catch2/catch.hpp>
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  return Catch::Session().run(argc, argv);
-}
--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -79,6 +79,20 @@
   Instance whole;
 };
 
+/// Upstream that resets its first request and refuses connections from then on.
+std::shared_ptr<ScriptedUpstream> CrashingUpstream() {
+  const auto self = std::make_shared<std::weak_ptr<ScriptedUpstream>>();
+  auto upstream =
+      std::make_shared<ScriptedUpstream>([self](const std::string&) {
+        if (const auto it = self->lock()) {
+          it->StopListening();
+        }
+        return ScriptedUpstream::Step{"", true};
+      });
+  *self = upstream;
+  return upstream;
+}
+
 ScriptedUpstream::Step Answer(const std::string& request) {
   if (request.find(" /turn/") != std::string::npos) {
     return {StreamHead(request) + EventChunk(1) + "0\r\n\r\n"};
@@ -212,11 +226,7 @@
 // Connections of a partitioned instance are reset and refused. It reported each
 // of its calls as one that had crashed its upstream.
 TEST_CASE("A partitioned instance reports no crash of an upstream") {
-  std::unique_ptr<ScriptedUpstream> resetting;
-  resetting = std::make_unique<ScriptedUpstream>([&](const std::string&) {
-    resetting->StopListening();
-    return ScriptedUpstream::Step{"", true};
-  });
+  const auto resetting = CrashingUpstream();
   Instance cut("127.0.0.29");
   Instance whole("127.0.0.30");
   cut.SetForwarders({&whole});
@@ -235,11 +245,7 @@
 // Three partitioned instances were taken for the proof that an upstream has
 // crashed.
 TEST_CASE("An instance that reaches no upstream proves no crash") {
-  std::unique_ptr<ScriptedUpstream> resetting;
-  resetting = std::make_unique<ScriptedUpstream>([&](const std::string&) {
-    resetting->StopListening();
-    return ScriptedUpstream::Step{"", true};
-  });
+  const auto resetting = CrashingUpstream();
   Instance cut("127.0.0.31");
   Instance other("127.0.0.32");
   cut.SetForwarders({&other});
@@ -255,11 +261,7 @@
 // The word of instances that made no call for a while did not count, so that a
 // call stayed with an upstream that had crashed.
 TEST_CASE("A crash is believed though no instance made a call for long") {
-  std::unique_ptr<ScriptedUpstream> crashing;
-  crashing = std::make_unique<ScriptedUpstream>([&](const std::string&) {
-    crashing->StopListening();
-    return ScriptedUpstream::Step{"", true};
-  });
+  const auto crashing = CrashingUpstream();
   ScriptedUpstream sound(Answer);
   Instance one("127.0.0.33");
   Instance other("127.0.0.34");
@@ -290,21 +292,7 @@
   ScriptedUpstream upstream(
       [](const std::string&) { return ScriptedUpstream::Step{}; });
   RelayFixture relay;
-  RouteTable::Builder builder;
-  builder.SetVersion(2);
-  Route route;
-  route.host = "h.example";
-  route.timeout = std::chrono::milliseconds(15000);
-  route.services = {{"llm", 1}};
-  route.name = "once";
-  route.path_prefix = "/once/";
-  route.kind = CallKind::kNonIdempotent;
-  builder.AddRoute(route);
-  ServiceSettings service;
-  service.name = "llm";
-  service.max_connections = 4;
-  builder.AddService(service);
-  relay.relay().SetTable(builder.Build());
+  relay.SetConnectionLimit(4);
   relay.AddUpstream("u1", upstream.address());
   std::vector<std::unique_ptr<Caller>> callers;
   for (int n = 0; n < 5; ++n) {
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -175,8 +175,13 @@
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
       }) {
+  SetTable(1, 0);
+  endpoint_.Listen({"127.0.0.1", 0});
+}
+
+void RelayFixture::SetTable(uint64_t version, uint32_t max_connections) {
   RouteTable::Builder builder;
-  builder.SetVersion(1);
+  builder.SetVersion(version);
   Route route;
   route.host = "h.example";
   route.timeout = std::chrono::milliseconds(15000);
@@ -198,20 +203,20 @@
   builder.AddRoute(route);
   ServiceSettings service;
   service.name = "llm";
+  service.max_connections = max_connections;
   service.engine = EngineSettings{4, 10000, 11};
   builder.AddService(service);
   relay_.SetTable(builder.Build());
-  endpoint_.Listen({"127.0.0.1", 0});
 }
 
-void RelayFixture::AddUpstream(const std::string& id,
+void RelayFixture::SetConnectionLimit(uint32_t connections) {
+  SetTable(relay_.table()->version() + 1, connections);
+}
+
+void RelayFixture::SetUpstream(schema::UpstreamEntry entry,
+                               const std::string& id,
                                const std::string& address,
-                               uint64_t started_at_ms,
-                               std::optional<double> request_limit) {
-  schema::UpstreamEntry entry;
-  if (request_limit) {
-    entry.set_request_limit(*request_limit);
-  }
+                               uint64_t started_at_ms) {
   entry.set_upstream(id);
   entry.set_service("llm");
   entry.set_address(address);
@@ -222,20 +227,24 @@
   relay_.SetUpstream(entry);
 }
 
+void RelayFixture::AddUpstream(const std::string& id,
+                               const std::string& address,
+                               uint64_t started_at_ms,
+                               std::optional<double> request_limit) {
+  schema::UpstreamEntry entry;
+  if (request_limit) {
+    entry.set_request_limit(*request_limit);
+  }
+  SetUpstream(std::move(entry), id, address, started_at_ms);
+}
+
 void RelayFixture::AddUpstreamOfVersion(const std::string& id,
                                         const std::string& address,
                                         const std::string& version,
                                         uint64_t started_at_ms) {
   schema::UpstreamEntry entry;
-  entry.set_upstream(id);
-  entry.set_service("llm");
-  entry.set_address(address);
-  entry.set_zone("a");
-  entry.set_max_running(4);
-  entry.set_started_at_ms(started_at_ms);
   entry.set_software_version(version);
-  entry.set_revision(++revision_);
-  relay_.SetUpstream(entry);
+  SetUpstream(std::move(entry), id, address, started_at_ms);
 }
 
 std::string RelayFixture::Request(const std::string& path,
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -125,6 +125,8 @@
   void AddUpstream(const std::string& id, const std::string& address,
                    uint64_t started_at_ms = 1,
                    std::optional<double> request_limit = std::nullopt);
+  /// Limits the connections to each upstream from all instances together.
+  void SetConnectionLimit(uint32_t connections);
   static std::string Request(const std::string& path, const std::string& id,
                              const std::string& fields = "");
   uint16_t port() const { return endpoint_.port(); }
@@ -149,6 +151,12 @@
   core::Metrics& metrics() { return metrics_; }
 
  private:
+  /// Replaces the routing table.
+  void SetTable(uint64_t version, uint32_t max_connections);
+  /// Adds or updates an upstream from its entry without the common fields.
+  void SetUpstream(schema::UpstreamEntry entry, const std::string& id,
+                   const std::string& address, uint64_t started_at_ms);
+
   core::SystemClock clock_;
   core::Metrics metrics_;
   platform::PlatformCallCodec codec_;
--- a/tests/soak/partition_test.cpp
+++ b/tests/soak/partition_test.cpp
@@ -1,5 +1,7 @@
 // Real processes, of which some cannot reach the upstreams while callers and
 // all other instances reach them.
+#include <signal.h>
+
 #include <QDir>
 #include <QElapsedTimer>
 #include <array>
@@ -44,6 +46,7 @@
               std::to_string(QCoreApplication::applicationPid())),
         fleet_(findings_, logs_, kControls, 0, kEntries),
         operator_(findings_, fleet_, 1) {
+    signal(SIGPIPE, SIG_IGN);
     QDir().mkpath(QString::fromStdString(logs_));
     for (int n = 0; n < kUpstreams; ++n) {
       upstreams_.push_back(std::make_unique<FaultyUpstream>(
