--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "transport/http_message.h"
@@ -41,6 +42,13 @@
   /// Id of the request that brought the first event of the stream that the
   /// caller resumes; empty if it resumes none.
   std::string resumed_request;
+  /// Request id of the turn that this one continues; empty for the first turn
+  /// of a chain.
+  std::string previous_turn;
+  /// Line of turns within the program.
+  std::string session;
+  /// Time until the program should be finished, if the caller says so.
+  std::optional<std::chrono::milliseconds> program_time_left;
 
   bool operator==(const CallHead&) const = default;
 };
@@ -68,6 +76,9 @@
   /// Running and waiting requests, if the upstream reports its load.
   std::optional<uint32_t> running;
   uint32_t waiting = 0;
+  /// How long work takes at the upstream now, as a multiple of the usual time,
+  /// if it says so.
+  std::optional<double> slowdown;
   /// Idle time after which the upstream closes the connection.
   std::optional<std::chrono::milliseconds> idle_timeout;
 
@@ -81,6 +92,10 @@
   std::chrono::milliseconds time_left{0};
   /// Id of the event after which the upstream continues the stream.
   std::optional<uint64_t> resume_after;
+  /// Organisation of the caller; empty if it has none.
+  std::string organisation;
+  /// Turns before this one, which precede the body of the request.
+  std::string_view history;
 
   bool operator==(const ForwardHead&) const = default;
 };
--- a/relay/route_table.h
+++ b/relay/route_table.h
@@ -45,6 +45,13 @@
   uint32_t max_upstreams = 1;
   /// Whether a stream can be resumed after a given event.
   bool resumable = false;
+  /// Whether callers need no key.
+  bool is_public = false;
+  /// Whether a turn carries only its new input, and what came before it is kept
+  /// for it.
+  bool retains_turns = false;
+  /// How long a turn is kept with all turns before it.
+  std::chrono::milliseconds retention{0};
 
   /// Whether a call may be run more than once.
   bool IsRetryable() const {
