--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -93,9 +93,9 @@
   /// Id of the event after which the upstream continues the stream.
   std::optional<uint64_t> resume_after;
   /// Organisation of the caller; empty if it has none.
-  std::string organisation;
+  std::string organisation = {};
   /// Turns before this one, which precede the body of the request.
-  std::string_view history;
+  std::string_view history = {};
 
   bool operator==(const ForwardHead&) const = default;
 };
