relay, control: Let the group say which version began a resumed stream

Callers that took a stream up at an instance which had just started got events of another software version: where the stream's binding was not found, the instance went on if it knew upstreams of one version only, and after a restart it may know a single upstream. Bindings were also missed when a caller named a request that was itself a resumption, came with a budget to a stream without one, or named no request.

Cause: the absence of knowledge at one instance was taken for the absence of the fact, and bindings were kept under the entry of the budget. Ruled out: loss of the binding between claim and first event; the claim is committed before the call is sent.

The group now answers each claim that resumes a stream: by the request that it names, each resumption included; by the content of the request within its program; or if one version alone was recorded for the services of the route, upstreams that drain, have gone or were replaced under their id included. Every upstream is recorded before it gets a call, so that none is missing. Anything else is refused with 503.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -205,15 +205,7 @@
   }
   schema::DeploymentCommand command;
   schema::TokenReservation* reserve = command.mutable_reserve();
-  reserve->set_program(claim->claim.program);
-  reserve->set_request(claim->claim.request_id);
-  reserve->set_budget(claim->claim.budget);
-  reserve->set_tokens(claim->claim.tokens);
-  reserve->set_resumed_request(claim->claim.resumed_request);
-  if (claim->claim.stream) {
-    reserve->mutable_stream()->set_version(claim->claim.stream->version);
-    reserve->mutable_stream()->set_round(claim->claim.stream->round);
-  }
+  *reserve = relay::ReservationOf(claim->claim);
   FillSettlements(reserve->mutable_settlements());
   SendToLeader(command, std::min(left, kClaimAttemptTimeout),
                [this, claim, settlements = command.reserve().settlements()](
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -37,6 +37,12 @@
          a.started_at_ms() == b.started_at_ms();
 }
 
+/// Entry of the ledger that keeps the version of the reservation's stream.
+const std::string& StreamOwner(const schema::TokenReservation& reservation) {
+  return reservation.stream_owner().empty() ? reservation.program()
+                                            : reservation.stream_owner();
+}
+
 }  // namespace
 
 int64_t DeploymentState::Spending::Committed() const {
@@ -130,15 +136,15 @@
       out->add_settled(request);
     }
     for (const std::string& request : spending.stream_order) {
-      schema::BoundStream* bound = out->add_streams();
-      bound->set_request(request);
-      *bound->mutable_stream() = spending.streams.at(request);
+      *out->add_streams() = spending.streams.at(request);
     }
+    out->set_dropped_streams(spending.dropped_streams);
   }
   for (const auto& [id, record] : instances_) {
     *snapshot.add_instances() = record;
   }
   crashes_.Save(&snapshot);
+  versions_.Save(&snapshot);
   snapshot.set_clock_ms(clock_ms_);
   return snapshot.SerializeAsString();
 }
@@ -167,13 +173,15 @@
     }
     spending.settled.assign(it.settled().begin(), it.settled().end());
     for (const schema::BoundStream& bound : it.streams()) {
-      AddStream(bound.request(), bound.stream(), &spending);
+      AddStream(bound, &spending);
     }
+    spending.dropped_streams = it.dropped_streams();
   }
   for (const schema::InstanceRecord& record : parsed.instances()) {
     instances_[record.instance()] = record;
   }
   crashes_.Load(parsed);
+  versions_.Load(parsed);
   clock_ms_ = parsed.clock_ms();
   return std::monostate{};
 }
@@ -214,6 +222,11 @@
   if (!WouldChange(entry)) {
     return;
   }
+  const auto before = upstreams_.find(entry.upstream());
+  if (before != upstreams_.end()) {
+    versions_.Observe(before->second, clock_ms_);
+  }
+  versions_.Observe(entry, clock_ms_);
   for (auto& [id, other] : upstreams_) {
     const bool replaced = id != entry.upstream() && !other.gone() &&
                           !entry.gone() && other.address() == entry.address();
@@ -225,6 +238,7 @@
       entry.set_gone(true);
       continue;
     }
+    versions_.Observe(other, clock_ms_);
     other.set_gone(true);
     other.set_revision(++upstream_revision_);
   }
@@ -306,44 +320,110 @@
   }
   reply->set_remaining(reservation.budget() - spending.Committed());
   if (reply->granted()) {
-    BindStream(reservation, &spending, reply);
+    BindStream(reservation, reply);
   }
 }
 
 void DeploymentState::BindStream(const schema::TokenReservation& reservation,
-                                 Spending* spending,
                                  schema::DeploymentReply* reply) {
-  const bool resumes = !reservation.resumed_request().empty();
-  const std::string& request =
-      resumes ? reservation.resumed_request() : reservation.request();
-  const auto bound = spending->streams.find(request);
+  const bool resumes =
+      reservation.resumes() || !reservation.resumed_request().empty();
+  if (!resumes && !reservation.has_stream()) {
+    return;
+  }
+  schema::BoundStream stream;
+  stream.set_request(reservation.request());
+  stream.set_content(reservation.content());
   if (resumes) {
-    if (bound != spending->streams.end()) {
-      *reply->mutable_stream() = bound->second;
+    const auto found = FindResumed(reservation);
+    if (!found) {
+      return;
+    }
+    *stream.mutable_stream() = *found;
+  } else {
+    *stream.mutable_stream() = reservation.stream();
+  }
+  Spending& owner = programs_[StreamOwner(reservation)];
+  owner.last_used_ms = clock_ms_;
+  const auto bound = owner.streams.find(reservation.request());
+  if (bound == owner.streams.end()) {
+    AddStream(std::move(stream), &owner);
+  } else if (!resumes &&
+             reservation.stream().round() > bound->second.stream().round()) {
+    *bound->second.mutable_stream() = reservation.stream();
+  }
+  *reply->mutable_stream() = owner.streams.at(reservation.request()).stream();
+}
+
+std::optional<schema::StreamVersion> DeploymentState::FindResumed(
+    const schema::TokenReservation& reservation) const {
+  const std::string& resumed = reservation.resumed_request();
+  const auto own = programs_.find(StreamOwner(reservation));
+  if (own != programs_.end()) {
+    // A claim that is sent again finds what its first send found.
+    const auto bound = own->second.streams.find(reservation.request());
+    if (bound != own->second.streams.end()) {
+      return bound->second.stream();
     }
-    return;
   }
-  if (!reservation.has_stream()) {
-    return;
+  for (const std::string* id :
+       {&StreamOwner(reservation), &reservation.resumed_owner(),
+        &reservation.program()}) {
+    const auto owner = programs_.find(*id);
+    if (resumed.empty() || owner == programs_.end()) {
+      continue;
+    }
+    const auto bound = owner->second.streams.find(resumed);
+    if (bound != owner->second.streams.end()) {
+      return bound->second.stream();
+    }
+  }
+  if (resumed.empty() && own != programs_.end()) {
+    if (auto found = FindByContent(own->second, reservation.content())) {
+      return found;
+    }
   }
-  if (bound == spending->streams.end()) {
-    AddStream(request, reservation.stream(), spending);
-  } else if (reservation.stream().round() > bound->second.round()) {
-    bound->second = reservation.stream();
+  const auto only = versions_.Only(reservation.services(), clock_ms_);
+  if (!only) {
+    return std::nullopt;
+  }
+  schema::StreamVersion stream;
+  stream.set_version(*only);
+  stream.set_round(1);
+  return stream;
+}
+
+std::optional<schema::StreamVersion> DeploymentState::FindByContent(
+    const Spending& spending, uint64_t content) {
+  if (content == 0 || spending.dropped_streams) {
+    return std::nullopt;
+  }
+  const schema::StreamVersion* found = nullptr;
+  bool is_known = false;
+  for (const auto& [request, it] : spending.streams) {
+    if (it.content() != content && it.content() != 0) {
+      continue;
+    }
+    if (found != nullptr && found->version() != it.stream().version()) {
+      return std::nullopt;
+    }
+    found = &it.stream();
+    is_known = is_known || it.content() == content;
   }
-  *reply->mutable_stream() = spending->streams.at(request);
+  return is_known ? std::optional(*found) : std::nullopt;
 }
 
-void DeploymentState::AddStream(const std::string& request,
-                                const schema::StreamVersion& stream,
+void DeploymentState::AddStream(schema::BoundStream stream,
                                 Spending* spending) {
-  if (!spending->streams.try_emplace(request, stream).second) {
+  const std::string request = stream.request();
+  if (!spending->streams.try_emplace(request, std::move(stream)).second) {
     return;
   }
   spending->stream_order.push_back(request);
   if (spending->stream_order.size() > kBoundStreams) {
     spending->streams.erase(spending->stream_order.front());
     spending->stream_order.pop_front();
+    spending->dropped_streams = true;
   }
 }
 
@@ -383,6 +463,7 @@
   if (it == upstreams_.end() || it->second.gone()) {
     return;
   }
+  versions_.Observe(it->second, clock_ms_);
   it->second.set_gone(true);
   it->second.set_expired(true);
   it->second.set_revision(++upstream_revision_);
@@ -390,6 +471,12 @@
 
 void DeploymentState::Sweep() {
   crashes_.Expire(clock_ms_);
+  for (const auto& [id, entry] : upstreams_) {
+    if (!entry.gone()) {
+      versions_.Observe(entry, clock_ms_);
+    }
+  }
+  versions_.Expire(clock_ms_);
   std::erase_if(programs_, [this](const auto& it) {
     return it.second.last_used_ms + kProgramRetentionMs < clock_ms_;
   });
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "control/crash_table.h"
+#include "control/version_table.h"
 #include "core/error.h"
 #include "schema/generated/deployment.pb.h"
 
@@ -61,10 +63,13 @@
     int64_t spent = 0;
     std::map<std::string, int64_t> open;
     std::deque<std::string> settled;
-    /// Software versions of streams, by the request that began each.
-    std::map<std::string, schema::StreamVersion> streams;
+    /// Software versions of streams, by each request that began one or took it
+    /// up.
+    std::map<std::string, schema::BoundStream> streams;
     /// These requests, the oldest first.
     std::deque<std::string> stream_order;
+    /// Older streams are no longer kept.
+    bool dropped_streams = false;
     int64_t last_used_ms = 0;
 
     // Spent tokens and open reservations.
@@ -79,11 +84,16 @@
                schema::DeploymentReply* reply);
   /// Binds the stream of a reservation to a software version, or finds the one
   /// that a resumed stream is bound to.
-  static void BindStream(const schema::TokenReservation& reservation,
-                         Spending* spending, schema::DeploymentReply* reply);
-  static void AddStream(const std::string& request,
-                        const schema::StreamVersion& stream,
-                        Spending* spending);
+  void BindStream(const schema::TokenReservation& reservation,
+                  schema::DeploymentReply* reply);
+  /// Version that certainly began the stream that the reservation resumes.
+  std::optional<schema::StreamVersion> FindResumed(
+      const schema::TokenReservation& reservation) const;
+  /// Version of the streams of a program that have this content, if all have
+  /// the same one and every stream that may have it is kept.
+  static std::optional<schema::StreamVersion> FindByContent(
+      const Spending& spending, uint64_t content);
+  static void AddStream(schema::BoundStream stream, Spending* spending);
   void Settle(const schema::TokenSettlement& settlement);
   void ApplyInstance(schema::InstanceRecord record);
   void Retire(const std::string& name, schema::DeploymentReply* reply);
@@ -96,6 +106,7 @@
   std::map<std::string, Spending> programs_;
   std::map<std::string, schema::InstanceRecord> instances_;
   CrashTable crashes_;
+  VersionTable versions_;
   int64_t clock_ms_ = 0;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "logging/log.h"
+#include "relay/request_digest.h"
 #include "transport/http_status.h"
 
 namespace hawthorn::relay {
@@ -55,18 +56,6 @@
   return segments;
 }
 
-/// Digest of what the upstreams receive of a request, whoever sends it. Leaves
-/// out the ids of the request and of its program, which differ between two
-/// sends of the same content.
-uint64_t ContentDigestOf(const transport::RelayRequest& request) {
-  uint64_t hash = 0;
-  for (const std::string* part :
-       {&request.method, &request.host, &request.target, &request.body}) {
-    hash = XXH64(part->data(), part->size(), hash + part->size());
-  }
-  return hash;
-}
-
 /// A call whose connection to an upstream broke.
 struct BrokenCall {
   std::string request_id;
@@ -148,8 +137,11 @@
                     "the request ends upstreams that run it");
     return;
   }
-  const std::string& key =
-      head.program.empty() ? head.request_id : head.program;
+  // A resumed stream goes on at the service that began it.
+  const std::string& key = !head.program.empty() ? head.program
+                           : !head.resumed_request.empty()
+                               ? head.resumed_request
+                               : head.request_id;
   std::string service = RouteTable::PickService(*route, key);
   const ServiceSettings* settings = table_->FindService(service);
   std::vector<scheduling::PrefixSegment> segments = PrefixSegments(head);
@@ -242,12 +234,6 @@
   return scheduler_.ProposeVersion(request, parts_.clock.Now());
 }
 
-std::optional<std::string> Relay::OnlyVersion(const RelayCall& call) {
-  const std::set<std::string> versions =
-      scheduler_.Versions(core::ServiceId(call.service()));
-  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
-}
-
 core::Status Relay::Enqueue(RelayCall& call) {
   scheduling::CallRequest request = RequestOf(call);
   request.id = next_id_++;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -136,7 +136,6 @@
   TokenLedger& ledger() override { return parts_.ledger; }
   core::Status Enqueue(RelayCall& call) override;
   std::string ProposeVersion(const RelayCall& call) override;
-  std::optional<std::string> OnlyVersion(const RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
   void FinishAttempt(RelayCall& call, scheduling::CallOutcome outcome) override;
   uint64_t StartTimeOf(const std::string& upstream) const override;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "relay/request_digest.h"
 #include "transport/http_status.h"
 
 namespace hawthorn::relay {
@@ -75,21 +76,39 @@
     EnterQueue();
     return;
   }
+  claim_ = MakeClaim(has_budget);
+  Claim();
+}
+
+TokenClaim RelayCall::MakeClaim(bool has_budget) const {
   const CallHead& head = parts_.head;
   const std::string& first_request =
       head.resumed_request.empty() ? head.request_id : head.resumed_request;
-  TokenClaim& claim = claim_.emplace();
+  TokenClaim claim;
   claim.request_id = head.request_id;
   claim.program =
       has_budget ? head.program : kStreamProgramPrefix + first_request;
   claim.budget = has_budget ? *head.token_budget : kNoBudget;
   claim.tokens = has_budget ? head.max_output_tokens : 0;
-  if (IsBindable() && head.resume_after) {
-    claim.resumed_request = head.resumed_request;
-  } else if (IsBindable()) {
+  if (!IsBindable()) {
+    return claim;
+  }
+  claim.stream_owner = head.program.empty()
+                           ? kStreamProgramPrefix + head.request_id
+                           : head.program;
+  claim.content = ContentDigestOf(parts_.request);
+  if (!head.resume_after) {
     claim.stream = StreamBinding{parts_.host.ProposeVersion(*this), 1};
+    return claim;
   }
-  Claim();
+  claim.resumes = true;
+  claim.resumed_request = head.resumed_request;
+  claim.resumed_owner = kStreamProgramPrefix + first_request;
+  // The stream may have begun at another service of the route.
+  for (const WeightedService& it : parts_.route.services) {
+    claim.services.push_back(it.service);
+  }
+  return claim;
 }
 
 void RelayCall::Claim() {
@@ -124,28 +143,15 @@
     Refuse(status::kPaymentRequired, "budget spent", std::nullopt);
     return;
   }
-  if (IsBindable() && parts_.head.resume_after) {
-    if (!BindResumed(core::Value(reply))) {
-      Refuse(status::kServiceUnavailable,
-             "the version that began the stream is not known", std::nullopt);
-      return;
-    }
-  } else {
-    binding_ = core::Value(reply).stream;
+  binding_ = core::Value(reply).stream;
+  if (IsBindable() && parts_.head.resume_after && !binding_) {
+    Refuse(status::kServiceUnavailable,
+           "the version that began the stream is not known", std::nullopt);
+    return;
   }
   EnterQueue();
 }
 
-bool RelayCall::BindResumed(const ClaimReply& reply) {
-  binding_ = reply.stream;
-  if (!binding_) {
-    if (const auto only = parts_.host.OnlyVersion(*this)) {
-      binding_ = StreamBinding{*only, 1};
-    }
-  }
-  return binding_.has_value();
-}
-
 bool RelayCall::BindAgain() {
   if (!binding_ || ContinuesStream() || binding_->round >= kMaxBindings) {
     return false;
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -50,9 +50,6 @@
   virtual core::Status Enqueue(RelayCall& call) = 0;
   /// Software version that the stream of the call is best bound to.
   virtual std::string ProposeVersion(const RelayCall& call) = 0;
-  /// The only software version of the call's service; nullopt if several serve
-  /// side by side, or none.
-  virtual std::optional<std::string> OnlyVersion(const RelayCall& call) = 0;
   /// Removes the call from the queue.
   virtual void Dequeue(RelayCall& call) = 0;
   /// Reports the outcome of an attempt and frees its slot at the upstream.
@@ -243,12 +240,10 @@
   bool IsBindable() const {
     return parts_.route.kind == CallKind::kStream && parts_.route.resumable;
   }
+  TokenClaim MakeClaim(bool has_budget) const;
   /// Claims the budget and the binding of the stream, then queues the call.
   void Claim();
   void OnClaimed(const core::Result<ClaimReply>& reply);
-  /// Binds a stream that a caller takes up. Returns false if nobody knows which
-  /// version began it, and several serve.
-  bool BindResumed(const ClaimReply& reply);
   /// Binds the stream to another version, as none of its own is left; only
   /// before its first event. Returns false if that is not possible.
   bool BindAgain();
--- a/relay/token_ledger.h
+++ b/relay/token_ledger.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/error.h"
+#include "schema/generated/deployment.pb.h"
 
 namespace hawthorn::relay {
 
@@ -29,21 +31,34 @@
   /// Version that the stream of the turn is to be bound to, if it may go on at
   /// another upstream.
   std::optional<StreamBinding> stream = {};
-  /// Request that began the stream if the caller takes it up; the binding of
-  /// that one holds. Empty otherwise.
+  /// The caller takes a stream up that an earlier request began.
+  bool resumes = false;
+  /// Request that began the stream, or one that took it up before, if the
+  /// caller names it; the binding of that one holds. Empty otherwise.
   std::string resumed_request = {};
+  /// Entry of the ledger that keeps the binding of this request's stream, and
+  /// another one that may keep that of the resumed request.
+  std::string stream_owner = {};
+  std::string resumed_owner = {};
+  /// Digest of what upstreams receive of the request.
+  uint64_t content = 0;
+  /// Services whose upstreams may have begun the stream.
+  std::vector<std::string> services = {};
 
   bool operator==(const TokenClaim&) const = default;
 };
 
+/// Returns the claim as a command of the group, without settlements.
+schema::TokenReservation ReservationOf(const TokenClaim& claim);
+
 /// Result of a claim.
 struct ClaimReply {
   /// False means that the budget is spent.
   bool granted = false;
   /// Tokens of the budget that are neither spent nor claimed.
   int64_t remaining = 0;
-  /// Version that the stream is bound to; nullopt if it is not bound, or if the
-  /// request that began it is not known.
+  /// Version that the stream is bound to; nullopt if it is not bound, or if it
+  /// is uncertain which version began it.
   std::optional<StreamBinding> stream = {};
 
   bool operator==(const ClaimReply&) const = default;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -367,6 +367,9 @@
   REQUIRE(it.ledger.claims.size() == 1);
   TokenClaim claim{"p", "r1", 500, 80};
   claim.stream = StreamBinding{"", 1};
+  CHECK(it.ledger.claims[0].content != 0);
+  claim.content = it.ledger.claims[0].content;
+  claim.stream_owner = "p";
   CHECK(it.ledger.claims[0] == claim);
 }
 
