scheduling: Place calls by how long work now takes at an upstream

Upstreams may say in responses how long work takes there now. In spells of about 600 ms a part of them takes 2.5 times as long, and placement by count sent them the same number of calls.

UpstreamSpeed keeps the latest report. SharedPool scales the time-like parts of the cost, adds the longer run of the call itself, and lets fewer calls wait at a slow upstream. Its slots stay usable: they are idle capacity once the others are full. A report neither counts as a failure nor suspends.

Ruled out: scaling the slots too. With a third of the pool slow that takes capacity from a full pool although the engine would run the calls.

While any speed differs, an upstream is picked at random among those whose cost is within one running call of the best, since all instances have the same news.

--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -98,23 +98,39 @@
   }
 }
 
+void SharedPool::OnSlowdown(const core::UpstreamId& upstream, double slowdown,
+                            core::TimePoint taken_at) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.speed.OnReport(slowdown, taken_at);
+  }
+}
+
+size_t SharedPool::SlowCount(core::TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      upstreams_.begin(), upstreams_.end(), [now](const auto& it) {
+        return it.second.speed.SlowdownAt(now) >= kSlow;
+      }));
+}
+
 double SharedPool::PrefillCost(int64_t tokens, double total) {
   return static_cast<double>(tokens) * kMsPerPromptToken * (1 + total);
 }
 
 double SharedPool::CostOf(const Upstream& upstream, const CallRequest& call,
-                          double total) const {
+                          double total, double slowdown) const {
   if (placement_ == SharedPlacement::kLeastLoaded) {
     return total / upstream.MaxRunning();
   }
   const double waiting = std::max(0.0, total + 1 - upstream.MaxRunning());
   const double wait_ms =
       waiting / upstream.MaxRunning() * mean_run_seconds_ * 1000.0;
-  double cost = wait_ms + total * kMsPerRunningCall;
+  const double extra_run_ms = (slowdown - 1) * mean_run_seconds_ * 1000.0;
+  double cost = (wait_ms + total * kMsPerRunningCall) * slowdown + extra_run_ms;
   if (upstream.state.cache_tokens > 0) {
     const int64_t cached =
         cache_.CachedTokens(upstream.cache_slot, call.prefix);
-    cost += PrefillCost(call.prompt_tokens - cached, total);
+    cost += PrefillCost(call.prompt_tokens - cached, total) * slowdown;
   }
   cost += upstream.state.zone == zone_ ? 0 : kCrossZoneMs;
   return cost + upstream.failures * kFailureMs;
@@ -144,7 +160,7 @@
     }
     const double total =
         it->load.Total(now, bounded_others * (it->MaxRunning() - 1));
-    return total + 1 > it->MaxRunning() * (1 + kOverfill);
+    return total + 1 > it->Room(now);
   });
   if (usable.empty()) {
     return std::nullopt;
@@ -166,25 +182,45 @@
   }
   const Upstream* best = nullptr;
   double best_cost = 0;
+  bool speeds_differ = false;
+  std::vector<std::pair<double, const Upstream*>> costs;
   for (const Upstream* it : usable) {
     const double total = it->load.Total(now, others * it->MaxRunning());
-    double cost = CostOf(*it, call, total);
+    const double slowdown = it->speed.SlowdownAt(now);
+    speeds_differ = speeds_differ || slowdown != 1;
+    double cost = CostOf(*it, call, total, slowdown);
     const bool is_unseen_home =
         it == home && it->state.cache_tokens > 0 &&
         cache_.CachedTokens(it->cache_slot, call.prefix) == 0;
     if (is_unseen_home) {
       const auto assumed = static_cast<int64_t>(
           static_cast<double>(call.prompt_tokens) * kHomeCachedShare);
-      cost -= PrefillCost(assumed, total);
+      cost -= PrefillCost(assumed, total) * slowdown;
     }
+    costs.emplace_back(cost, it);
     if (best == nullptr || cost < best_cost) {
       best = it;
       best_cost = cost;
     }
   }
+  if (speeds_differ) {
+    best = PickNear(costs, best_cost);
+  }
   return best->state.id;
 }
 
+const SharedPool::Upstream* SharedPool::PickNear(
+    const std::vector<std::pair<double, const Upstream*>>& costs,
+    double best_cost) {
+  std::vector<const Upstream*> near;
+  for (const auto& [cost, upstream] : costs) {
+    if (cost <= best_cost + kMsPerRunningCall) {
+      near.push_back(upstream);
+    }
+  }
+  return near[NextRandom() % near.size()];
+}
+
 std::string SharedPool::ProposeVersion(const CallRequest& call,
                                        core::TimePoint now) {
   std::map<std::string, double> slots;
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -16,6 +16,7 @@
 #include "scheduling/load_estimate.h"
 #include "scheduling/rate_share.h"
 #include "scheduling/upstream.h"
+#include "scheduling/upstream_speed.h"
 
 namespace hawthorn::scheduling {
 
@@ -62,6 +63,8 @@
   /// Part of a sparse share that is used, so that the sum over all instances
   /// stays within the limit.
   static constexpr double kSparseReserve = 0.75;
+  /// Slowdown from which an upstream counts as slow in metrics.
+  static constexpr double kSlow = 1.25;
   /// Slots of an upstream that does not announce how many calls it runs.
   static constexpr uint32_t kDefaultSlots = 8;
 
@@ -73,6 +76,12 @@
   void SetInstanceCount(size_t instances, core::TimePoint now);
   void Remove(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
+  /// Takes how long work took at the upstream at `taken_at`, as a multiple of
+  /// the usual time. It neither counts as a failure nor suspends the upstream.
+  void OnSlowdown(const core::UpstreamId& upstream, double slowdown,
+                  core::TimePoint taken_at);
+  /// Upstreams that now take at least kSlow times as long as usual.
+  size_t SlowCount(core::TimePoint now) const;
   void SetPlacement(SharedPlacement placement) { placement_ = placement; }
 
   /// Upstream for `call`, or nullopt if all are full or have got as many
@@ -146,20 +155,32 @@
     std::chrono::milliseconds suspension{0};
     /// This instance's share of the request limit.
     std::optional<RateShare> share;
+    UpstreamSpeed speed;
 
     double MaxRunning() const {
       return state.max_running == 0 ? kDefaultSlots : state.max_running;
     }
     bool TakesCalls() const { return !state.leaving && !check_at; }
+    /// Calls that it may get, running and waiting. Those beyond its slots wait
+    /// as long as before.
+    double Room(core::TimePoint now) const {
+      return MaxRunning() * (1 + kOverfill / speed.SlowdownAt(now));
+    }
   };
 
   /// Cost of prefilling `tokens` at an upstream that runs `total` calls: the
   /// delay of this call and of the others.
   static double PrefillCost(int64_t tokens, double total);
   /// Cost of running `call` at an upstream with `total` calls of all
-  /// instances.
-  double CostOf(const Upstream& upstream, const CallRequest& call,
-                double total) const;
+  /// instances, whose work takes `slowdown` times as long as usual.
+  double CostOf(const Upstream& upstream, const CallRequest& call, double total,
+                double slowdown) const;
+  /// An upstream whose cost is hardly above `best_cost`, at random: many
+  /// instances have the same news of slow upstreams, and must not all choose
+  /// the same one of the others.
+  const Upstream* PickNear(
+      const std::vector<std::pair<double, const Upstream*>>& costs,
+      double best_cost);
   /// Requests per second of this instance under `limit`.
   double ShareOf(double limit) const;
   void UpdateShare(Upstream* upstream, core::TimePoint now);
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -213,6 +213,22 @@
   }
 }
 
+void SharedScheduler::OnSlowdown(const core::UpstreamId& upstream,
+                                 double slowdown, core::TimePoint taken_at) {
+  const auto it = service_of_.find(upstream);
+  if (it != service_of_.end()) {
+    ServiceOf(it->second).pool.OnSlowdown(upstream, slowdown, taken_at);
+  }
+}
+
+size_t SharedScheduler::SlowCount(core::TimePoint now) const {
+  size_t count = 0;
+  for (const auto& [id, service] : services_) {
+    count += service.pool.SlowCount(now);
+  }
+  return count;
+}
+
 void SharedScheduler::Suspend(const core::UpstreamId& upstream,
                               core::TimePoint now) {
   const auto it = service_of_.find(upstream);
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -79,6 +79,11 @@
   bool TakeRepeat(CallId call, core::TimePoint now);
   void RemoveUpstream(const core::UpstreamId& upstream);
   void OnReport(const core::UpstreamId& upstream, const LoadReport& report);
+  /// Takes the speed of an upstream; see SharedPool.
+  void OnSlowdown(const core::UpstreamId& upstream, double slowdown,
+                  core::TimePoint taken_at);
+  /// Slow upstreams of all services.
+  size_t SlowCount(core::TimePoint now) const;
   /// Sends no calls to an upstream until Resume; see SharedPool.
   void Suspend(const core::UpstreamId& upstream, core::TimePoint now);
   void Resume(const core::UpstreamId& upstream);
