cluster: Share the speed of upstreams between instances

One of 64 instances sees a response of one upstream every few seconds, while an upstream stays slow for about 600 ms. Without the others' news most calls were placed blind.

An entry instance reports a figure that differs by a quarter from what the others know to the control instance that it watches, at most once in 100 ms. SpeedBoard there keeps the latest figure of each upstream and sends it with the next update to the other watchers, and over one hop to the control instances that have watchers; the leader tells who has. Messages carry ages, not times. Nothing is committed, and nothing is sent where no upstream names a figure.

Ruled out: committing the figures (syncs for news that lives 600 ms) and passing all through the leader (a further hop, and none during an election).

Result: six clients at three sources learn of a slow upstream in under 300 ms with one message each ("All clients learn of a slow upstream while it is slow"); a flapping upstream brings at most ten reports a second and instance. The cost on the machines of the deployment was not measured.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -146,6 +146,21 @@
   on_update_(update);
 }
 
+void DeploymentClient::ReportSpeeds(const schema::UpstreamSpeeds& speeds) {
+  schema::DeploymentMessage message;
+  *message.mutable_speeds() = speeds;
+  const core::Status sent =
+      IsCurrent()
+          ? peers_.Send(core::InstanceId(source_), Pack(message))
+          : core::Error{core::ErrorCode::kUnavailable, "no current watch",
+                        core::Execution::kNotRun, std::nullopt};
+  if (!core::IsOk(sent)) {
+    metrics_.Count("speeds_unreported");
+    Log(LogLevel::kInfo, "upstream speeds not reported",
+        {{"source", source_}, {"reason", core::ErrorOf(sent).message}});
+  }
+}
+
 void DeploymentClient::OnFirstUpdateTimeout() {
   peers_.CancelStream(watch_);
   first_update_timeout_ = std::min(first_update_timeout_ * 2, kUpdateTimeout);
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -94,6 +94,10 @@
   /// response. Retried like a crash.
   void ReportLimit(const schema::UpstreamLimit& limit);
 
+  /// Reports the speeds of upstreams to the watched instance, which passes them
+  /// on to all others. Not retried: the next report replaces a lost one.
+  void ReportSpeeds(const schema::UpstreamSpeeds& speeds);
+
   /// Returns whether the known state is current: an update was received within
   /// kUpdateTimeout.
   bool IsCurrent() const { return HadContactWithin(kUpdateTimeout); }
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -194,6 +194,7 @@
   }
   Flush();
   UpdateWatches();
+  PassOnSpeeds();
 }
 
 void DeploymentHost::UpdateWatches() {
@@ -354,6 +355,9 @@
         upstream_contacts_[upstream] = Now();
       }
       return;
+    case schema::DeploymentMessage::kSpeeds:
+      OnSpeeds(message.speeds(), from);
+      return;
     default:
       replier.Fail(Unavailable("the message is not known"));
   }
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -146,6 +146,12 @@
   /// entries of the log, applied or not.
   void LearnStoredAddresses();
   void UpdateWatches();
+  /// Instances of the deployment that have watchers, as far as known.
+  std::set<std::string> InstancesWithWatchers() const;
+  void OnSpeeds(const schema::UpstreamSpeeds& speeds, const std::string& from);
+  /// Sends the speeds that the own watchers reported to the other instances
+  /// that have watchers.
+  void PassOnSpeeds();
   void PlanStep();
   GroupView MakeGroupView() const;
   void RecordInstances();
@@ -189,6 +195,8 @@
   /// Peer addresses by instance.
   std::map<std::string, std::string> peer_addresses_;
   WatchRegistry watches_;
+  /// Instances that have watchers, as the leader said.
+  std::set<std::string> watched_instances_;
   std::map<std::string, core::TimePoint> upstream_contacts_;
   core::TimePoint leader_since_;
 };
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -113,6 +113,10 @@
   if (list.watchers() > 0) {
     watches_.SetTotal(list.watchers());
   }
+  if (list.watchers() > 0) {
+    watched_instances_ = {list.watched_instances().begin(),
+                          list.watched_instances().end()};
+  }
   if (list.has_forwarders()) {
     watches_.SetForwarders(
         ForwarderList::Builder().Add(list.forwarders().forwarders()).Build());
@@ -144,6 +148,9 @@
   if (is_leader()) {
     reply.mutable_instances()->set_watchers(
         static_cast<uint32_t>(CountWatchers()));
+    for (const std::string& instance : InstancesWithWatchers()) {
+      reply.mutable_instances()->add_watched_instances(instance);
+    }
     if (announcement.known_forwarders() != watches_.forwarders().digest()) {
       *reply.mutable_instances()->mutable_forwarders() =
           watches_.forwarders().ToMessage();
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -44,13 +44,21 @@
         it.last_leader != leader ||
         it.last_instances != state_.instances().size() ||
         it.seen_forwarders != forwarders_.digest() ||
-        it.last_sent + kKeepAliveInterval <= now;
+        it.last_sent + kKeepAliveInterval <= now ||
+        (it.last_sent + SpeedBoard::kInterval <= now &&
+         speeds_.HasNews(it.speed_cursor, it.instance, now));
     if (due) {
       Send(&it, leader);
     }
   }
 }
 
+bool WatchRegistry::Contains(const std::string& instance) const {
+  return std::any_of(
+      watchers_.begin(), watchers_.end(),
+      [&instance](const Watcher& it) { return it.instance == instance; });
+}
+
 void WatchRegistry::End(const core::Error& reason) {
   for (const Watcher& it : std::exchange(watchers_, {})) {
     it.replier.Fail(reason);
@@ -121,11 +129,17 @@
   update->set_watchers(
       static_cast<uint32_t>(std::max(watchers_.size(), total_)));
   std::string forwarders = AddForwarders(*watcher, update);
+  schema::UpstreamSpeeds speeds =
+      speeds_.Since(watcher->speed_cursor, watcher->instance, clock_.Now());
+  if (!speeds.speeds().empty()) {
+    *update->mutable_speeds() = std::move(speeds);
+  }
   if (!core::IsOk(watcher->replier.SendChunk(Pack(message)))) {
     return;
   }
   watcher->seen_forwarders = forwarders_.digest();
   watcher->last_forwarders = std::move(forwarders);
+  watcher->speed_cursor = speeds_.cursor();
   watcher->sent_table = true;
   watcher->configuration_version = std::max<uint64_t>(
       watcher->configuration_version, state_.configuration().version());
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cluster/forwarder_list.h"
+#include "cluster/speed_board.h"
 #include "control/deployment_state.h"
 #include "core/clock.h"
 #include "core/error.h"
@@ -46,6 +47,9 @@
   /// Ends all watches, so that the watchers choose another instance.
   void End(const core::Error& reason);
 
+  /// Speeds of upstreams to send to the watchers.
+  SpeedBoard& speeds() { return speeds_; }
+  bool Contains(const std::string& instance) const;
   bool empty() const { return watchers_.empty(); }
   size_t size() const { return watchers_.size(); }
 
@@ -65,6 +69,8 @@
     uint64_t seen_forwarders = 0;
     /// Forwarders that it was told of, serialized.
     std::string last_forwarders;
+    /// Position on the board of speeds up to which it was sent reports.
+    uint64_t speed_cursor = 0;
   };
 
   void Send(Watcher* watcher, const std::string& leader);
@@ -78,6 +84,7 @@
   std::list<Watcher> watchers_;
   size_t total_ = 0;
   ForwarderList forwarders_;
+  SpeedBoard speeds_;
 };
 
 /// Appends the records of all instances with a disk.
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -35,7 +35,10 @@
              client_.ReportDraining(upstream, started_at_ms);
            },
            [this](const schema::UpstreamLimit& it) { client_.ReportLimit(it); },
-           relay::RelayCall::kProgressTimeout, &peers}),
+           relay::RelayCall::kProgressTimeout, &peers,
+           [this](const schema::UpstreamSpeeds& it) {
+             client_.ReportSpeeds(it);
+           }}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -121,6 +124,9 @@
                              {it.suspected().begin(), it.suspected().end()});
   }
   relay_.SetInstanceCount(update.watchers());
+  if (update.has_speeds()) {
+    relay_.OnSpeeds(update.speeds());
+  }
   if (update.has_forwarders()) {
     relay_.SetForwarders({update.forwarders().forwarders().begin(),
                           update.forwarders().forwarders().end()});
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -106,6 +106,8 @@
   dispatch_timer_.setSingleShot(true);
   connect(&check_timer_, &QTimer::timeout, this, &Relay::CheckSuspended);
   connect(&dispatch_timer_, &QTimer::timeout, this, &Relay::Pump);
+  speed_timer_.setSingleShot(true);
+  connect(&speed_timer_, &QTimer::timeout, this, &Relay::ReportSpeeds);
 }
 
 Relay::~Relay() = default;
@@ -191,6 +193,7 @@
   set("queued_calls", scheduler_.queued());
   set("upstreams_known", upstreams_.size());
   set("upstreams_limited", request_limits_.size());
+  set("upstreams_slow", scheduler_.SlowCount(parts_.clock.Now()));
   set("upstreams_unreachable", scheduler_.SuspendedCount());
   set("upstreams_forwarded", paths_.forwarded_count());
   set("forwarders_known", forwarders_.size());
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,7 @@
 #include "relay/upstream_link_pool.h"
 #include "relay/upstream_paths.h"
 #include "scheduling/shared_scheduler.h"
+#include "scheduling/upstream_speed.h"
 #include "schema/generated/deployment.pb.h"
 #include "transport/http_session.h"
 
@@ -58,6 +59,8 @@
     /// Links to the instances that carry out exchanges for this one; null if
     /// there are none.
     peer::PeerTransport* peers = nullptr;
+    /// Receives what the other instances should know of the speed of upstreams.
+    std::function<void(const schema::UpstreamSpeeds&)> on_speeds = {};
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -92,6 +95,8 @@
   /// Replaces the list of the instances that carry out exchanges with upstreams
   /// that this one cannot reach.
   void SetForwarders(const std::vector<schema::Forwarder>& forwarders);
+  /// Takes what other instances read of the speed of upstreams.
+  void OnSpeeds(const schema::UpstreamSpeeds& speeds);
   /// Carries out an exchange for another instance.
   void OnForwardRequest(const schema::PeerMessage& message,
                         const peer::Replier& replier);
@@ -237,6 +242,10 @@
   /// Takes the limit that the upstream of the call names, or that it names
   /// none.
   void UpdateRequestLimit(const RelayCall& call, const ResponseInfo& response);
+  /// Takes how long work takes at the upstream of the call, if it says so.
+  void TakeSlowdown(const RelayCall& call, const ResponseInfo& response);
+  /// Reports the speeds that the other instances do not know.
+  void ReportSpeeds();
   /// Describes a call to the scheduler.
   scheduling::CallRequest RequestOf(const RelayCall& call) const;
   /// Passes the state of an upstream to the scheduler.
@@ -273,6 +282,7 @@
   std::map<std::string, Upstream> upstreams_;
   DrainMarks drain_marks_;
   RequestLimits request_limits_;
+  scheduling::SpeedReports speed_reports_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
@@ -295,6 +305,7 @@
   bool pump_scheduled_ = false;
   QTimer dispatch_timer_;
   QTimer check_timer_;
+  QTimer speed_timer_;
 };
 
 }  // namespace hawthorn::relay
--- a/relay/relay_upstreams.cpp
+++ b/relay/relay_upstreams.cpp
@@ -93,6 +93,7 @@
   links_.Forget(id);
   paths_.Remove(id);
   request_limits_.Forget(id);
+  speed_reports_.Forget(id);
   scheduler_.RemoveUpstream(core::UpstreamId(id));
   logging::Log(logging::LogLevel::kInfo, "upstream removed",
                {{"upstream", id}});
@@ -237,6 +238,7 @@
       MarkDraining(call);
     }
     UpdateRequestLimit(call, response);
+    TakeSlowdown(call, response);
   }
   if (!response.running) {
     return;
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -1,3 +1,4 @@
+#include <QElapsedTimer>
 #include <QTimer>
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -283,6 +284,59 @@
   clients.clear();
 }
 
+// A speed that reaches only the watchers of the same source, or comes late, is
+// useless to most instances: an upstream stays slow for about 600 ms.
+TEST_CASE("All clients learn of a slow upstream while it is slow") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  std::vector<std::unique_ptr<peer::PeerTransport>> transports;
+  std::vector<std::unique_ptr<DeploymentClient>> clients;
+  std::vector<uint32_t> watchers(6);
+  std::vector<std::vector<schema::UpstreamSpeed>> learned(6);
+  for (size_t n = 0; n < learned.size(); ++n) {
+    transports.push_back(
+        it.NewTransport("127.0.0." + std::to_string(60 + n), 0));
+    // Two clients watch each source.
+    clients.push_back(std::make_unique<DeploymentClient>(
+        std::vector<std::string>{it.Seeds().at(n % 3)}, 1, it.clock(),
+        it.metrics(), *transports.back(),
+        [&, n](const schema::DeploymentUpdate& update) {
+          watchers[n] = update.watchers();
+          learned[n].insert(learned[n].end(), update.speeds().speeds().begin(),
+                            update.speeds().speeds().end());
+        }));
+    clients.back()->Start();
+  }
+  REQUIRE(WaitFor([&] { return watchers == std::vector<uint32_t>(6, 6); }));
+  // The instances hear from the leader who has watchers.
+  QElapsedTimer announced;
+  announced.start();
+  WaitFor([&] { return announced.hasExpired(1500); });
+  schema::UpstreamSpeeds speeds;
+  schema::UpstreamSpeed* speed = speeds.add_speeds();
+  speed->set_upstream("u");
+  speed->set_slowdown_percent(250);
+  QElapsedTimer sent;
+  sent.start();
+  clients[0]->ReportSpeeds(speeds);
+  CHECK(WaitFor([&] {
+    return std::all_of(learned.begin() + 1, learned.end(),
+                       [](const auto& it) { return !it.empty(); });
+  }));
+  CHECK(sent.elapsed() < 300);
+  const QElapsedTimer waited = sent;
+  WaitFor([&] { return waited.hasExpired(700); });
+  CHECK(learned[0].empty());
+  for (size_t n = 1; n < learned.size(); ++n) {
+    CAPTURE(n);
+    REQUIRE(learned[n].size() == 1);
+    CHECK(learned[n][0].slowdown_percent() == 250);
+    CHECK(learned[n][0].age_ms() < 300);
+  }
+  clients.clear();
+}
+
 TEST_CASE("All clients learn of a request that crashed three upstreams") {
   Deployment it(3);
   it.StartInitialMembers({0, 1, 2});
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -147,6 +147,8 @@
   std::function<void(uint64_t)> on_success;
   /// Called for each request limit that a response changed, if set.
   std::function<void(const schema::UpstreamLimit&)> on_limit;
+  /// Reports of the speed of upstreams.
+  std::vector<schema::UpstreamSpeeds> speeds;
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
