relay: Identify callers by key and enforce request limits

A configuration may name organisations with keys. A request then needs a known key unless its route is public; it is refused with 401 after the route is found and before anything else is used. The key and the caller's organisation field are removed from forwarded requests, and the upstream gets the organisation's name. Without organisations nothing changes.

An empty list still requires keys: an operator who removes the last organisation does not mean to open the deployment.

Credit is taken before a call claims a budget or is queued. A call that no upstream received gives it back; an exchange that could not connect does not count as received. A refusal by the limit is 429 with the exact time, one without an answer 503.

--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -47,6 +47,9 @@
   std::string previous_turn;
   /// Line of turns within the program.
   std::string session;
+  /// Key of the caller's organisation; empty if there is none or it cannot be
+  /// one. Dropped once the organisation is known.
+  std::string api_key = {};
   /// Time until the program should be finished, if the caller says so.
   std::optional<std::chrono::milliseconds> program_time_left;
 
@@ -92,6 +95,9 @@
   std::chrono::milliseconds time_left{0};
   /// Id of the event after which the upstream continues the stream.
   std::optional<uint64_t> resume_after;
+  /// The deployment has organisations, so that the fields of the caller's key
+  /// and organisation are not passed on.
+  bool has_organisations = false;
   /// Organisation of the caller; empty if it has none.
   std::string organisation = {};
   /// Turns before this one, which precede the body of the request.
--- a/relay/quota_source.h
+++ b/relay/quota_source.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "core/clock.h"
 #include "core/error.h"
 
 namespace hawthorn::relay {
@@ -23,7 +24,9 @@
   /// at hand.
   virtual void Take(const std::string& organisation, TakeCallback callback) = 0;
   /// Gives back the credit of a request that was not sent to any upstream.
-  virtual void GiveBack(const std::string& organisation) = 0;
+  /// `taken_at` is when the request asked for it.
+  virtual void GiveBack(const std::string& organisation,
+                        core::TimePoint taken_at) = 0;
 };
 
 }  // namespace hawthorn::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -101,6 +101,7 @@
       parts_(std::move(parts)),
       scheduler_(SettingsOf(parts_)),
       links_(parts_.clock, this),
+      organisation_stats_(parts_.metrics),
       forwarders_(parts_.zone),
       forward_server_(*this) {
   dispatch_timer_.setSingleShot(true);
@@ -132,6 +133,11 @@
                     "no route matches the host and path");
     return;
   }
+  std::optional<CallOrganisation> organisation =
+      Authenticate(session, *route, &head);
+  if (!organisation) {
+    return;
+  }
   if (head.request_id.empty()) {
     session.Respond(status::kBadRequest, {}, "the request id is missing");
     return;
@@ -163,17 +169,47 @@
                          settings != nullptr && settings->engine
                              ? settings->engine->tokens_per_event
                              : 1,
-                         parts_.progress_timeout};
+                         parts_.progress_timeout,
+                         std::move(*organisation)};
+  if (parts.organisation.priority) {
+    parts.route.priority = *parts.organisation.priority;
+  }
   auto* call = new RelayCall(std::move(parts), this);
   calls_.insert(call);
   call->Start();
 }
 
+std::optional<CallOrganisation> Relay::Authenticate(
+    transport::HttpSession& session, const Route& route, CallHead* head) {
+  const std::string key = std::exchange(head->api_key, {});
+  CallOrganisation caller;
+  if (!table_->has_organisations()) {
+    return caller;
+  }
+  caller.has_organisations = true;
+  const Organisation* found = table_->FindOrganisation(key);
+  if (found != nullptr) {
+    caller.name = found->name;
+    caller.is_limited = found->limit.IsLimited();
+    caller.priority = found->priority;
+  } else if (!route.is_public) {
+    parts_.metrics.Count(key.empty() ? "relay_key_missing"
+                                     : "relay_key_unknown");
+    logging::Log(logging::LogLevel::kDebug, "caller without a valid key",
+                 {{"request", head->request_id}, {"route", route.name}});
+    session.Respond(status::kUnauthorized, {},
+                    "the key is missing or not known");
+    return std::nullopt;
+  }
+  return caller;
+}
+
 void Relay::SetTable(std::shared_ptr<const RouteTable> table) {
   if (table_ && table->version() <= table_->version()) {
     return;
   }
   table_ = std::move(table);
+  organisation_stats_.SetOrganisations(table_->organisations());
   for (const auto& [id, upstream] : upstreams_) {
     UpdateScheduler(upstream);
   }
@@ -537,6 +573,8 @@
     key.measure = "longest_pause";
     parts_.metrics.Observe(key, summary.longest_pause);
   }
+  organisation_stats_.OnEnded(call.organisation(), summary.status,
+                              summary.total, parts_.clock.Now());
   LogEnd(call);
   ReportSuccess(call);
   call.deleteLater();
@@ -559,11 +597,17 @@
 void Relay::LogEnd(const RelayCall& call) const {
   const CallSummary& it = call.summary();
   const bool failed = !it.reason.empty();
+  // An organisation over its limit may be refused many times a second;
+  // OrganisationStats reports that.
+  const bool is_limited = it.status == status::kTooManyRequests && failed;
   logging::Log(
-      failed ? logging::LogLevel::kWarn : logging::LogLevel::kInfo,
+      is_limited ? logging::LogLevel::kDebug
+      : failed   ? logging::LogLevel::kWarn
+                 : logging::LogLevel::kInfo,
       "call ended",
       {{"request", call.head().request_id},
        {"program", call.head().program},
+       {"organisation", call.organisation()},
        {"route", call.route().name},
        {"service", call.service()},
        {"digest", std::to_string(ContentDigestOf(call.request()))},
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,6 +18,8 @@
 #include "relay/forwarder_table.h"
 #include "relay/instance_count.h"
 #include "relay/link_counter.h"
+#include "relay/organisation_stats.h"
+#include "relay/quota_source.h"
 #include "relay/relay_call.h"
 #include "relay/request_limits.h"
 #include "relay/upstream_link_pool.h"
@@ -58,6 +60,9 @@
     /// Links to the instances that carry out exchanges for this one; null if
     /// there are none.
     peer::PeerTransport* peers = nullptr;
+    /// Credit for the requests of organisations with a limit; null if limits
+    /// are not enforced.
+    QuotaSource* quota = nullptr;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -134,6 +139,7 @@
   }
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
+  QuotaSource* quota() override { return parts_.quota; }
   core::Status Enqueue(RelayCall& call) override;
   std::string ProposeVersion(const RelayCall& call) override;
   std::optional<std::string> OnlyVersion(const RelayCall& call) override;
@@ -256,6 +262,12 @@
   /// rejects.
   void Pump();
   void LogEnd(const RelayCall& call) const;
+  /// Identifies the caller by its key, which is then dropped. Answers the
+  /// request and returns nothing if the route requires a key and this one is
+  /// not known.
+  std::optional<CallOrganisation> Authenticate(transport::HttpSession& session,
+                                               const Route& route,
+                                               CallHead* head);
   /// Reports that a suspected request has succeeded.
   void ReportSuccess(const RelayCall& call);
   /// Number of calls of this instance that run at the upstream.
@@ -273,6 +285,7 @@
   std::map<std::string, Upstream> upstreams_;
   DrainMarks drain_marks_;
   RequestLimits request_limits_;
+  OrganisationStats organisation_stats_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -69,6 +69,45 @@
     return;
   }
   deadline_timer_.start(allowed);
+  TakeCredit();
+}
+
+void RelayCall::TakeCredit() {
+  QuotaSource* quota = parts_.host.quota();
+  if (quota == nullptr || !parts_.organisation.is_limited) {
+    Admit();
+    return;
+  }
+  quota->Take(parts_.organisation.name,
+              [guard = QPointer<RelayCall>(this), quota,
+               organisation = parts_.organisation.name,
+               taken_at = started_](const core::Status& status) {
+                if (guard && guard->state_ == State::kAwaitingCredit) {
+                  guard->OnCredit(status);
+                } else if (core::IsOk(status)) {
+                  quota->GiveBack(organisation, taken_at);
+                }
+              });
+}
+
+void RelayCall::OnCredit(const core::Status& status) {
+  if (core::IsOk(status)) {
+    has_credit_ = true;
+    Admit();
+    return;
+  }
+  const core::Error& error = core::ErrorOf(status);
+  const auto retry_after = error.retry_after.value_or(kRetryAfter);
+  if (error.code == core::ErrorCode::kLimitExceeded) {
+    // Exact, so it is told also if the caller will not wait as long.
+    Refuse(status::kTooManyRequests, error.message, retry_after);
+  } else {
+    Refuse(status::kServiceUnavailable, error.message,
+           WithinPatience(retry_after));
+  }
+}
+
+void RelayCall::Admit() {
   const bool has_budget =
       parts_.head.token_budget && !parts_.head.program.empty();
   if (!has_budget && !IsBindable()) {
@@ -223,8 +262,10 @@
   }
   Fail(summary_.may_have_run ? status::kGatewayTimeout
                              : status::kServiceUnavailable,
-       state_ == State::kClaiming ? "the deadline passed before the claim"
-                                  : "the deadline passed in the queue");
+       state_ == State::kAwaitingCredit
+           ? "the deadline passed before the request limit was known"
+       : state_ == State::kClaiming ? "the deadline passed before the claim"
+                                    : "the deadline passed in the queue");
 }
 
 void RelayCall::Refuse(int status, std::string reason,
@@ -266,6 +307,9 @@
   if (claim_) {
     parts_.host.ledger().Settle(*claim_, generated_tokens());
   }
+  if (has_credit_ && sent_exchanges_ == 0) {
+    parts_.host.quota()->GiveBack(parts_.organisation.name, started_);
+  }
   summary_.total =
       core::MillisecondsBetween(started_, parts_.host.clock().Now());
   parts_.host.OnCallEnded(*this);
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -18,6 +18,7 @@
 #include "relay/call_codec.h"
 #include "relay/event_framer.h"
 #include "relay/exchange_link.h"
+#include "relay/quota_source.h"
 #include "relay/route_table.h"
 #include "relay/token_ledger.h"
 #include "scheduling/call.h"
@@ -45,6 +46,8 @@
   virtual std::optional<core::TimePoint> shutdown_deadline() const = 0;
   virtual const CallCodec& codec() const = 0;
   virtual TokenLedger& ledger() = 0;
+  /// Null if request limits of organisations are not enforced.
+  virtual QuotaSource* quota() = 0;
   /// Queues the call. Dispatch or RefuseQueued is called later, never from
   /// within this call.
   virtual core::Status Enqueue(RelayCall& call) = 0;
@@ -104,6 +107,21 @@
   virtual void OnCallEnded(RelayCall& call) = 0;
 };
 
+/// Organisation of the caller, by the configuration in force when the request
+/// was read.
+struct CallOrganisation {
+  /// The configuration has organisations.
+  bool has_organisations = false;
+  /// Empty if the caller belongs to none.
+  std::string name;
+  /// Its requests need credit.
+  bool is_limited = false;
+  /// Replaces the priority of the route.
+  std::optional<uint32_t> priority;
+
+  bool operator==(const CallOrganisation&) const = default;
+};
+
 /// Result of a call, for logs and metrics.
 struct CallSummary {
   int status = 0;
@@ -184,6 +202,7 @@
     std::string service;
     int64_t tokens_per_event = 1;
     std::chrono::milliseconds progress_timeout = kProgressTimeout;
+    CallOrganisation organisation = {};
   };
 
   RelayCall(Parts parts, QObject* parent);
@@ -200,6 +219,8 @@
   }
   const Route& route() const { return parts_.route; }
   const std::string& service() const { return parts_.service; }
+  /// Empty if the caller belongs to no organisation.
+  const std::string& organisation() const { return parts_.organisation.name; }
   const transport::RelayRequest& request() const { return parts_.request; }
   core::TimePoint started() const { return started_; }
   core::TimePoint deadline() const { return deadline_; }
@@ -233,7 +254,7 @@
   int64_t generated_tokens() const;
 
  private:
-  enum class State { kClaiming, kQueued, kRunning, kEnded };
+  enum class State { kAwaitingCredit, kClaiming, kQueued, kRunning, kEnded };
 
   /// Maximum number of software versions that a stream is bound to until its
   /// first event.
@@ -243,6 +264,12 @@
   bool IsBindable() const {
     return parts_.route.kind == CallKind::kStream && parts_.route.resumable;
   }
+  /// Takes credit of the organisation for this request if it has a limit, then
+  /// admits the call.
+  void TakeCredit();
+  void OnCredit(const core::Status& status);
+  /// Prepares the claim if there is one, and queues the call.
+  void Admit();
   /// Claims the budget and the binding of the stream, then queues the call.
   void Claim();
   void OnClaimed(const core::Result<ClaimReply>& reply);
@@ -315,7 +342,11 @@
   QTimer deadline_timer_;
   QTimer idle_timer_;
   QTimer progress_timer_;
-  State state_ = State::kClaiming;
+  State state_ = State::kAwaitingCredit;
+  /// The organisation's credit was taken for this request.
+  bool has_credit_ = false;
+  /// Number of exchanges of which an upstream may have received a part.
+  int sent_exchanges_ = 0;
   scheduling::CallId schedule_id_ = 0;
   std::string upstream_;
   uint64_t upstream_started_at_ms_ = 0;
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -39,6 +39,8 @@
   }
   ForwardHead forward;
   forward.upstream = upstream_;
+  forward.has_organisations = parts_.organisation.has_organisations;
+  forward.organisation = parts_.organisation.name;
   forward.time_left = TimeLeft();
   forward.resume_after = last_event_ ? last_event_ : parts_.head.resume_after;
   ExchangeLink::Events events;
@@ -49,6 +51,7 @@
   events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
   events.on_complete = [this] { OnComplete(); };
   events.on_failed = [this](LinkFailure failure) { OnFailed(failure); };
+  ++sent_exchanges_;
   link_->Start(parts_.host.codec().EncodeForward(parts_.request, forward),
                std::move(events));
 }
@@ -72,6 +75,11 @@
   if (state_ != State::kRunning) {
     return;
   }
+  const bool was_unsent = failure == LinkFailure::kUnreachable ||
+                          failure == LinkFailure::kForwarderFailed;
+  if (was_unsent && link_ != nullptr) {
+    --sent_exchanges_;
+  }
   switch (failure) {
     case LinkFailure::kUnreachable:
       OnUnreachable();
--- a/relay/route_table.cpp
+++ b/relay/route_table.cpp
@@ -66,6 +66,12 @@
   return *this;
 }
 
+RouteTable::Builder& RouteTable::Builder::SetOrganisations(
+    OrganisationTable organisations) {
+  table_.organisations_ = std::move(organisations);
+  return *this;
+}
+
 std::shared_ptr<const RouteTable> RouteTable::Builder::Build() {
   return std::make_shared<const RouteTable>(std::move(table_));
 }
--- a/relay/route_table.h
+++ b/relay/route_table.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "relay/organisation.h"
+
 // Routes and services of one configuration version.
 namespace hawthorn::relay {
 
@@ -103,6 +105,22 @@
   }
   const std::vector<Route>& routes() const { return routes_; }
   const ServiceSettings* FindService(const std::string& name) const;
+  /// Whether callers belong to organisations, so that routes that are not
+  /// public require a key.
+  bool has_organisations() const { return organisations_.has_value(); }
+  /// Returns the organisation whose key this is, or null.
+  const Organisation* FindOrganisation(std::string_view key) const {
+    return organisations_ ? organisations_->Find(key) : nullptr;
+  }
+  /// Returns the organisations; null if the configuration has none.
+  const OrganisationTable* organisations() const {
+    return organisations_ ? &*organisations_ : nullptr;
+  }
+  /// Request limits of the organisations that have one.
+  scheduling::QuotaLimits QuotaLimits() const {
+    return organisations_ ? organisations_->Limits()
+                          : scheduling::QuotaLimits();
+  }
   /// Returns the route of `host` with the longest matching path prefix, or
   /// null.
   const Route* Find(std::string_view host, std::string_view target) const;
@@ -118,6 +136,7 @@
   CallerLimits limits_;
   std::vector<Route> routes_;
   std::map<std::string, ServiceSettings> services_;
+  std::optional<OrganisationTable> organisations_;
 };
 
 /// Builds a RouteTable.
@@ -127,6 +146,7 @@
   Builder& SetLimits(const CallerLimits& limits);
   Builder& AddRoute(Route route);
   Builder& AddService(ServiceSettings service);
+  Builder& SetOrganisations(OrganisationTable organisations);
   std::shared_ptr<const RouteTable> Build();
 
  private:
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -147,7 +147,7 @@
 
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
                            TokenLedger* shared_ledger,
-                           peer::PeerTransport* peers)
+                           peer::PeerTransport* peers, QuotaSource* quota)
     : relay_({clock_, codec_,
               shared_ledger != nullptr ? *shared_ledger : ledger, metrics_, "a",
               1,
@@ -170,7 +170,7 @@
                   on_limit(limit);
                 }
               },
-              progress_timeout, peers}),
+              progress_timeout, peers, quota}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
@@ -195,7 +195,9 @@
   route.path_prefix = "/once/";
   route.kind = CallKind::kNonIdempotent;
   route.resumable = false;
+  route.is_public = organisations_.has_value();
   builder.AddRoute(route);
+  route.is_public = false;
   route.name = "read";
   route.path_prefix = "/read/";
   route.kind = CallKind::kIdempotent;
@@ -206,9 +208,18 @@
   service.max_connections = max_connections;
   service.engine = EngineSettings{4, 10000, 11};
   builder.AddService(service);
+  if (organisations_) {
+    builder.SetOrganisations(*organisations_);
+  }
   relay_.SetTable(builder.Build());
 }
 
+void RelayFixture::SetOrganisations(
+    std::optional<OrganisationTable> organisations) {
+  organisations_ = std::move(organisations);
+  SetTable(relay_.table()->version() + 1, 0);
+}
+
 void RelayFixture::SetConnectionLimit(uint32_t connections) {
   SetTable(relay_.table()->version() + 1, connections);
 }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -119,12 +119,14 @@
   explicit RelayFixture(
       std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout,
       TokenLedger* shared_ledger = nullptr,
-      peer::PeerTransport* peers = nullptr);
+      peer::PeerTransport* peers = nullptr, QuotaSource* quota = nullptr);
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
                    uint64_t started_at_ms = 1,
                    std::optional<double> request_limit = std::nullopt);
+  /// Replaces the organisations; nothing removes them. /once/ becomes public.
+  void SetOrganisations(std::optional<OrganisationTable> organisations);
   /// Limits the connections to each upstream from all instances together.
   void SetConnectionLimit(uint32_t connections);
   static std::string Request(const std::string& path, const std::string& id,
@@ -163,6 +165,7 @@
   Relay relay_;
   transport::HttpEndpoint endpoint_;
   uint64_t revision_ = 0;
+  std::optional<OrganisationTable> organisations_;
 };
 
 }  // namespace hawthorn::relay
