cluster: Grant request credit at the leader and ask for it at entry instances

QuotaServer keeps the buckets at the leader, in memory and without commits. It answers only while the last contact with a majority is below 300 ms, less than the election timeout of 350 ms, so that two leaders never grant at the same time. The limits come from a decoder that the role passes in, since the names of the configuration are the platform's.

QuotaClient asks the leader that the watch names. Requests of one iteration of the event loop share a message; one report is open at a time and is sent again after 100 ms while requests wait. When another leader is named, the open report goes there at once. A request without an answer is refused after 300 ms.

The messages get fields for refunds, the process of the instance and a leader that settles. An instance that restarts begins a new sequence; without the new field its reports would be taken for late duplicates.

The cluster test kills the leader: the next one grants within the second that the test allows, and without a majority a request is refused as unavailable.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -72,7 +72,9 @@
       clock_(clock),
       metrics_(metrics),
       peers_(peers),
-      watches_(machine_, clock) {
+      watches_(machine_, clock),
+      quota_(metrics) {
+  quota_.SetDecoder(options_.limit_decoder);
   connect(&tick_, &QTimer::timeout, this, &DeploymentHost::Tick);
 }
 
@@ -156,6 +158,7 @@
   set("instances_known", machine_.instances().size());
   set("programs_known", machine_.program_count());
   set("watchers", watches_.size());
+  quota_.UpdateGauges();
   set("upstream_contacts", upstream_contacts_.size());
 }
 
@@ -194,6 +197,13 @@
   }
   Flush();
   UpdateWatches();
+  UpdateQuota();
+}
+
+void DeploymentHost::UpdateQuota() {
+  quota_.Update(
+      {is_leader(), group_->replica().term(), group_->replica().LastContact()},
+      machine_.configuration(), Now());
 }
 
 void DeploymentHost::UpdateWatches() {
@@ -349,6 +359,14 @@
                       *out->mutable_retirement_state() = state;
                     });
       return;
+    case schema::DeploymentMessage::kQuotaRequest:
+      UpdateQuota();
+      reply_or_fail(
+          quota_.OnRequest(from, message.quota_request(), Now()),
+          [](schema::DeploymentMessage* out, const schema::QuotaGrant& grant) {
+            *out->mutable_quota_grant() = grant;
+          });
+      return;
     case schema::DeploymentMessage::kHeard:
       for (const std::string& upstream : message.heard().upstreams()) {
         upstream_contacts_[upstream] = Now();
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cluster/membership_planner.h"
+#include "cluster/quota_server.h"
 #include "cluster/watch_registry.h"
 #include "consensus/group.h"
 #include "control/deployment_state.h"
@@ -43,6 +44,8 @@
   std::vector<std::string> seeds;
   std::string data_folder;
   uint64_t seed = 1;
+  /// Reads the request limits of organisations from a configuration.
+  QuotaServer::LimitDecoder limit_decoder = {};
 };
 
 /// Owns the replica of this instance. Lives in one thread with an event loop;
@@ -146,6 +149,7 @@
   /// entries of the log, applied or not.
   void LearnStoredAddresses();
   void UpdateWatches();
+  void UpdateQuota();
   void PlanStep();
   GroupView MakeGroupView() const;
   void RecordInstances();
@@ -189,6 +193,7 @@
   /// Peer addresses by instance.
   std::map<std::string, std::string> peer_addresses_;
   WatchRegistry watches_;
+  QuotaServer quota_;
   std::map<std::string, core::TimePoint> upstream_contacts_;
   core::TimePoint leader_since_;
 };
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "platform/configuration_codec.h"
+
 namespace hawthorn::main {
 
 ControlRole::ControlRole(platform::BootSettings settings,
@@ -38,6 +40,13 @@
   options.seeds = settings.SeedPeers();
   options.data_folder = settings.data_folder;
   options.seed = std::hash<std::string>{}(settings.ip);
+  options.limit_decoder = [](const std::string& content) {
+    const auto decoded = platform::DecodeConfiguration(content);
+    const auto* table =
+        std::get_if<std::shared_ptr<const relay::RouteTable>>(&decoded);
+    return table == nullptr ? std::nullopt
+                            : std::optional((*table)->QuotaLimits());
+  };
   return options;
 }
 
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -15,6 +15,11 @@
 using logging::Log;
 using logging::LogLevel;
 
+/// Differs between two processes of this instance.
+uint64_t IncarnationOf(const core::Clock& clock) {
+  return static_cast<uint64_t>(clock.WallNow().time_since_epoch().count());
+}
+
 }  // namespace
 
 EntryRole::EntryRole(platform::BootSettings settings, const core::Clock& clock,
@@ -26,6 +31,7 @@
       client_(settings_.SeedPeers(), std::hash<std::string>{}(settings_.ip),
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
+      quota_(IncarnationOf(clock), clock, metrics, peers),
       relay_(
           {clock, codec_, client_, metrics, settings_.zone,
            std::hash<std::string>{}(settings_.ip),
@@ -35,7 +41,7 @@
              client_.ReportDraining(upstream, started_at_ms);
            },
            [this](const schema::UpstreamLimit& it) { client_.ReportLimit(it); },
-           relay::RelayCall::kProgressTimeout, &peers}),
+           relay::RelayCall::kProgressTimeout, &peers, &quota_}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -101,9 +107,11 @@
       callers_.SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
                           limits.head_timeout,
                           limits.idle_timeout});
+      quota_.SetLimits(table->version(), table->QuotaLimits());
       relay_.SetTable(std::move(table));
     }
   }
+  quota_.SetLeader(update.leader());
   if (update.whole_table()) {
     std::set<std::string> known;
     for (const schema::UpstreamEntry& entry : update.upstreams()) {
@@ -130,6 +138,7 @@
 void EntryRole::UpdateGauges() {
   relay_.UpdateGauges();
   client_.UpdateGauges();
+  quota_.UpdateGauges();
   metrics_.SetGauge("ready", IsReady() ? 1 : 0);
   metrics_.SetGauge("caller_connections",
                     static_cast<double>(callers_.session_count()));
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cluster/deployment_client.h"
+#include "cluster/quota_client.h"
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "main/roles/role.h"
@@ -57,6 +58,7 @@
   peer::PeerTransport& peers_;
   platform::PlatformCallCodec codec_;
   cluster::DeploymentClient client_;
+  cluster::QuotaClient quota_;
   relay::Relay relay_;
   transport::HttpEndpoint callers_;
   transport::HttpEndpoint readiness_;
--- a/tests/cluster/deployment_fixture.cpp
+++ b/tests/cluster/deployment_fixture.cpp
@@ -98,6 +98,9 @@
   options.seeds = Seeds();
   options.data_folder = node.disk->path().toStdString();
   options.seed = std::hash<std::string>{}(id);
+  options.limit_decoder = [this](const std::string&) {
+    return std::optional(limits);
+  };
   node.host =
       std::make_unique<DeploymentHost>(options, clock_, metrics_, *node.peers);
   DeploymentHost* host = node.host.get();
--- a/tests/cluster/deployment_fixture.h
+++ b/tests/cluster/deployment_fixture.h
@@ -58,6 +58,9 @@
   bool Publish(uint64_t version);
   core::Result<uint64_t> Read(const std::string& id);
 
+  /// Request limits in every configuration that is published.
+  scheduling::QuotaLimits limits;
+
   const core::Clock& clock() const { return clock_; }
   core::Metrics& metrics() { return metrics_; }
   std::unique_ptr<peer::PeerTransport> NewTransport(const std::string& ip,
