--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cluster/membership_planner.h"
+#include "cluster/quota_server.h"
 #include "cluster/watch_registry.h"
 #include "consensus/group.h"
 #include "control/deployment_state.h"
@@ -43,6 +44,8 @@
   std::vector<std::string> seeds;
   std::string data_folder;
   uint64_t seed = 1;
+  /// Reads the request limits of organisations from a configuration.
+  QuotaServer::LimitDecoder limit_decoder = {};
 };
 
 /// Owns the replica of this instance. Lives in one thread with an event loop;
@@ -152,6 +155,7 @@
   /// Sends the speeds that the own watchers reported to the other instances
   /// that have watchers.
   void PassOnSpeeds();
+  void UpdateQuota();
   void PlanStep();
   GroupView MakeGroupView() const;
   void RecordInstances();
@@ -197,6 +201,7 @@
   WatchRegistry watches_;
   /// Instances that have watchers, as the leader said.
   std::set<std::string> watched_instances_;
+  QuotaServer quota_;
   std::map<std::string, core::TimePoint> upstream_contacts_;
   core::TimePoint leader_since_;
 };
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,6 +18,8 @@
 #include "relay/forwarder_table.h"
 #include "relay/instance_count.h"
 #include "relay/link_counter.h"
+#include "relay/organisation_stats.h"
+#include "relay/quota_source.h"
 #include "relay/relay_call.h"
 #include "relay/request_limits.h"
 #include "relay/upstream_link_pool.h"
@@ -61,6 +63,9 @@
     peer::PeerTransport* peers = nullptr;
     /// Receives what the other instances should know of the speed of upstreams.
     std::function<void(const schema::UpstreamSpeeds&)> on_speeds = {};
+    /// Credit for the requests of organisations with a limit; null if limits
+    /// are not enforced.
+    QuotaSource* quota = nullptr;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -139,6 +144,7 @@
   }
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
+  QuotaSource* quota() override { return parts_.quota; }
   core::Status Enqueue(RelayCall& call) override;
   std::string ProposeVersion(const RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
@@ -264,6 +270,12 @@
   /// rejects.
   void Pump();
   void LogEnd(const RelayCall& call) const;
+  /// Identifies the caller by its key, which is then dropped. Answers the
+  /// request and returns nothing if the route requires a key and this one is
+  /// not known.
+  std::optional<CallOrganisation> Authenticate(transport::HttpSession& session,
+                                               const Route& route,
+                                               CallHead* head);
   /// Reports that a suspected request has succeeded.
   void ReportSuccess(const RelayCall& call);
   /// Number of calls of this instance that run at the upstream.
@@ -282,6 +294,7 @@
   DrainMarks drain_marks_;
   RequestLimits request_limits_;
   scheduling::SpeedReports speed_reports_;
+  OrganisationStats organisation_stats_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -162,7 +162,7 @@
 
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
                            MemoryLedger* shared_ledger,
-                           peer::PeerTransport* peers)
+                           peer::PeerTransport* peers, QuotaSource* quota)
     : shared_ledger_(shared_ledger),
       relay_(
           {clock_, codec_, shared_ledger != nullptr ? *shared_ledger : ledger,
@@ -187,7 +187,8 @@
              }
            },
            progress_timeout, peers,
-           [this](const schema::UpstreamSpeeds& it) { speeds.push_back(it); }}),
+           [this](const schema::UpstreamSpeeds& it) { speeds.push_back(it); },
+           quota}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
@@ -212,7 +213,9 @@
   route.path_prefix = "/once/";
   route.kind = CallKind::kNonIdempotent;
   route.resumable = false;
+  route.is_public = organisations_.has_value();
   builder.AddRoute(route);
+  route.is_public = false;
   route.name = "read";
   route.path_prefix = "/read/";
   route.kind = CallKind::kIdempotent;
@@ -223,9 +226,18 @@
   service.max_connections = max_connections;
   service.engine = EngineSettings{4, 10000, 11};
   builder.AddService(service);
+  if (organisations_) {
+    builder.SetOrganisations(*organisations_);
+  }
   relay_.SetTable(builder.Build());
 }
 
+void RelayFixture::SetOrganisations(
+    std::optional<OrganisationTable> organisations) {
+  organisations_ = std::move(organisations);
+  SetTable(relay_.table()->version() + 1, 0);
+}
+
 void RelayFixture::SetConnectionLimit(uint32_t connections) {
   SetTable(relay_.table()->version() + 1, connections);
 }
