scheduling: Admit programs by load and by the time of turns

Cause: a first turn was let in while its expected wait was below 400 ms. Under overload the queues grow to that wait at each turn, so that all programs end late together, and refused ones come back.

Change: AdmissionController decides about the first call of a program. The admitted fraction falls with the calls in excess of the usable slots; which part of the slots is usable is learned from the time of begun turns against idle upstreams. Urgent kinds are kept room, a shared hash makes retries get the same decision, and refused callers are told successive times. Begun programs are not affected.

A deployment was not measured.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -183,7 +183,9 @@
   SchedulePump();
 }
 
-void Relay::UpdateGauges() const {
+void Relay::UpdateGauges() {
+  admission_log_.Update(scheduler_.Admissions(parts_.clock.Now()),
+                        &parts_.metrics);
   const auto set = [this](const char* name, auto value) {
     parts_.metrics.SetGauge(name, static_cast<double>(value));
   };
@@ -232,6 +234,9 @@
   request.attained_tokens =
       begun ? std::max<int64_t>(1, head.prompt_tokens) : 0;
   request.deadline = call.deadline();
+  if (head.program_time_left) {
+    request.program_deadline = call.started() + *head.program_time_left;
+  }
   request.excluded = call.excluded();
   return request;
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "peer/peer_transport.h"
+#include "relay/admission_log.h"
 #include "relay/drain_marks.h"
 #include "relay/forward_server.h"
 #include "relay/forwarder_table.h"
@@ -117,7 +118,7 @@
   static constexpr std::chrono::milliseconds kSurveyInterval{500};
 
   /// Sets the gauges of the metrics to their current values.
-  void UpdateGauges() const;
+  void UpdateGauges();
   size_t open_calls() const { return calls_.size(); }
   size_t upstream_count() const { return upstreams_.size(); }
 
@@ -273,6 +274,7 @@
   std::map<std::string, Upstream> upstreams_;
   DrainMarks drain_marks_;
   RequestLimits request_limits_;
+  AdmissionLog admission_log_;
   std::map<scheduling::CallId, RelayCall*> scheduled_;
   std::set<RelayCall*> calls_;
   scheduling::CallId next_id_ = 1;
--- a/scheduling/call.h
+++ b/scheduling/call.h
@@ -51,6 +51,8 @@
   /// Tokens that the program and its sub-agents have been served so far.
   int64_t attained_tokens = 0;
   std::optional<core::TimePoint> deadline;
+  /// When the program of the call should be finished.
+  std::optional<core::TimePoint> program_deadline;
   /// Suspected of crashing upstreams: must be the only call on its upstream
   /// while it runs.
   bool isolate = false;
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -231,6 +231,17 @@
   return versions;
 }
 
+int64_t SharedPool::TokensToRead(const core::UpstreamId& upstream,
+                                 const CallRequest& call) const {
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end() || it->second.state.cache_tokens == 0) {
+    return 0;
+  }
+  return std::max<int64_t>(
+      0, call.prompt_tokens -
+             cache_.CachedTokens(it->second.cache_slot, call.prefix));
+}
+
 void SharedPool::Start(const core::UpstreamId& upstream, core::TimePoint now) {
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -87,6 +87,10 @@
   bool HasVersionFor(const CallRequest& call) const;
   /// Versions of the upstreams that are not shutting down.
   std::set<std::string> Versions() const;
+  /// Prompt tokens of `call` that the upstream is not known to have cached; 0
+  /// at a plain service.
+  int64_t TokensToRead(const core::UpstreamId& upstream,
+                       const CallRequest& call) const;
   /// Counts a call that is sent to the upstream now.
   void Start(const core::UpstreamId& upstream, core::TimePoint now);
   /// Whether the request limit of the upstream allows this instance to send a
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -145,6 +145,17 @@
     return MakeRefusal(core::ErrorCode::kDeadlineExceeded,
                        "the expected wait exceeds the deadline", wait);
   }
+  if (settings_.admission && capacity.running_limit > 0) {
+    ObserveLoad(&service, capacity);
+    const auto retry_after = call.attained_tokens == 0
+                                 ? service.admission.Refuse(call, now)
+                                 : std::nullopt;
+    if (retry_after) {
+      return MakeRefusal(core::ErrorCode::kOverloaded,
+                         "the service is overloaded and admits fewer programs",
+                         *retry_after);
+    }
+  }
   const QueueKey key(RankOf(call), arrivals_++);
   queued_keys_[call.id] = {call.service, key};
   service.queue.emplace(key, Queued{call, now});
@@ -152,6 +163,25 @@
   return std::monostate{};
 }
 
+void SharedScheduler::ObserveLoad(Service* service,
+                                  const SharedPool::Capacity& capacity) const {
+  // The queues of the other instances are not known; they count as equally
+  // long.
+  const auto queued = static_cast<double>(service->queue.size() * instances_);
+  service->admission.Observe({capacity.running_limit, capacity.load, queued});
+}
+
+std::vector<SharedScheduler::Admission> SharedScheduler::Admissions(
+    core::TimePoint now) const {
+  std::vector<Admission> all;
+  for (const auto& [id, service] : services_) {
+    const AdmissionController& it = service.admission;
+    all.push_back(
+        {id, it.IsRefusing(now), it.usable(), it.StretchAt(now), it.refused()});
+  }
+  return all;
+}
+
 std::string SharedScheduler::ProposeVersion(const CallRequest& call,
                                             core::TimePoint now) {
   return ServiceOf(call.service).pool.ProposeVersion(call, now);
@@ -262,8 +292,15 @@
   }
   const Running running = std::move(it->second);
   running_.erase(it);
-  ServiceOf(running.service)
-      .pool.End(running.upstream, result, now - running.since, now);
+  Service& service = ServiceOf(running.service);
+  const std::chrono::duration<double> ran = now - running.since;
+  service.pool.End(running.upstream, result, ran, now);
+  if (result.outcome == CallOutcome::kSucceeded) {
+    ObserveLoad(&service, service.pool.CapacityAt(now));
+    service.admission.OnTurn({running.queued, ran, running.tokens_to_read,
+                              result.output_tokens, running.begun},
+                             now);
+  }
 }
 
 std::vector<Dispatch> SharedScheduler::Next(core::TimePoint now) {
@@ -305,7 +342,12 @@
         continue;
       }
       service.pool.Start(*upstream, now);
-      running_[call.id] = {id, *upstream, now};
+      running_[call.id] = {id,
+                           *upstream,
+                           now,
+                           now - it->second.since,
+                           service.pool.TokensToRead(*upstream, call),
+                           call.attained_tokens > 0};
       dispatches.push_back({call.id, *upstream, false, 0});
       queued_keys_.erase(call.id);
       it = service.queue.erase(it);
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/id.h"
+#include "scheduling/admission_controller.h"
 #include "scheduling/call.h"
 #include "scheduling/shared_pool.h"
 
@@ -44,6 +45,8 @@
     /// The same while request limits hold calls up. Such a wait meets each call
     /// of a program, so that programs that are let in slowly all end late.
     std::chrono::milliseconds max_first_limited_wait{50};
+    /// Whether programs are admitted by AdmissionController under overload.
+    bool admission = true;
   };
 
   /// By how much a wait for the request limits of several upstreams may exceed
@@ -99,6 +102,20 @@
   std::optional<core::TimePoint> NextWakeUp(core::TimePoint now) const;
   size_t queued() const { return queued_; }
 
+  /// State of the admission control of one service.
+  struct Admission {
+    core::ServiceId service;
+    /// A program was refused within the last second.
+    bool is_refusing = false;
+    /// Part of the slots that counts as usable.
+    double usable = 1;
+    /// Extra time of turns, as a fraction of their time on an idle upstream.
+    double stretch = 0;
+    /// Refusals since the start.
+    uint64_t refused = 0;
+  };
+  std::vector<Admission> Admissions(core::TimePoint now) const;
+
  private:
   /// Rank, then sequence number of arrival.
   using QueueKey = std::pair<int64_t, uint64_t>;
@@ -111,6 +128,7 @@
     explicit Service(SharedPool pool) : pool(std::move(pool)) {}
     SharedPool pool;
     Queue queue;
+    AdmissionController admission;
     /// Until when the callers that were refused for request limits will use up
     /// this instance's share.
     core::TimePoint promised_until;
@@ -119,6 +137,9 @@
     core::ServiceId service;
     core::UpstreamId upstream;
     core::TimePoint since;
+    std::chrono::duration<double> queued{0};
+    int64_t tokens_to_read = 0;
+    bool begun = true;
   };
 
   Service& ServiceOf(const core::ServiceId& service);
@@ -138,6 +159,9 @@
   /// Refuses the queued calls that request limits will keep from being sent in
   /// time.
   void RefuseBeyondLimits(Service* service, core::TimePoint now);
+  /// Informs the admission control of the load.
+  void ObserveLoad(Service* service,
+                   const SharedPool::Capacity& capacity) const;
   int64_t RankOf(const CallRequest& call) const;
   /// Refusal of a call that could not be sent in time, since all upstreams were
   /// full or unreachable.
