scheduling: Send all calls of a program to one upstream where instances are many

With 64 entry instances the next call of a program mostly arrives at one that has not seen the program.

From 16 instances on, the first call prefers the upstream that rendezvous hashing names for the program, as later calls do already, and the preference also holds where an instance knows a part of the prompt to be cached elsewhere.

--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -170,7 +170,8 @@
   }
   const Upstream* home = nullptr;
   uint64_t home_weight = 0;
-  if (call.attained_tokens > 0 && !call.program.empty()) {
+  const bool is_home_shared = instances_ >= kManyInstances;
+  if ((call.attained_tokens > 0 || is_home_shared) && !call.program.empty()) {
     for (const Upstream* it : usable) {
       const uint64_t weight =
           RendezvousWeight(call.program.text(), it->state.id.text());
@@ -189,10 +190,11 @@
     const double slowdown = it->speed.SlowdownAt(now);
     speeds_differ = speeds_differ || slowdown != 1;
     double cost = CostOf(*it, call, total, slowdown);
-    const bool is_unseen_home =
+    const bool is_assumed_cached =
         it == home && it->state.cache_tokens > 0 &&
-        cache_.CachedTokens(it->cache_slot, call.prefix) == 0;
-    if (is_unseen_home) {
+        (is_home_shared ||
+         cache_.CachedTokens(it->cache_slot, call.prefix) == 0);
+    if (is_assumed_cached) {
       const auto assumed = static_cast<int64_t>(
           static_cast<double>(call.prompt_tokens) * kHomeCachedShare);
       cost -= PrefillCost(assumed, total) * slowdown;
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -63,6 +63,11 @@
   /// Part of a sparse share that is used, so that the sum over all instances
   /// stays within the limit.
   static constexpr double kSparseReserve = 0.75;
+  /// Number of instances from which all calls of a program, its first one
+  /// included, prefer the same upstream. With fewer, an instance sees enough of
+  /// a program's calls to know where its prompt is cached; with more, the next
+  /// call mostly arrives at an instance that has not seen the program.
+  static constexpr size_t kManyInstances = 16;
   /// Slowdown from which an upstream counts as slow in metrics.
   static constexpr double kSlow = 1.25;
   /// Slots of an upstream that does not announce how many calls it runs.
