relay: Bound what is buffered for slow readers

An entry instance has 88 MB and up to 2,500 connections. One caller that did not read held 128 KiB and more, the kernel several MB on top, and nothing limited the sum. Three faults were found on the way: - The output buffer of a socket kept all that it had sent since it was last empty: 16 MiB for a client that is always 512 KiB behind. It now drops what was sent. - A response to an HTTP/1.0 client that was cut off by the end of the process was closed in order, so that it looked complete. It is reset now, as is any socket that is closed with unsent bytes. - An upstream that gave up a response which its caller held up was reported as crashed, and the call was sent to the next one, which waits for the same caller. The call now ends with a reset.

BufferBudget counts the allocated buffers of sockets, requests, kept bodies and incomplete events. Reading from an upstream pauses at 32 KiB (128 before) and resumes at 8 KiB instead of at 0, so that a steady slow caller does not leave the upstream unread for long. Kernel buffers are set to 64 KiB. Above 24 MiB in total, requests are answered 503 and not run, large bodies are refused while they arrive, and running responses go on with little.

Ruled out: a fixed share for each connection (10 KiB, though few are slow at a time) and dropping callers under pressure (they retry, and upstreams run the calls again).

--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -38,7 +38,8 @@
            relay::RelayCall::kProgressTimeout, &peers,
            [this](const schema::UpstreamSpeeds& it) {
              client_.ReportSpeeds(it);
-           }}),
+           },
+           &buffers_}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -58,6 +59,7 @@
 }
 
 core::Status EntryRole::Start() {
+  callers_.SetBudget(&buffers_);
   core::Status status = callers_.ListenAt(settings_.caller_address);
   if (!core::IsOk(status)) {
     return status;
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -33,6 +33,10 @@
   /// The drain ends this long before the platform's grace period does, whatever
   /// is still open.
   static constexpr std::chrono::milliseconds kDrainMargin{400};
+  /// Bytes that may be buffered for callers and upstreams while requests are
+  /// admitted. Entry instances have 88 MB; what is buffered for calls that run
+  /// already may grow a little beyond.
+  static constexpr size_t kMaxBufferedBytes = size_t{24} * 1024 * 1024;
 
   EntryRole(platform::BootSettings settings, const core::Clock& clock,
             core::Metrics& metrics, peer::PeerTransport& peers);
@@ -56,6 +60,7 @@
   core::Metrics& metrics_;
   peer::PeerTransport& peers_;
   platform::PlatformCallCodec codec_;
+  transport::BufferBudget buffers_{kMaxBufferedBytes};
   cluster::DeploymentClient client_;
   relay::Relay relay_;
   transport::HttpEndpoint callers_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -100,7 +100,7 @@
     : QObject(parent),
       parts_(std::move(parts)),
       scheduler_(SettingsOf(parts_)),
-      links_(parts_.clock, this),
+      links_(parts_.clock, parts_.buffers, this),
       forwarders_(parts_.zone),
       forward_server_(*this) {
   dispatch_timer_.setSingleShot(true);
@@ -138,6 +138,10 @@
     session.Respond(status::kBadRequest, {}, "the request id is missing");
     return;
   }
+  if (parts_.buffers != nullptr && parts_.buffers->IsOver()) {
+    RefuseForBuffers(session, head);
+    return;
+  }
   if (!poison_requests_.empty() &&
       poison_requests_.contains(ContentDigestOf(request))) {
     parts_.metrics.Count("relay_refused_harmful");
@@ -165,12 +169,27 @@
                          settings != nullptr && settings->engine
                              ? settings->engine->tokens_per_event
                              : 1,
-                         parts_.progress_timeout};
+                         parts_.progress_timeout,
+                         parts_.buffers};
   auto* call = new RelayCall(std::move(parts), this);
   calls_.insert(call);
   call->Start();
 }
 
+void Relay::RefuseForBuffers(transport::HttpSession& session,
+                             const CallHead& head) {
+  parts_.metrics.Count("relay_refused_buffers");
+  logging::Log(logging::LogLevel::kWarn, "call refused",
+               {{"request", head.request_id},
+                {"program", head.program},
+                {"reason", "the buffers of the instance are full"},
+                {"buffered", std::to_string(parts_.buffers->used())},
+                {"limit", std::to_string(parts_.buffers->limit())}});
+  session.Respond(status::kServiceUnavailable,
+                  {{"Retry-After", transport::HttpSession::kFullRetryAfter}},
+                  "the buffers of the instance are full");
+}
+
 void Relay::SetTable(std::shared_ptr<const RouteTable> table) {
   if (table_ && table->version() <= table_->version()) {
     return;
@@ -198,6 +217,10 @@
   set("upstreams_forwarded", paths_.forwarded_count());
   set("forwarders_known", forwarders_.size());
   set("forwarded_exchanges_served", forward_server_.open_exchanges());
+  if (parts_.buffers != nullptr) {
+    set("buffered_bytes", parts_.buffers->used());
+    set("buffered_bytes_peak", parts_.buffers->peak());
+  }
   set("upstream_links_idle", links_.TotalIdle());
   set("upstream_links_in_use", links_.TotalInUse());
   set("upstream_links_opened", links_.opened());
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -61,6 +61,9 @@
     peer::PeerTransport* peers = nullptr;
     /// Receives what the other instances should know of the speed of upstreams.
     std::function<void(const schema::UpstreamSpeeds&)> on_speeds = {};
+    /// What the instance buffers for callers and upstreams. While it is over
+    /// its limit, no request is admitted. Null if nobody counts.
+    transport::BufferBudget* buffers = nullptr;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -246,6 +249,8 @@
   void TakeSlowdown(const RelayCall& call, const ResponseInfo& response);
   /// Reports the speeds that the other instances do not know.
   void ReportSpeeds();
+  /// Refuses a request since the buffers of the instance are full.
+  void RefuseForBuffers(transport::HttpSession& session, const CallHead& head);
   /// Describes a call to the scheduler.
   scheduling::CallRequest RequestOf(const RelayCall& call) const;
   /// Passes the state of an upstream to the scheduler.
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -32,6 +32,8 @@
 
 RelayCall::RelayCall(Parts parts, QObject* parent)
     : QObject(parent), parts_(std::move(parts)) {
+  buffer_charge_.SetBudget(parts_.buffers);
+  CountBuffers();
   deadline_timer_.setSingleShot(true);
   deadline_timer_.setTimerType(Qt::PreciseTimer);
   connect(&deadline_timer_, &QTimer::timeout, this, &RelayCall::OnDeadline);
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -21,6 +21,7 @@
 #include "relay/route_table.h"
 #include "relay/token_ledger.h"
 #include "scheduling/call.h"
+#include "transport/buffer_budget.h"
 #include "transport/http_session.h"
 
 namespace hawthorn::relay {
@@ -152,9 +153,18 @@
   /// Response bodies up to this size are buffered until they are complete, so
   /// that the call can still be retried.
   static constexpr size_t kMaxBufferedBodyBytes = size_t{256} * 1024;
+  /// The same while the buffers of the instance are full.
+  static constexpr size_t kMaxBufferedBodyWhenFull = size_t{16} * 1024;
   /// Bytes queued for a slow caller above which reading from its upstream is
-  /// paused.
-  static constexpr size_t kCallerHighWater = size_t{128} * 1024;
+  /// paused, and those at which it is resumed. Resuming early keeps the
+  /// upstream, which gives up a response that stays unread, from waiting long.
+  static constexpr size_t kCallerHighWater = size_t{32} * 1024;
+  static constexpr size_t kCallerLowWater = size_t{8} * 1024;
+  /// Time for which a caller may hold a response up before the upstream may
+  /// give it up for being unread; and the time after the response goes on in
+  /// which a broken connection is put down to that. The connection is not read
+  /// while the response is held up.
+  static constexpr std::chrono::milliseconds kUnreadTime{1000};
   /// Time without a byte from the upstream after which its reachability is
   /// checked. Engines produce an event about every 40 ms, and nothing else
   /// reveals a connection that was cut silently.
@@ -184,6 +194,8 @@
     std::string service;
     int64_t tokens_per_event = 1;
     std::chrono::milliseconds progress_timeout = kProgressTimeout;
+    /// Counts what the call buffers; null if nobody does.
+    transport::BufferBudget* buffers = nullptr;
   };
 
   RelayCall(Parts parts, QObject* parent);
@@ -263,6 +275,8 @@
   void OnFailed(LinkFailure failure);
   /// Nothing of the current exchange was sent, as connecting failed.
   void OnUnreachable();
+  /// The upstream broke off a response that the caller held up.
+  void OnUnreadResponse();
   /// Nothing of the current exchange was sent, as another instance did not
   /// help.
   void OnForwarderFailed();
@@ -286,6 +300,15 @@
   /// Sends bytes of the body to the caller. Pauses reading from the upstream
   /// while the caller is slow.
   void SendBody(std::string_view bytes);
+  /// Whether bytes of the response wait for the caller to read.
+  bool IsHeldUp() const { return parts_.session.pending_bytes() > 0; }
+  /// Pauses reading from the upstream until the caller has read.
+  void HoldUp(size_t low_water);
+  /// Whether the upstream may have given up the response since the caller held
+  /// it up for too long.
+  bool MayBeUnread() const;
+  /// Counts what the call buffers against the budget of the instance.
+  void CountBuffers();
   void OnNoProgress();
   void BeginResponse();
   void ReleaseUpstream(scheduling::CallOutcome outcome);
@@ -337,6 +360,11 @@
   bool response_started_ = false;
   bool ignore_body_ = false;
   std::string buffered_body_;
+  transport::BufferCharge buffer_charge_;
+  /// When the caller began to hold up the current response, and when it let it
+  /// go on.
+  std::optional<core::TimePoint> held_since_;
+  std::optional<core::TimePoint> held_until_;
   EventFramer framer_;
   std::optional<uint64_t> last_event_;
   core::TimePoint last_event_at_;
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -87,6 +87,11 @@
       return;
     case LinkFailure::kClosed:
     case LinkFailure::kReset:
+      if (MayBeUnread()) {
+        OnUnreadResponse();
+        return;
+      }
+      break;
     case LinkFailure::kMalformed:
       break;
   }
@@ -97,6 +102,16 @@
   }
 }
 
+void RelayCall::OnUnreadResponse() {
+  // Another attempt would wait for the same caller. The end of a response that
+  // is held up says nothing about the upstream.
+  summary_.may_have_run = true;
+  parts_.host.OnDecision(*this, "response unread",
+                         "the caller reads too slowly for its upstream");
+  ReleaseUpstream(scheduling::CallOutcome::kCancelled);
+  Fail(status::kBadGateway, "the upstream gave up a response that was unread");
+}
+
 void RelayCall::OnUnreachable() {
   if (ran_at_.contains(upstream_)) {
     // The upstream has crashed, or only this instance cannot reach it.
@@ -176,7 +191,7 @@
   if (state_ != State::kRunning) {
     return;
   }
-  if (parts_.session.pending_bytes() > 0) {
+  if (IsHeldUp()) {
     // The caller holds the response up, not the upstream.
     idle_timer_.start(kNextIdleTimeout);
     return;
--- a/relay/relay_call_response.cpp
+++ b/relay/relay_call_response.cpp
@@ -27,6 +27,7 @@
     return ResponseMatch::kForeign;
   }
   response_ = head;
+  held_since_.reset();
   response_length_ = length;
   response_info_ = info;
   const bool untrusted = success && (info.request_id.empty() ||
@@ -79,11 +80,15 @@
   }
   if (!response_started_) {
     buffered_body_.append(bytes);
-    if (buffered_body_.size() <= kMaxBufferedBodyBytes) {
+    CountBuffers();
+    if (buffered_body_.size() <= (buffer_charge_.IsOver()
+                                      ? kMaxBufferedBodyWhenFull
+                                      : kMaxBufferedBodyBytes)) {
       return;
     }
     BeginResponse();
     SendBody(std::exchange(buffered_body_, {}));
+    CountBuffers();
     return;
   }
   SendBody(bytes);
@@ -91,16 +96,46 @@
 
 void RelayCall::SendBody(std::string_view bytes) {
   parts_.session.WriteBody(bytes);
-  if (parts_.session.pending_bytes() > kCallerHighWater && link_ != nullptr) {
-    link_->SetReading(false);
-    parts_.session.SetDrainedHandler([guard = QPointer<ExchangeLink>(link_)] {
-      if (guard) {
-        guard->SetReading(true);
-      }
-    });
+  const size_t high_water = buffer_charge_.IsOver() ? 0 : kCallerHighWater;
+  if (parts_.session.pending_bytes() > high_water && link_ != nullptr) {
+    HoldUp(std::min(high_water, kCallerLowWater));
   }
 }
 
+void RelayCall::HoldUp(size_t low_water) {
+  link_->SetReading(false);
+  if (!held_since_ || held_until_) {
+    held_since_ = parts_.host.clock().Now();
+    held_until_.reset();
+  }
+  parts_.session.SetDrainedHandler(
+      [guard = QPointer<ExchangeLink>(link_),
+       call = QPointer<RelayCall>(this)] {
+        if (call && !call->held_until_) {
+          call->held_until_ = call->parts_.host.clock().Now();
+        }
+        if (guard) {
+          guard->SetReading(true);
+        }
+      },
+      low_water);
+}
+
+bool RelayCall::MayBeUnread() const {
+  if (!held_since_) {
+    return false;
+  }
+  const core::TimePoint now = parts_.host.clock().Now();
+  const core::TimePoint until = held_until_.value_or(now);
+  return until - *held_since_ >= kUnreadTime && now - until < kUnreadTime;
+}
+
+void RelayCall::CountBuffers() {
+  const transport::RelayRequest& request = parts_.request;
+  buffer_charge_.Set(request.body.capacity() + request.target.capacity() +
+                     buffered_body_.capacity() + framer_.rest().capacity());
+}
+
 void RelayCall::BeginResponse() {
   if (std::exchange(response_started_, true)) {
     return;
@@ -133,6 +168,7 @@
     last_event_at_ = now;
     out += event.bytes;
   }
+  CountBuffers();
   if (framer_.overflowed()) {
     RejectResponse();
     return;
@@ -149,7 +185,7 @@
   if (state_ != State::kRunning) {
     return;
   }
-  if (parts_.session.pending_bytes() > 0) {
+  if (IsHeldUp()) {
     // The caller holds the stream up, not the upstream.
     progress_timer_.start(parts_.progress_timeout);
     return;
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -320,6 +320,10 @@
 
 std::variant<UpstreamLink*, schema::ForwardEnd> Relay::OpenForwarded(
     const schema::ForwardRequest& request) {
+  if (parts_.buffers != nullptr && parts_.buffers->IsOver()) {
+    parts_.metrics.Count("relay_forward_refused_buffers");
+    return schema::FORWARD_END_REFUSED;
+  }
   if (const auto obstacle = ForwardObstacle(request)) {
     return *obstacle == schema::FORWARD_END_UNREACHABLE ? UnreachableEnd()
                                                         : *obstacle;
--- a/relay/upstream_link.cpp
+++ b/relay/upstream_link.cpp
@@ -5,8 +5,9 @@
 namespace hawthorn::relay {
 
 UpstreamLink::UpstreamLink(const transport::SocketAddress& address,
-                           QObject* parent)
+                           transport::BufferBudget* buffers, QObject* parent)
     : ExchangeLink(parent) {
+  socket_.SetBudget(buffers);
   timer_.setSingleShot(true);
   connect(&timer_, &QTimer::timeout, this, [this] {
     Fail(connected_ ? LinkFailure::kMalformed : LinkFailure::kUnreachable);
--- a/relay/upstream_link.h
+++ b/relay/upstream_link.h
@@ -32,7 +32,10 @@
   /// Maximum number of foreign responses in one exchange.
   static constexpr int kMaxForeignResponses = 4;
 
-  UpstreamLink(const transport::SocketAddress& address, QObject* parent);
+  /// Requests that were not sent yet count against `buffers`, if there are
+  /// any.
+  UpstreamLink(const transport::SocketAddress& address,
+               transport::BufferBudget* buffers, QObject* parent);
 
   /// Calls `on_checked` once; its argument tells whether connecting succeeded.
   void CheckConnection(std::function<void(bool)> on_checked);
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -12,8 +12,10 @@
 
 }  // namespace
 
-UpstreamLinkPool::UpstreamLinkPool(const core::Clock& clock, QObject* parent)
-    : QObject(parent), clock_(clock) {
+UpstreamLinkPool::UpstreamLinkPool(const core::Clock& clock,
+                                   transport::BufferBudget* buffers,
+                                   QObject* parent)
+    : QObject(parent), clock_(clock), buffers_(buffers) {
   connect(&expiry_timer_, &QTimer::timeout, this,
           &UpstreamLinkPool::CloseExpired);
 }
@@ -41,7 +43,7 @@
     candidate.link->deleteLater();
   }
   ++opened_;
-  return new UpstreamLink(address, this);
+  return new UpstreamLink(address, buffers_, this);
 }
 
 void UpstreamLinkPool::Check(const std::string& upstream,
@@ -54,7 +56,7 @@
   }
   ++links.in_use;
   ++opened_;
-  auto* link = new UpstreamLink(address, this);
+  auto* link = new UpstreamLink(address, buffers_, this);
   link->CheckConnection([this, upstream, link](bool connected) {
     if (connected) {
       Release(upstream, link, kDefaultIdleTimeout);
--- a/relay/upstream_link_pool.h
+++ b/relay/upstream_link_pool.h
@@ -30,7 +30,9 @@
   /// Maximum number of idle connections to one upstream.
   static constexpr size_t kMaxIdleConnections = 16;
 
-  UpstreamLinkPool(const core::Clock& clock, QObject* parent);
+  /// What the connections buffer counts against `buffers`, if there are any.
+  UpstreamLinkPool(const core::Clock& clock, transport::BufferBudget* buffers,
+                   QObject* parent);
 
   /// Returns a connection to `upstream`: an idle one, or a new one that is
   /// still connecting. With `must_be_fresh` an idle one is reused only within
@@ -76,6 +78,7 @@
   void DropIdle(const std::string& upstream, UpstreamLink* link);
 
   const core::Clock& clock_;
+  transport::BufferBudget* buffers_;
   std::map<std::string, Links> links_;
   uint64_t opened_ = 0;
   QTimer expiry_timer_;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -148,35 +148,39 @@
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
                            TokenLedger* shared_ledger,
                            peer::PeerTransport* peers)
-    : relay_(
-          {clock_, codec_, shared_ledger != nullptr ? *shared_ledger : ledger,
-           metrics_, "a", 1,
-           [this](const schema::ReportCrash& report) {
-             crashes.push_back(report.fingerprint());
-             if (on_crash) {
-               on_crash(report);
-             }
-           },
-           [this](uint64_t digest) {
-             if (on_success) {
-               on_success(digest);
-             }
-           },
-           [this](const std::string& upstream, uint64_t) {
-             draining.push_back(upstream);
-           },
-           [this](const schema::UpstreamLimit& limit) {
-             if (on_limit) {
-               on_limit(limit);
-             }
-           },
-           progress_timeout, peers,
-           [this](const schema::UpstreamSpeeds& it) { speeds.push_back(it); }}),
+    : relay_({clock_, codec_,
+              shared_ledger != nullptr ? *shared_ledger : ledger, metrics_, "a",
+              1,
+              [this](const schema::ReportCrash& report) {
+                crashes.push_back(report.fingerprint());
+                if (on_crash) {
+                  on_crash(report);
+                }
+              },
+              [this](uint64_t digest) {
+                if (on_success) {
+                  on_success(digest);
+                }
+              },
+              [this](const std::string& upstream, uint64_t) {
+                draining.push_back(upstream);
+              },
+              [this](const schema::UpstreamLimit& limit) {
+                if (on_limit) {
+                  on_limit(limit);
+                }
+              },
+              progress_timeout, peers,
+              [this](const schema::UpstreamSpeeds& report) {
+                speeds.push_back(report);
+              },
+              &buffers}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
       }) {
   SetTable(1, 0);
+  endpoint_.SetBudget(&buffers);
   endpoint_.Listen({"127.0.0.1", 0});
 }
 
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -149,6 +149,8 @@
   std::function<void(const schema::UpstreamLimit&)> on_limit;
   /// Reports of the speed of upstreams.
   std::vector<schema::UpstreamSpeeds> speeds;
+  /// What the relay buffers.
+  transport::BufferBudget buffers{size_t{24} * 1024 * 1024};
   Relay& relay() { return relay_; }
   core::Metrics& metrics() { return metrics_; }
 
--- a/tests/transport/http_session_test.cpp
+++ b/tests/transport/http_session_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <stdexcept>
 #include <string>
 
@@ -118,5 +119,60 @@
   CHECK(client.received.ends_with("\r\n\r\none two"));
 }
 
+// A process that ended, or an endpoint that was destroyed, closed the
+// connection in order: to an HTTP/1.0 client the part that it had looked
+// complete.
+TEST_CASE("a response that is cut off by the end of its endpoint is reset") {
+  auto endpoint = std::make_unique<HttpEndpoint>(
+      [](HttpSession& session, const RelayRequest&) {
+        session.BeginBody({200, {}}, std::nullopt);
+        session.WriteBody("one ");
+      });
+  REQUIRE(core::IsOk(endpoint->Listen({"127.0.0.1", 0})));
+  Client client(endpoint->port());
+  client.Send(Get("/x", "1.0"));
+  REQUIRE(WaitFor([&] { return client.received.ends_with("one "); }));
+  endpoint.reset();
+  REQUIRE(WaitFor([&] { return client.ended; }));
+  CHECK(client.reset);
+}
+
+// A client that reads steadily but is always behind: the output buffer kept all
+// that had been sent since it was last empty.
+TEST_CASE("the output buffer does not keep what was sent") {
+  constexpr size_t kPieceBytes = size_t{16} * 1024;
+  // More than the kernel takes at once, so that the buffer is never empty.
+  constexpr size_t kHighWater = 32 * kPieceBytes;
+  constexpr size_t kBodyBytes = size_t{16} * 1024 * 1024;
+  BufferBudget budget(0);
+  size_t written = 0;
+  HttpSession* open = nullptr;
+  const auto write_more = [&] {
+    while (open->pending_bytes() < kHighWater && written < kBodyBytes) {
+      written += kPieceBytes;
+      open->WriteBody(std::string(kPieceBytes, 'b'));
+    }
+  };
+  HttpEndpoint endpoint([&](HttpSession& session, const RelayRequest&) {
+    open = &session;
+    session.BeginBody({200, {}}, kBodyBytes);
+    session.SetDrainedHandler(write_more, kHighWater - kPieceBytes);
+    write_more();
+  });
+  endpoint.SetBudget(&budget);
+  REQUIRE(core::IsOk(endpoint.Listen({"127.0.0.1", 0})));
+  const int client = ConnectNow(endpoint.port());
+  const std::string request = Get("/x");
+  REQUIRE(::send(client, request.data(), request.size(), 0) ==
+          static_cast<ssize_t>(request.size()));
+  std::string buf(kPieceBytes, '\0');
+  CHECK(WaitFor([&] {
+    ::recv(client, buf.data(), buf.size(), MSG_DONTWAIT);
+    return written == kBodyBytes;
+  }));
+  CHECK(budget.peak() < 2 * kHighWater);
+  ::close(client);
+}
+
 }  // namespace
 }  // namespace hawthorn::transport
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -17,11 +17,13 @@
 }  // namespace
 
 HttpSession::HttpSession(int descriptor, const SessionLimits& limits,
-                         Events events, QObject* parent)
+                         Events events, BufferBudget* budget, QObject* parent)
     : QObject(parent),
       limits_(limits),
       events_(std::move(events)),
-      framer_(limits.framing) {
+      framer_(limits.framing),
+      input_charge_(budget) {
+  socket_.SetBudget(budget);
   timer_.setSingleShot(true);
   connect(&timer_, &QTimer::timeout, this, &HttpSession::OnTimeout);
   timer_.start(limits_.idle_timeout);
@@ -36,8 +38,23 @@
   on_disconnected_ = std::move(on_disconnected);
 }
 
-void HttpSession::SetDrainedHandler(std::function<void()> on_drained) {
-  socket_.SetDrainedHandler(std::move(on_drained));
+HttpSession::~HttpSession() {
+  if (busy_) {
+    // A response that ends with the connection would look complete.
+    socket_.Abort();
+  }
+}
+
+void HttpSession::SetDrainedHandler(std::function<void()> on_drained,
+                                    size_t low_water) {
+  socket_.SetDrainedHandler(std::move(on_drained), low_water);
+}
+
+void HttpSession::CountInput() {
+  if (input_.empty() && input_.capacity() > StreamSocket::kKeptOutputBytes) {
+    std::string().swap(input_);
+  }
+  input_charge_.Set(input_.capacity() + framer_.message().capacity());
 }
 
 void HttpSession::OnBytes(std::string_view bytes) {
@@ -45,6 +62,7 @@
     return;
   }
   input_.append(bytes);
+  CountInput();
   if (busy_) {
     if (input_.size() > kMaxPipelinedBytes) {
       socket_.SetReading(false);
@@ -59,6 +77,7 @@
     const bool started = framer_.started();
     const size_t used = framer_.Feed(input_);
     input_.erase(0, used);
+    CountInput();
     switch (framer_.state()) {
       case RequestFramer::State::kComplete:
         DeliverRequest();
@@ -69,6 +88,13 @@
       default:
         break;
     }
+    if (input_charge_.IsOver() &&
+        framer_.message().size() > kMaxReceivedWhenFull) {
+      Refuse(status::kServiceUnavailable,
+             "the buffers of the instance are full",
+             {{"Retry-After", kFullRetryAfter}});
+      return;
+    }
     if (!started && framer_.started()) {
       timer_.start(limits_.request_timeout);
     }
@@ -90,13 +116,18 @@
   http_1_0_request_ = framer_.is_http_1_0();
   closing_ = closing_ || framer_.wants_close();
   framer_.Reset();
+  CountInput();
   events_.on_request(*this, std::move(request));
 }
 
-void HttpSession::Refuse(int status, const std::string& reason) {
+void HttpSession::Refuse(int status, const std::string& reason,
+                         HeaderList fields) {
   busy_ = true;
   closing_ = true;
-  Respond(status, {}, reason);
+  Respond(status, std::move(fields), reason);
+  framer_.Reset();
+  input_.clear();
+  CountInput();
 }
 
 HeaderList HttpSession::WithFraming(HeaderList fields) const {
@@ -250,7 +281,8 @@
     sessions_.erase(&session);
     session.deleteLater();
   };
-  auto* session = new HttpSession(descriptor, limits_, std::move(events), this);
+  auto* session =
+      new HttpSession(descriptor, limits_, std::move(events), budget_, this);
   sessions_.insert(session);
 }
 
--- a/transport/http_session.h
+++ b/transport/http_session.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "core/clock.h"
+#include "transport/buffer_budget.h"
 #include "transport/http_message.h"
 #include "transport/request_framer.h"
 #include "transport/stream_socket.h"
@@ -38,6 +39,11 @@
  public:
   /// Bytes buffered while a request is handled above which reading is paused.
   static constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
+  /// A request that is larger is refused while it is received if the buffers of
+  /// the instance are full. Smaller ones are left to the request handler.
+  static constexpr size_t kMaxReceivedWhenFull = size_t{16} * 1024;
+  /// Retry-After in seconds of such a refusal.
+  static constexpr const char* kFullRetryAfter = "0.5";
 
   struct Events {
     std::function<void(HttpSession&, RelayRequest)> on_request;
@@ -45,8 +51,11 @@
     std::function<void(HttpSession&)> on_closed;
   };
 
+  /// What the session buffers counts against `budget`, if there is one.
   HttpSession(int descriptor, const SessionLimits& limits, Events events,
-              QObject* parent);
+              BufferBudget* budget, QObject* parent);
+  /// Resets the connection if a response is incomplete.
+  ~HttpSession() override;
 
   /// Sets the function to call if the client disconnects during the current
   /// exchange.
@@ -69,15 +78,19 @@
   bool busy() const { return busy_; }
   /// Bytes of the response that were written but not sent yet.
   size_t pending_bytes() const { return socket_.pending_bytes(); }
-  /// Sets the function to call whenever everything written has been sent.
-  void SetDrainedHandler(std::function<void()> on_drained);
+  /// Sets the function to call whenever bytes have been sent and no more than
+  /// `low_water` bytes are pending.
+  void SetDrainedHandler(std::function<void()> on_drained,
+                         size_t low_water = 0);
 
  private:
   void OnBytes(std::string_view bytes);
   void OnEnd();
   void ParseRequests();
   void DeliverRequest();
-  void Refuse(int status, const std::string& reason);
+  void Refuse(int status, const std::string& reason, HeaderList fields = {});
+  /// Counts the bytes that were received against the budget.
+  void CountInput();
   void FinishExchange();
   void OnTimeout();
   HeaderList WithFraming(HeaderList fields) const;
@@ -88,6 +101,7 @@
   RequestFramer framer_;
   QTimer timer_;
   std::string input_;
+  BufferCharge input_charge_;
   bool busy_ = false;
   bool closing_ = false;
   bool closed_ = false;
@@ -115,6 +129,9 @@
   core::Status ListenAt(std::string_view address);
   uint16_t port() const { return listener_.port(); }
   void SetLimits(const SessionLimits& limits) { limits_ = limits; }
+  /// Counts what the sessions buffer against `budget`, which must outlive the
+  /// endpoint. To be called before Listen.
+  void SetBudget(BufferBudget* budget) { budget_ = budget; }
   /// Drains the connections: idle ones close now, the others after their
   /// response.
   void DrainConnections();
@@ -130,6 +147,7 @@
 
   RequestHandler on_request_;
   SessionLimits limits_;
+  BufferBudget* budget_ = nullptr;
   StreamListener listener_;
   std::set<HttpSession*> sessions_;
   bool closing_ = false;
--- a/transport/stream_socket.cpp
+++ b/transport/stream_socket.cpp
@@ -106,6 +106,8 @@
   SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
             static_cast<int>(kPeerTimeout.count()));
+  SetOption(descriptor_, SOL_SOCKET, SO_SNDBUF, kKernelBufferBytes);
+  SetOption(descriptor_, SOL_SOCKET, SO_RCVBUF, kKernelBufferBytes);
   SetOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
   SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
@@ -180,13 +182,39 @@
   if (!is_open()) {
     return;
   }
-  output_.append(bytes);
+  AppendOutput(bytes);
   if (connected_) {
     Flush();
   }
 }
 
+void StreamSocket::AppendOutput(std::string_view bytes) {
+  const size_t needed = output_.size() + bytes.size();
+  if (needed > output_.capacity()) {
+    // What was sent already is not copied: a peer that reads steadily, but
+    // never everything, would let the buffer grow with all that it is sent.
+    std::string grown;
+    grown.reserve((pending_bytes() + bytes.size() + kOutputStep - 1) /
+                  kOutputStep * kOutputStep);
+    grown.append(output_, sent_, std::string::npos);
+    output_.swap(grown);
+    sent_ = 0;
+  }
+  output_.append(bytes);
+  charge_.Set(output_.capacity());
+}
+
+void StreamSocket::ClearOutput() {
+  if (output_.capacity() > kKeptOutputBytes) {
+    std::string().swap(output_);
+  }
+  output_.clear();
+  sent_ = 0;
+  charge_.Set(output_.capacity());
+}
+
 void StreamSocket::Flush() {
+  const size_t pending_before = pending_bytes();
   while (sent_ < output_.size()) {
     const ssize_t n = send(descriptor_, output_.data() + sent_,
                            output_.size() - sent_, MSG_NOSIGNAL);
@@ -195,20 +223,23 @@
     }
     if (n < 0 && errno == EAGAIN) {
       writable_->setEnabled(true);
+      const size_t pending = pending_bytes();
+      if (events_.on_drained && pending < pending_before &&
+          pending <= low_water_ && !close_after_write_) {
+        events_.on_drained();
+      }
       return;
     }
     if (n < 0) {
       // A read may report the failure before this; it is reported only once.
       QMetaObject::invokeMethod(
           this, [this] { End(SocketEnd::kReset); }, Qt::QueuedConnection);
-      output_.clear();
-      sent_ = 0;
+      ClearOutput();
       return;
     }
     sent_ += static_cast<size_t>(n);
   }
-  output_.clear();
-  sent_ = 0;
+  ClearOutput();
   writable_->setEnabled(false);
   if (close_after_write_) {
     FinishOutput();
@@ -269,13 +300,14 @@
       it->release()->deleteLater();
     }
   }
-  if (reset) {
+  if (reset || pending_bytes() > 0) {
     const linger option{1, 0};
     setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
   }
   ::close(descriptor_);
   descriptor_ = -1;
   connected_ = false;
+  ClearOutput();
 }
 
 StreamListener::~StreamListener() { Close(); }
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "core/error.h"
+#include "transport/buffer_budget.h"
 
 // TCP sockets that distinguish an orderly end of a connection from a reset.
 namespace hawthorn::transport {
@@ -45,7 +46,8 @@
     std::function<void(std::string_view)> on_bytes;
     /// Called once; no other callback follows.
     std::function<void(SocketEnd)> on_end;
-    /// Everything written so far was passed to the kernel.
+    /// Everything written so far, but for the low water mark, was passed to the
+    /// kernel.
     std::function<void()> on_drained;
   };
 
@@ -57,14 +59,28 @@
   /// Time that a peer gets to read the last bytes and to close its side.
   static constexpr std::chrono::milliseconds kLingerTime{500};
 
+  /// Size of the kernel's send and receive buffer of a connection; the kernel
+  /// doubles it for its own use. Left to itself, the kernel lets the buffers of
+  /// one connection grow to several MB if the peer does not read.
+  static constexpr int kKernelBufferBytes = 64 * 1024;
+  /// Unit in which the output buffer grows; an empty buffer keeps no more than
+  /// kKeptOutputBytes.
+  static constexpr size_t kOutputStep = size_t{8} * 1024;
+  static constexpr size_t kKeptOutputBytes = size_t{4} * 1024;
+
   explicit StreamSocket(QObject* parent = nullptr);
   ~StreamSocket() override;
 
   void SetEvents(Events events) { events_ = std::move(events); }
-  /// Replaces one of the callbacks.
-  void SetDrainedHandler(std::function<void()> on_drained) {
+  /// Replaces one of the callbacks. It is called whenever bytes were passed to
+  /// the kernel and no more than `low_water` are left.
+  void SetDrainedHandler(std::function<void()> on_drained,
+                         size_t low_water = 0) {
     events_.on_drained = std::move(on_drained);
+    low_water_ = low_water;
   }
+  /// Counts the output buffer against `budget`, which must outlive the socket.
+  void SetBudget(BufferBudget* budget) { charge_.SetBudget(budget); }
 
   /// Takes over an accepted connection.
   void Adopt(int descriptor);
@@ -76,7 +92,8 @@
   size_t pending_bytes() const { return output_.size() - sent_; }
   /// Closes after everything written was sent; on_end reports the close.
   void CloseAfterWrite();
-  /// Closes at once with an orderly end; discards unsent bytes.
+  /// Closes at once: with an orderly end, or with a reset if bytes are unsent,
+  /// so that what the peer has received cannot look complete.
   void Close();
   /// Closes with a reset, so that a truncated response cannot look complete.
   void Abort();
@@ -88,6 +105,9 @@
  private:
   void CreateNotifiers();
   void Deliver(std::string_view bytes);
+  void AppendOutput(std::string_view bytes);
+  /// Discards the output, and frees its memory unless it is small.
+  void ClearOutput();
   void OnReadable();
   void OnWritable();
   void Flush();
@@ -103,6 +123,8 @@
   bool reading_ = true;
   std::string output_;
   size_t sent_ = 0;
+  size_t low_water_ = 0;
+  BufferCharge charge_;
   std::unique_ptr<QSocketNotifier> readable_;
   std::unique_ptr<QSocketNotifier> writable_;
 };
