scheduling: Send calls only where the upstream's memory holds them

An upstream crashes when the requests that it holds exceed its memory (49,110 or 64,385 tokens). Placement looked at the number of calls only, so ten calls of 5,000 tokens, or one long prompt beside short ones, could end it and all calls there.

TokenLoad counts prompt and maximum output of the own calls at each upstream; the calls of other instances are known by number and count at the mean size of the own. A call is sent where it fits beside both, never to an upstream that is too small for it alone; if all are, it is answered 413 without a time to retry.

Ruled out: a share of the memory for each instance (1/64 holds no prompt), and counting only uncached tokens (the cache may be evicted while the call waits). Open: two instances that send very large prompts to one upstream within the delay of its reports do not see each other.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -210,6 +210,7 @@
   };
   set("open_calls", calls_.size());
   set("queued_calls", scheduler_.queued());
+  set("queued_for_memory", scheduler_.lacking_memory());
   set("upstreams_known", upstreams_.size());
   set("upstreams_limited", request_limits_.size());
   set("upstreams_slow", scheduler_.SlowCount(parts_.clock.Now()));
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -180,6 +180,10 @@
     }
     return;
   }
+  if (error.code == core::ErrorCode::kInvalidArgument) {
+    Refuse(status::kContentTooLarge, error.message, std::nullopt);
+    return;
+  }
   const auto retry_after = error.retry_after.value_or(kRetryAfter);
   // The wait for a request limit is known, so it is told also if the caller
   // will not wait as long.
--- a/scheduling/shared_pool.cpp
+++ b/scheduling/shared_pool.cpp
@@ -162,6 +162,14 @@
         it->load.Total(now, bounded_others * (it->MaxRunning() - 1));
     return total + 1 > it->Room(now);
   });
+  const bool has_room = !usable.empty();
+  std::erase_if(usable, [&](const Upstream* it) {
+    const bool is_held = memory_hold_ && memory_hold_->call != call.id &&
+                         memory_hold_->upstream == it->state.id &&
+                         now < memory_hold_->until;
+    return is_held || !FitsMemory(*it, call, bounded_others, now);
+  });
+  lacked_memory_ = has_room && usable.empty();
   if (usable.empty()) {
     return std::nullopt;
   }
@@ -221,6 +229,58 @@
   return near[NextRandom() % near.size()];
 }
 
+bool SharedPool::FitsMemory(const Upstream& upstream, const CallRequest& call,
+                            double expected_others, core::TimePoint now) const {
+  const double total =
+      upstream.load.Total(now, expected_others * (upstream.MaxRunning() - 1));
+  return upstream.tokens.Fits(MemoryTokensOf(call), upstream.state.cache_tokens,
+                              total - upstream.load.local(),
+                              mean_tokens_.value());
+}
+
+bool SharedPool::CanHold(const CallRequest& call) const {
+  bool any = false;
+  for (const auto& [id, it] : upstreams_) {
+    if (it.state.leaving || !IsOfVersion(call, it.state)) {
+      continue;
+    }
+    any = true;
+    if (it.state.cache_tokens <= 0 ||
+        MemoryTokensOf(call) <= it.state.cache_tokens) {
+      return true;
+    }
+  }
+  return !any;
+}
+
+void SharedPool::HoldMemory(const CallRequest& call, core::TimePoint now) {
+  if (memory_hold_) {
+    MemoryHold& hold = *memory_hold_;
+    const bool is_own = hold.call == call.id;
+    if (is_own && now < hold.since + kLongestMemoryHold) {
+      hold.until = std::min(now + kMemoryHold, hold.since + kLongestMemoryHold);
+      return;
+    }
+    if (is_own ? now < hold.since + 2 * kLongestMemoryHold : now < hold.until) {
+      return;
+    }
+  }
+  const Upstream* best = nullptr;
+  int64_t best_free = 0;
+  for (const auto& [id, it] : upstreams_) {
+    const int64_t free = it.state.cache_tokens - it.tokens.own();
+    if (it.TakesCalls() && IsOfVersion(call, it.state) &&
+        MemoryTokensOf(call) <= it.state.cache_tokens &&
+        (best == nullptr || free > best_free)) {
+      best = &it;
+      best_free = free;
+    }
+  }
+  if (best != nullptr) {
+    memory_hold_ = {best->state.id, call.id, now, now + kMemoryHold};
+  }
+}
+
 std::string SharedPool::ProposeVersion(const CallRequest& call,
                                        core::TimePoint now) {
   std::map<std::string, double> slots;
@@ -267,10 +327,16 @@
   return versions;
 }
 
-void SharedPool::Start(const core::UpstreamId& upstream, core::TimePoint now) {
+void SharedPool::Start(const core::UpstreamId& upstream,
+                       const CallRequest& call, core::TimePoint now) {
   const auto it = upstreams_.find(upstream);
+  if (memory_hold_ && memory_hold_->call == call.id) {
+    memory_hold_.reset();
+  }
   if (it != upstreams_.end()) {
     it->second.load.OnStart(now);
+    it->second.tokens.OnStart(call.id, MemoryTokensOf(call));
+    mean_tokens_.Add(MemoryTokensOf(call));
     if (it->second.share) {
       it->second.share->Take(now);
     }
@@ -298,6 +364,7 @@
   }
   Upstream& ended = it->second;
   ended.load.OnEnd(now);
+  ended.tokens.OnEnd(result.call);
   switch (result.outcome) {
     case CallOutcome::kCancelled:
       return;
--- a/scheduling/shared_pool.h
+++ b/scheduling/shared_pool.h
@@ -15,6 +15,7 @@
 #include "scheduling/decaying_mean.h"
 #include "scheduling/load_estimate.h"
 #include "scheduling/rate_share.h"
+#include "scheduling/token_load.h"
 #include "scheduling/upstream.h"
 #include "scheduling/upstream_speed.h"
 
@@ -65,6 +66,13 @@
   static constexpr double kSparseReserve = 0.75;
   /// Slowdown from which an upstream counts as slow in metrics.
   static constexpr double kSlow = 1.25;
+  /// Time for which memory is kept for a large call that waits; it is renewed
+  /// while the call waits.
+  static constexpr std::chrono::milliseconds kMemoryHold{100};
+  /// Longest time for which it is kept for one call; after that, it is not kept
+  /// for that call for as long again. The calls of other instances may leave no
+  /// room for it whatever this one does.
+  static constexpr std::chrono::milliseconds kLongestMemoryHold{1000};
   /// Slots of an upstream that does not announce how many calls it runs.
   static constexpr uint32_t kDefaultSlots = 8;
 
@@ -96,8 +104,19 @@
   bool HasVersionFor(const CallRequest& call) const;
   /// Versions of the upstreams that are not shutting down.
   std::set<std::string> Versions() const;
+  /// Whether an upstream that may serve `call` can hold it in its memory when
+  /// it holds nothing else; true if there is no such upstream.
+  bool CanHold(const CallRequest& call) const;
+  /// Whether the last Choose found upstreams with room for one more call, but
+  /// none with enough memory for this one.
+  bool lacked_memory() const { return lacked_memory_; }
+  /// Keeps other calls from the upstream that has the most memory left and can
+  /// hold `call`, for kMemoryHold. Without that, small calls would take what
+  /// becomes free before it is enough for a large one.
+  void HoldMemory(const CallRequest& call, core::TimePoint now);
   /// Counts a call that is sent to the upstream now.
-  void Start(const core::UpstreamId& upstream, core::TimePoint now);
+  void Start(const core::UpstreamId& upstream, const CallRequest& call,
+             core::TimePoint now);
   /// Whether the request limit of the upstream allows this instance to send a
   /// running call once more now; counts it if so.
   bool TakeRepeat(const core::UpstreamId& upstream, core::TimePoint now);
@@ -156,6 +175,7 @@
     /// This instance's share of the request limit.
     std::optional<RateShare> share;
     UpstreamSpeed speed;
+    TokenLoad tokens;
 
     double MaxRunning() const {
       return state.max_running == 0 ? kDefaultSlots : state.max_running;
@@ -181,6 +201,10 @@
   const Upstream* PickNear(
       const std::vector<std::pair<double, const Upstream*>>& costs,
       double best_cost);
+  /// Whether `call` fits into the memory of the upstream beside all that is
+  /// known or estimated to be there.
+  bool FitsMemory(const Upstream& upstream, const CallRequest& call,
+                  double expected_others, core::TimePoint now) const;
   /// Requests per second of this instance under `limit`.
   double ShareOf(double limit) const;
   void UpdateShare(Upstream* upstream, core::TimePoint now);
@@ -194,6 +218,17 @@
   uint64_t random_;
   size_t instances_ = 1;
   double mean_run_seconds_ = 0.1;
+  MeanCallTokens mean_tokens_;
+  bool lacked_memory_ = false;
+  /// Upstream whose memory is kept for a waiting call, since when and until
+  /// when.
+  struct MemoryHold {
+    core::UpstreamId upstream;
+    CallId call = 0;
+    core::TimePoint since;
+    core::TimePoint until;
+  };
+  std::optional<MemoryHold> memory_hold_;
   /// Load of the other instances on the upstreams, as a fraction of the slots.
   /// It is kept for the whole pool, because one of many instances receives too
   /// few reports from most upstreams to estimate each separately.
--- a/scheduling/shared_scheduler.cpp
+++ b/scheduling/shared_scheduler.cpp
@@ -33,6 +33,14 @@
                      core::Execution::kNotRun, std::nullopt};
 }
 
+/// Refusal of a call that no upstream has the memory for. A retry cannot help.
+core::Error TooLarge() {
+  return core::Error{core::ErrorCode::kInvalidArgument,
+                     "the prompt and the maximum output exceed the memory of "
+                     "every upstream",
+                     core::Execution::kNotRun, std::nullopt};
+}
+
 }  // namespace
 
 SharedScheduler::SharedScheduler(Settings settings)
@@ -122,6 +130,9 @@
   if (!service.pool.HasVersionFor(call)) {
     return NoVersion();
   }
+  if (!service.pool.CanHold(call)) {
+    return TooLarge();
+  }
   const SharedPool::Capacity capacity = service.pool.CapacityAt(now);
   const auto wait = ExpectedWait(service, capacity, service.queue.size());
   if (service.queue.size() >= settings_.max_queued) {
@@ -284,7 +295,9 @@
 
 std::vector<Dispatch> SharedScheduler::Next(core::TimePoint now) {
   std::vector<Dispatch> dispatches;
+  lacking_memory_ = 0;
   for (auto& [id, service] : services_) {
+    size_t passed_over = 0;
     // Versions whose upstreams are all full. Calls that continue streams come
     // first; they also wait for suspended upstreams, which others do not.
     std::set<std::string> full;
@@ -308,7 +321,21 @@
         it = Refuse(&service.queue, it, NoVersion());
         continue;
       }
+      if (!service.pool.CanHold(call)) {
+        it = Refuse(&service.queue, it, TooLarge());
+        continue;
+      }
       const auto upstream = service.pool.Choose(call, now);
+      if (!upstream && service.pool.lacked_memory()) {
+        // Smaller calls may fit meanwhile.
+        service.pool.HoldMemory(call, now);
+        ++lacking_memory_;
+        if (++passed_over >= kMaxPassedOver) {
+          break;
+        }
+        ++it;
+        continue;
+      }
       if (!upstream) {
         if (!call.software_version) {
           break;
@@ -320,7 +347,7 @@
         ++it;
         continue;
       }
-      service.pool.Start(*upstream, now);
+      service.pool.Start(*upstream, call, now);
       running_[call.id] = {id, *upstream, now};
       dispatches.push_back({call.id, *upstream, false, 0});
       queued_keys_.erase(call.id);
--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -54,14 +54,20 @@
   /// of other instances end.
   static constexpr std::chrono::milliseconds kRecheckInterval{15};
 
+  /// Calls of one service that are passed over in a row because the memory of
+  /// all upstreams is too full for them. Looking at more costs time and finds
+  /// few that fit.
+  static constexpr size_t kMaxPassedOver = 16;
+
   explicit SharedScheduler(Settings settings);
 
   /// Queues a call. Errors: kOverloaded with a retry_after if the queue is
   /// full, or if the call is the first of its program and the expected wait is
   /// too long; kDeadlineExceeded if the expected wait exceeds the deadline;
   /// kNotFound if no upstream has the software version of the call;
-  /// kLimitExceeded if all upstreams limit their requests and the call cannot
-  /// be sent in time; kUnavailable if the service has no upstreams.
+  /// kInvalidArgument if it exceeds the memory of each of these; kLimitExceeded
+  /// if all upstreams limit their requests and the call cannot be sent in time;
+  /// kUnavailable if the service has no upstreams.
   core::Status Enqueue(const CallRequest& call, core::TimePoint now);
   /// Software version that the stream of a new call is best bound to.
   std::string ProposeVersion(const CallRequest& call, core::TimePoint now);
@@ -103,6 +109,8 @@
   std::vector<Refusal> TakeRefused(core::TimePoint now);
   std::optional<core::TimePoint> NextWakeUp(core::TimePoint now) const;
   size_t queued() const { return queued_; }
+  /// Queued calls that the last Next did not send for want of memory.
+  size_t lacking_memory() const { return lacking_memory_; }
 
  private:
   /// Rank, then sequence number of arrival.
@@ -159,6 +167,7 @@
   size_t instances_ = 1;
   uint64_t arrivals_ = 0;
   size_t queued_ = 0;
+  size_t lacking_memory_ = 0;
 };
 
 }  // namespace hawthorn::scheduling
