--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -45,7 +45,7 @@
            [this](const schema::UpstreamSpeeds& it) {
              client_.ReportSpeeds(it);
            },
-           &quota_}),
+           &quota_, &buffers_}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -65,6 +65,7 @@
 }
 
 core::Status EntryRole::Start() {
+  callers_.SetBudget(&buffers_);
   core::Status status = callers_.ListenAt(settings_.caller_address);
   if (!core::IsOk(status)) {
     return status;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -33,6 +33,8 @@
 
 RelayCall::RelayCall(Parts parts, QObject* parent)
     : QObject(parent), parts_(std::move(parts)) {
+  buffer_charge_.SetBudget(parts_.buffers);
+  CountBuffers();
   deadline_timer_.setSingleShot(true);
   deadline_timer_.setTimerType(Qt::PreciseTimer);
   connect(&deadline_timer_, &QTimer::timeout, this, &RelayCall::OnDeadline);
@@ -223,6 +225,10 @@
     }
     return;
   }
+  if (error.code == core::ErrorCode::kInvalidArgument) {
+    Refuse(status::kContentTooLarge, error.message, std::nullopt);
+    return;
+  }
   const auto retry_after = error.retry_after.value_or(kRetryAfter);
   // The wait for a request limit is known, so it is told also if the caller
   // will not wait as long.
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -188,12 +188,13 @@
            },
            progress_timeout, peers,
            [this](const schema::UpstreamSpeeds& it) { speeds.push_back(it); },
-           quota}),
+           quota, &buffers}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
       }) {
   SetTable(1, 0);
+  endpoint_.SetBudget(&buffers);
   endpoint_.Listen({"127.0.0.1", 0});
 }
 
