--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -226,7 +226,8 @@
     return;
   }
   if (error.code == core::ErrorCode::kInvalidArgument) {
-    Refuse(status::kContentTooLarge, error.message, std::nullopt);
+    // No upstream can hold the call; one that was asked would be full.
+    Refuse(status::kServiceUnavailable, error.message, std::nullopt);
     return;
   }
   const auto retry_after = error.retry_after.value_or(kRetryAfter);
