storage: Read a part of a file

Stores that keep only an index in memory read single records. Reading the whole file for each would cost as much as its size.

Change: FileSystem::ReadAt, which fails if the file ends before.

--- a/storage/file_system.cpp
+++ b/storage/file_system.cpp
@@ -99,6 +99,34 @@
   return content;
 }
 
+core::Result<std::string> PosixFileSystem::ReadAt(const std::string& path,
+                                                  uint64_t offset,
+                                                  size_t size) {
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) {
+    return StorageError("open", path, errno);
+  }
+  std::string content(size, '\0');
+  size_t done = 0;
+  int error_number = 0;
+  while (done < size && error_number == 0) {
+    const ssize_t n = ::pread(fd, content.data() + done, size - done,
+                              static_cast<off_t>(offset + done));
+    if (n > 0) {
+      done += static_cast<size_t>(n);
+    } else if (n == 0) {
+      error_number = ENODATA;
+    } else if (errno != EINTR) {
+      error_number = errno;
+    }
+  }
+  ::close(fd);
+  if (error_number != 0) {
+    return StorageError("read", path, error_number);
+  }
+  return content;
+}
+
 core::Result<std::vector<std::string>> PosixFileSystem::List(
     const std::string& folder) {
   std::error_code ec;
--- a/storage/file_system.h
+++ b/storage/file_system.h
@@ -35,6 +35,9 @@
   virtual core::Result<std::unique_ptr<WritableFile>> OpenForAppend(
       const std::string& path) = 0;
   virtual core::Result<std::string> ReadAll(const std::string& path) = 0;
+  /// Reads `size` bytes from `offset` on; an error if the file ends before.
+  virtual core::Result<std::string> ReadAt(const std::string& path,
+                                           uint64_t offset, size_t size) = 0;
   /// Names of the files in `folder`, sorted.
   virtual core::Result<std::vector<std::string>> List(
       const std::string& folder) = 0;
@@ -55,6 +58,8 @@
   core::Result<std::unique_ptr<WritableFile>> OpenForAppend(
       const std::string& path) override;
   core::Result<std::string> ReadAll(const std::string& path) override;
+  core::Result<std::string> ReadAt(const std::string& path, uint64_t offset,
+                                   size_t size) override;
   core::Result<std::vector<std::string>> List(
       const std::string& folder) override;
   core::Status CreateFolder(const std::string& folder) override;
