turns: Keep the turns of conversations on several instances

A turn of a retain route carries only its new input, so the service must keep what came before it through the loss of two machines or a zone and through a power loss of all.

Ruled out: commits of the deployment group for every turn, and several groups by program. Turns never change once written, so copies need no order; see docs/design/turns.md.

Change: module turns with a store for instances with a disk (segment files with checksums, an index in memory, group commit in a thread, repair by exchange of ids) and a client for entry instances (three synced copies in two zones, reads that deny a turn only if all instances but two that are complete deny it).

--- /dev/null
+++ b/tests/turns/turn_world.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "tests/turns/memory_files.h"
+#include "turns/turn_client.h"
+#include "turns/turn_store.h"
+
+namespace hawthorn::turns {
+
+/// Deployment in simulated time: stores with disks in memory, clients, and a
+/// network that delays, duplicates, reorders and loses messages.
+class TurnWorld {
+ public:
+  TurnWorld(uint64_t seed, size_t stores, size_t zones);
+  ~TurnWorld();
+
+  void Run(std::chrono::milliseconds time);
+  void StartStore(size_t number, bool first_start);
+  /// Ends a store; its disk loses what was not synced.
+  void Crash(size_t number);
+  void EraseDisk(size_t number);
+  /// Whether every store runs, is complete and has all copies placed.
+  bool IsHealthy() const;
+  /// Tells everyone which instances there are.
+  void Announce();
+
+  std::string NameOf(size_t store) const { return "s" + std::to_string(store); }
+  TurnClient& client(size_t number) { return *clients_.at(number); }
+  size_t client_count() const { return clients_.size(); }
+  TurnStore* store(size_t number) { return machines_.at(number)->store.get(); }
+  MemoryFiles& files(size_t number) { return machines_.at(number)->files; }
+  size_t store_count() const { return machines_.size(); }
+  std::mt19937_64& random() { return random_; }
+  const core::Clock& clock() const { return clock_; }
+
+  /// Instances and clients that reach nobody.
+  std::set<std::string> cut;
+  std::set<std::string> retiring;
+  /// Lost and duplicated messages in 1000.
+  uint64_t lost_per_mille = 0;
+  uint64_t duplicated_per_mille = 0;
+
+ private:
+  friend class WorldLinks;
+  friend class WorldDisk;
+
+  struct Machine {
+    std::string zone;
+    MemoryFiles files;
+    std::unique_ptr<PeerLinks> links;
+    std::unique_ptr<TurnDisk> disk;
+    std::unique_ptr<TurnStore> store;
+  };
+
+  void At(std::chrono::milliseconds delay, std::function<void()> event);
+  std::chrono::milliseconds Delay();
+  bool Reaches(const std::string& a, const std::string& b) const {
+    return !cut.contains(a) && !cut.contains(b);
+  }
+  void Deliver(const std::string& from, const std::string& to,
+               const schema::TurnMessage& message,
+               const PeerLinks::ReplyCallback& reply);
+
+  core::ManualClock clock_;
+  core::Metrics metrics_;
+  std::mt19937_64 random_;
+  std::multimap<core::TimePoint, std::function<void()>> events_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<std::unique_ptr<PeerLinks>> client_links_;
+  std::vector<std::unique_ptr<TurnClient>> clients_;
+};
+
+}  // namespace hawthorn::turns
--- /dev/null
+++ b/turns/placement.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "schema/generated/deployment.pb.h"
+
+// Which instances keep the turns of a chain.
+namespace hawthorn::turns {
+
+/// Copies of each turn, on different machines and in two zones at least: one
+/// survives the loss of two machines or of one zone.
+inline constexpr size_t kCopies = 3;
+inline constexpr size_t kZones = 2;
+/// Losses that the copies survive.
+inline constexpr size_t kTolerated = kCopies - 1;
+
+/// An instance that keeps turns.
+struct Keeper {
+  std::string instance;
+  std::string zone;
+  /// "IP:port" for the other instances.
+  std::string address;
+  /// Gets no new records.
+  bool retiring = false;
+
+  bool operator==(const Keeper&) const = default;
+};
+
+/// The instances that keep turns: those that do not serve control, or all if
+/// every one does.
+std::vector<Keeper> KeepersOf(
+    const std::vector<schema::InstanceRecord>& instances);
+
+/// Number of different zones of the keepers that are not retiring, and of the
+/// keepers that a record is written to.
+size_t ZoneCount(const std::vector<Keeper>& keepers);
+size_t RequiredCopies(const std::vector<Keeper>& keepers);
+size_t RequiredZones(const std::vector<Keeper>& keepers);
+
+/// Decides where a chain is kept.
+struct ChainPlace {
+  uint64_t hash = 0;
+  std::string home_zone;
+
+  bool operator==(const ChainPlace&) const = default;
+};
+
+/// Key of a new chain.
+std::string MakeChainKey(std::string_view home_zone, std::string_view turn);
+ChainPlace PlaceOf(std::string_view chain_key);
+
+/// Keepers that are not retiring, by preference for the chain: two of its home
+/// zone, then one of another zone, then all others.
+std::vector<const Keeper*> PreferredKeepers(const ChainPlace& place,
+                                            const std::vector<Keeper>& keepers);
+
+/// Completes `chosen` from `candidates`, in their order, to the required number
+/// of copies and zones. Returns the keepers to add; fewer if the candidates do
+/// not suffice.
+std::vector<const Keeper*> CompleteCopies(
+    const std::vector<const Keeper*>& candidates,
+    const std::vector<const Keeper*>& chosen, size_t copies, size_t zones);
+
+/// Whether these keepers are enough for a record.
+bool Suffices(const std::vector<const Keeper*>& chosen, size_t copies,
+              size_t zones);
+
+}  // namespace hawthorn::turns
--- /dev/null
+++ b/turns/turn_client.cpp
@@ -0,0 +1,101 @@
+#include "turns/turn_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+#include "turns/turn_read.h"
+#include "turns/turn_write.h"
+
+namespace hawthorn::turns {
+
+TurnClient::TurnClient(Parts parts) : parts_(std::move(parts)) {}
+
+TurnClient::~TurnClient() = default;
+
+void TurnClient::SetInstances(
+    const std::vector<schema::InstanceRecord>& instances) {
+  instances_ = instances;
+  Refresh();
+}
+
+void TurnClient::Refresh() {
+  const core::TimePoint now = parts_.clock.Now();
+  std::vector<Keeper> keepers = KeepersOf(instances_);
+  std::erase_if(keepers, [&](const Keeper& it) {
+    if (!it.retiring) {
+      retiring_.erase(it.instance);
+      return false;
+    }
+    const auto [until, added] =
+        retiring_.emplace(it.instance, now + kLeavingTime);
+    return until->second <= now;
+  });
+  if (keepers == *keepers_) {
+    return;
+  }
+  for (const Keeper& it : *keepers_) {
+    // A retiring instance leaves only once its turns are at others.
+    if (!it.retiring) {
+      left_[it.instance] = now + kLeavingTime;
+    }
+  }
+  for (const Keeper& it : keepers) {
+    left_.erase(it.instance);
+    parts_.links.SetAddress(it.instance, it.address);
+  }
+  keepers_ = std::make_shared<std::vector<Keeper>>(std::move(keepers));
+  logging::Log(logging::LogLevel::kInfo, "instances that keep turns changed",
+               {{"instances", std::to_string(keepers_->size())},
+                {"left", std::to_string(left_.size())}});
+}
+
+size_t TurnClient::KnownKeepers() {
+  if (!retiring_.empty()) {
+    Refresh();
+  }
+  const core::TimePoint now = parts_.clock.Now();
+  std::erase_if(left_, [now](const auto& it) { return it.second <= now; });
+  return keepers_->size() + left_.size();
+}
+
+const std::string* TurnClient::ChainKeyOf(const TurnKey& key) const {
+  const auto it = chain_keys_.find(key);
+  return it == chain_keys_.end() ? nullptr : &it->second;
+}
+
+void TurnClient::RememberChainKey(const TurnKey& key,
+                                  const std::string& chain_key) {
+  if (!chain_keys_.emplace(key, chain_key).second) {
+    return;
+  }
+  chain_key_order_.push_back(key);
+  if (chain_key_order_.size() > kMaxChainKeys) {
+    chain_keys_.erase(chain_key_order_.front());
+    chain_key_order_.pop_front();
+  }
+}
+
+void TurnClient::Read(const std::string& organisation, const std::string& turn,
+                      std::chrono::milliseconds timeout,
+                      ReadCallback callback) {
+  auto read = std::make_shared<TurnRead>(*this, organisation, turn,
+                                         std::move(callback));
+  read->Start(timeout);
+}
+
+void TurnClient::Write(const relay::TurnRecord& record,
+                       std::chrono::milliseconds timeout,
+                       WriteCallback callback) {
+  auto write = std::make_shared<TurnWrite>(*this, record, std::move(callback));
+  write->Start(timeout);
+}
+
+void TurnClient::UpdateGauges() const {
+  parts_.metrics.SetGauge("turns_keepers",
+                          static_cast<double>(keepers_->size()));
+  parts_.metrics.SetGauge("turns_chain_keys",
+                          static_cast<double>(chain_keys_.size()));
+}
+
+}  // namespace hawthorn::turns
