relay: Continue kept turns and hold their end until they are written

Change: on a route that retains turns, the chain of the previous turn is read while the budget is claimed and precedes the body on every attempt. The data of the events is collected as they are forwarded. After the last event the upstream is freed and the turn written; only then does the response end. A failed write, a deadline or a caller that leaves means that the turn does not count, and the response is reset.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -58,6 +58,8 @@
     /// Links to the instances that carry out exchanges for this one; null if
     /// there are none.
     peer::PeerTransport* peers = nullptr;
+    /// Turns of conversations; null if there is nobody to keep them.
+    TurnHistory* history = nullptr;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -134,6 +136,7 @@
   }
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
+  TurnHistory* history() override { return parts_.history; }
   core::Status Enqueue(RelayCall& call) override;
   std::string ProposeVersion(const RelayCall& call) override;
   std::optional<std::string> OnlyVersion(const RelayCall& call) override;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -68,11 +68,17 @@
            WithinPatience(kRetryAfter));
     return;
   }
+  if (RefuseUnkeepable()) {
+    return;
+  }
   deadline_timer_.start(allowed);
+  if (parts_.route.retains_turns && !parts_.head.previous_turn.empty()) {
+    ReadChain();
+  }
   const bool has_budget =
       parts_.head.token_budget && !parts_.head.program.empty();
   if (!has_budget && !IsBindable()) {
-    EnterQueue();
+    QueueWhenReady();
     return;
   }
   const CallHead& head = parts_.head;
@@ -94,6 +100,7 @@
 
 void RelayCall::Claim() {
   state_ = State::kClaiming;
+  claim_pending_ = true;
   const auto claim_timeout =
       std::min(kMaxClaimTimeout, TimeLeft() / kClaimTimeoutDivisor);
   // If the call ends before the reply arrives, End() settles the claim.
@@ -110,6 +117,7 @@
   if (state_ != State::kClaiming) {
     return;
   }
+  claim_pending_ = false;
   if (!core::IsOk(reply)) {
     const core::Error& error = core::ErrorOf(reply);
     Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
@@ -133,7 +141,13 @@
   } else {
     binding_ = core::Value(reply).stream;
   }
-  EnterQueue();
+  QueueWhenReady();
+}
+
+void RelayCall::QueueWhenReady() {
+  if (!claim_pending_ && !chain_pending_) {
+    EnterQueue();
+  }
 }
 
 bool RelayCall::BindResumed(const ClaimReply& reply) {
@@ -224,7 +238,9 @@
   Fail(summary_.may_have_run ? status::kGatewayTimeout
                              : status::kServiceUnavailable,
        state_ == State::kClaiming ? "the deadline passed before the claim"
-                                  : "the deadline passed in the queue");
+       : state_ == State::kRecording
+           ? "the deadline passed before the turn was kept"
+           : "the deadline passed in the queue");
 }
 
 void RelayCall::Refuse(int status, std::string reason,
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -20,6 +20,7 @@
 #include "relay/exchange_link.h"
 #include "relay/route_table.h"
 #include "relay/token_ledger.h"
+#include "relay/turn_history.h"
 #include "scheduling/call.h"
 #include "transport/http_session.h"
 
@@ -45,6 +46,8 @@
   virtual std::optional<core::TimePoint> shutdown_deadline() const = 0;
   virtual const CallCodec& codec() const = 0;
   virtual TokenLedger& ledger() = 0;
+  /// Turns of conversations; null if this instance cannot reach any.
+  virtual TurnHistory* history() = 0;
   /// Queues the call. Dispatch or RefuseQueued is called later, never from
   /// within this call.
   virtual core::Status Enqueue(RelayCall& call) = 0;
@@ -233,7 +236,15 @@
   int64_t generated_tokens() const;
 
  private:
-  enum class State { kClaiming, kQueued, kRunning, kEnded };
+  enum class State {
+    /// Waits for the claim, for the turns before this one, or both.
+    kClaiming,
+    kQueued,
+    kRunning,
+    /// The upstream has sent everything; the turn is being written.
+    kRecording,
+    kEnded
+  };
 
   /// Maximum number of software versions that a stream is bound to until its
   /// first event.
@@ -252,6 +263,18 @@
   /// Binds the stream to another version, as none of its own is left; only
   /// before its first event. Returns false if that is not possible.
   bool BindAgain();
+  /// Queues the call once its claim is granted and its chain is read.
+  void QueueWhenReady();
+  // Kept turns: relay_call_turns.cpp.
+  /// Refuses a call whose turn cannot be kept. Returns whether it did.
+  bool RefuseUnkeepable();
+  void ReadChain();
+  void OnChainRead(const core::Result<TurnChain>& result);
+  /// Writes the turn of a stream that has ended, then ends the response.
+  void RecordTurn();
+  void OnTurnRecorded(const core::Status& status);
+  /// Namespace of the turn ids of this call.
+  std::string turn_organisation() const { return {}; }
   void EnterQueue();
   void BeginExchange(bool must_be_fresh);
   ResponseMatch OnHead(const transport::ResponseHead& head,
@@ -337,6 +360,12 @@
   bool response_started_ = false;
   bool ignore_body_ = false;
   std::string buffered_body_;
+  bool claim_pending_ = false;
+  bool chain_pending_ = false;
+  /// Chain that this turn continues.
+  TurnChain chain_;
+  /// Data of the events that were sent to the caller, if the turn is kept.
+  std::string turn_output_;
   EventFramer framer_;
   std::optional<uint64_t> last_event_;
   core::TimePoint last_event_at_;
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -41,6 +41,8 @@
   forward.upstream = upstream_;
   forward.time_left = TimeLeft();
   forward.resume_after = last_event_ ? last_event_ : parts_.head.resume_after;
+  forward.organisation = turn_organisation();
+  forward.history = chain_.text;
   ExchangeLink::Events events;
   events.on_head = [this](const transport::ResponseHead& head,
                           std::optional<uint64_t> length) {
--- a/relay/relay_call_response.cpp
+++ b/relay/relay_call_response.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "relay/event_data.h"
 #include "relay/relay_call.h"
 #include "transport/http_status.h"
 
@@ -131,6 +132,9 @@
                    core::MillisecondsBetween(last_event_at_, now));
     }
     last_event_at_ = now;
+    if (parts_.route.retains_turns) {
+      AppendEventData(event.bytes, &turn_output_);
+    }
     out += event.bytes;
   }
   if (framer_.overflowed()) {
@@ -175,6 +179,10 @@
     }
     BeginResponse();
     ReleaseUpstream(scheduling::CallOutcome::kSucceeded);
+    if (parts_.route.retains_turns) {
+      RecordTurn();
+      return;
+    }
     parts_.session.EndBody();
     End();
     return;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -147,7 +147,7 @@
 
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
                            TokenLedger* shared_ledger,
-                           peer::PeerTransport* peers)
+                           peer::PeerTransport* peers, TurnHistory* history)
     : relay_({clock_, codec_,
               shared_ledger != nullptr ? *shared_ledger : ledger, metrics_, "a",
               1,
@@ -170,7 +170,7 @@
                   on_limit(limit);
                 }
               },
-              progress_timeout, peers}),
+              progress_timeout, peers, history}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
@@ -201,6 +201,13 @@
   route.kind = CallKind::kIdempotent;
   route.max_upstreams = 2;
   builder.AddRoute(route);
+  route.name = "kept";
+  route.path_prefix = "/kept/";
+  route.kind = CallKind::kStream;
+  route.max_upstreams = 1;
+  route.retains_turns = true;
+  route.retention = std::chrono::milliseconds(60000);
+  builder.AddRoute(route);
   ServiceSettings service;
   service.name = "llm";
   service.max_connections = max_connections;
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -112,14 +112,15 @@
 };
 
 /// A relay with one service "llm" and the routes /turn/ (a resumable stream),
-/// /once/ (not idempotent) and /read/ (idempotent, two upstreams).
+/// /once/ (not idempotent), /read/ (idempotent, two upstreams) and /kept/ (a
+/// stream whose turns are kept).
 class RelayFixture {
  public:
   /// Claims go to `shared_ledger`, or to `ledger` if it is null.
   explicit RelayFixture(
       std::chrono::milliseconds progress_timeout = RelayCall::kProgressTimeout,
       TokenLedger* shared_ledger = nullptr,
-      peer::PeerTransport* peers = nullptr);
+      peer::PeerTransport* peers = nullptr, TurnHistory* history = nullptr);
 
   /// Adds an upstream, or updates it with the record of a later revision.
   void AddUpstream(const std::string& id, const std::string& address,
