main: Keep turns on instances with a disk and reach them from entries

Entry instances learn of them from the watch. The watch sends the list of instances also when one of them begins to retire: until now only a changed number of instances was noticed, so that entries would have gone on writing to a retiring one.

A retirement is completed only once the instance, if it is still there, reports no turn without all copies at others.

--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -115,6 +115,11 @@
   void UpdateGauges() const;
   /// Adds the addresses of further instances.
   void AddSeeds(const std::vector<std::string>& seeds);
+  /// Sets the function that tells how many turns kept here have too few copies
+  /// at other instances. A retirement waits until there are none.
+  void SetUnplacedTurns(std::function<uint64_t()> unplaced_turns) {
+    unplaced_turns_ = std::move(unplaced_turns);
+  }
   /// Transfers leadership before the process ends.
   void TransferLeadership();
 
@@ -191,6 +196,7 @@
   WatchRegistry watches_;
   std::map<std::string, core::TimePoint> upstream_contacts_;
   core::TimePoint leader_since_;
+  std::function<uint64_t()> unplaced_turns_;
 };
 
 /// Packs a message for the links between instances.
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -36,6 +36,9 @@
     *it->add_forwarders() = std::move(forwarder);
   }
   it->set_known_forwarders(watches_.forwarders().digest());
+  if (unplaced_turns_) {
+    it->set_unplaced_turns(unplaced_turns_());
+  }
   return message;
 }
 
@@ -171,7 +174,14 @@
     const bool self = member.id == replica.id();
     ready += member.voter && (self || replica.HasCaughtUp(member.id)) ? 1 : 0;
   }
-  state.set_completed(record->retiring() && replica.membership_committed() &&
+  // An instance that is gone cannot move its turns any more, and one that keeps
+  // none reports none.
+  const auto announced = announcements_.find(record->instance());
+  const bool has_turns = announced != announcements_.end() &&
+                         Now() - announced->second.at < kDeadAfter &&
+                         announced->second.announcement.unplaced_turns() > 0;
+  state.set_completed(record->retiring() && !has_turns &&
+                      replica.membership_committed() &&
                       membership.FindInstance(record->instance()) == nullptr &&
                       ready >= kMinInstances);
   return state;
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -1,5 +1,7 @@
 #include "cluster/watch_registry.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -33,6 +35,17 @@
   Send(&watchers_.back(), leader);
 }
 
+uint64_t WatchRegistry::InstancesDigest() const {
+  uint64_t digest = 1;
+  for (const auto& [id, record] : state_.instances()) {
+    digest = XXH64(id.data(), id.size(), digest);
+    const std::string& address = record.peer_address();
+    digest = XXH64(address.data(), address.size(),
+                   digest + (record.retiring() ? 1 : 0));
+  }
+  return digest;
+}
+
 void WatchRegistry::Update(const std::string& leader) {
   watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
   const core::TimePoint now = clock_.Now();
@@ -41,8 +54,7 @@
         it.configuration_version < state_.configuration().version() ||
         it.upstream_revision < state_.upstream_revision() ||
         it.crash_revision != state_.crashes().revision() ||
-        it.last_leader != leader ||
-        it.last_instances != state_.instances().size() ||
+        it.last_leader != leader || it.last_instances != InstancesDigest() ||
         it.seen_forwarders != forwarders_.digest() ||
         it.last_sent + kKeepAliveInterval <= now;
     if (due) {
@@ -114,8 +126,7 @@
                                               suspected.end());
   }
   update->set_leader(leader);
-  if (watcher->last_instances != state_.instances().size() ||
-      !watcher->sent_table) {
+  if (watcher->last_instances != InstancesDigest() || !watcher->sent_table) {
     AppendInstances(state_, update->mutable_instances());
   }
   update->set_watchers(
@@ -132,7 +143,7 @@
   watcher->upstream_revision = state_.upstream_revision();
   watcher->crash_revision = state_.crashes().revision();
   watcher->last_leader = leader;
-  watcher->last_instances = state_.instances().size();
+  watcher->last_instances = InstancesDigest();
   watcher->last_sent = clock_.Now();
 }
 
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -59,7 +59,7 @@
     bool sent_table = false;
     core::TimePoint last_sent;
     std::string last_leader;
-    size_t last_instances = 0;
+    uint64_t last_instances = 0;
     std::optional<schema::Forwarder> forwarder;
     /// Digest of the list that its sample was last taken from.
     uint64_t seen_forwarders = 0;
@@ -67,6 +67,8 @@
     std::string last_forwarders;
   };
 
+  /// Digest of what watchers need to know of the instances with a disk.
+  uint64_t InstancesDigest() const;
   void Send(Watcher* watcher, const std::string& leader);
   /// Adds the forwarders for the watcher to an update if they have changed;
   /// returns them serialized.
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -1,6 +1,7 @@
 #include "main/roles/control_role.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace hawthorn::main {
@@ -11,6 +12,9 @@
     : settings_(std::move(settings)),
       clock_(clock),
       peers_(peers),
+      turn_links_(peers),
+      turn_disk_(turn_files_, TurnOptionsOf(settings_)),
+      turns_({clock, metrics, turn_links_, turn_disk_, settings_.ip}),
       host_(OptionsOf(settings_), clock, metrics, peers),
       api_(host_, metrics),
       control_([this](transport::HttpSession& session,
@@ -19,6 +23,19 @@
       }) {
   QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_,
                    [this] { ContinueDrain(); });
+  QObject::connect(&turn_timer_, &QTimer::timeout, &turn_timer_,
+                   [this] { TickTurns(); });
+  host_.SetUnplacedTurns([this] { return turns_.unplaced_turns(); });
+}
+
+turns::TurnLog::Options ControlRole::TurnOptionsOf(
+    const platform::BootSettings& settings) {
+  turns::TurnLog::Options options;
+  options.folder = settings.data_folder + "/turns";
+  options.first_start = settings.bootstrap;
+  std::random_device random;
+  options.new_incarnation = (uint64_t{random()} << 32U) | random();
+  return options;
 }
 
 cluster::HostOptions ControlRole::OptionsOf(
@@ -44,6 +61,23 @@
 core::Status ControlRole::Start() {
   peers_.SetHandler(
       [this](const schema::PeerMessage& message, const peer::Replier& replier) {
+        if (message.has_turns()) {
+          const auto request = turns::Unpack(message);
+          if (!core::IsOk(request)) {
+            replier.Fail(core::ErrorOf(request));
+            return;
+          }
+          turns_.OnMessage(
+              core::Value(request), message.from(),
+              [replier](const core::Result<schema::TurnMessage>& reply) {
+                if (core::IsOk(reply)) {
+                  replier.Reply(turns::Pack(core::Value(reply)));
+                } else {
+                  replier.Fail(core::ErrorOf(reply));
+                }
+              });
+          return;
+        }
         if (message.has_group()) {
           host_.OnGroupMessage(message.group());
           return;
@@ -55,6 +89,8 @@
         }
         host_.OnMessage(core::Value(unpacked), message.from(), replier);
       });
+  turns_.Start();
+  turn_timer_.start(turns::TurnStore::kTickInterval);
   core::Status status = host_.Start();
   if (!core::IsOk(status) || settings_.control_address.empty()) {
     return status;
@@ -66,7 +102,22 @@
   host_.AddSeeds(seeds);
 }
 
-void ControlRole::UpdateGauges() { host_.UpdateGauges(); }
+void ControlRole::UpdateGauges() {
+  host_.UpdateGauges();
+  turns_.UpdateGauges();
+}
+
+void ControlRole::TickTurns() {
+  // A state that is not current may lack instances that hold turns.
+  if (host_.IsCurrent()) {
+    std::vector<schema::InstanceRecord> instances;
+    for (const auto& [id, record] : host_.state().instances()) {
+      instances.push_back(record);
+    }
+    turns_.SetKeepers(turns::KeepersOf(instances));
+  }
+  turns_.Tick();
+}
 
 void ControlRole::Drain(std::function<void()> on_done) {
   if (std::exchange(draining_, true)) {
--- a/main/roles/control_role.h
+++ b/main/roles/control_role.h
@@ -14,6 +14,9 @@
 #include "platform/boot_settings.h"
 #include "platform/control_api.h"
 #include "transport/http_session.h"
+#include "turns/disk_thread.h"
+#include "turns/peer_links.h"
+#include "turns/turn_store.h"
 
 namespace hawthorn::main {
 
@@ -38,17 +41,25 @@
 
  private:
   static cluster::HostOptions OptionsOf(const platform::BootSettings& settings);
+  static turns::TurnLog::Options TurnOptionsOf(
+      const platform::BootSettings& settings);
   void ContinueDrain();
+  void TickTurns();
 
   platform::BootSettings settings_;
   const core::Clock& clock_;
   peer::PeerTransport& peers_;
+  storage::PosixFileSystem turn_files_;
+  turns::TransportLinks turn_links_;
+  turns::DiskThread turn_disk_;
+  turns::TurnStore turns_;
   cluster::DeploymentHost host_;
   platform::ControlApi api_;
   transport::HttpEndpoint control_;
   bool draining_ = false;
   core::TimePoint drain_started_;
   QTimer drain_timer_;
+  QTimer turn_timer_;
   std::function<void()> on_done_;
 };
 
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -26,6 +26,8 @@
       client_(settings_.SeedPeers(), std::hash<std::string>{}(settings_.ip),
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
+      turn_links_(peers),
+      turns_({clock, metrics, turn_links_, settings_.zone}),
       relay_(
           {clock, codec_, client_, metrics, settings_.zone,
            std::hash<std::string>{}(settings_.ip),
@@ -35,7 +37,7 @@
              client_.ReportDraining(upstream, started_at_ms);
            },
            [this](const schema::UpstreamLimit& it) { client_.ReportLimit(it); },
-           relay::RelayCall::kProgressTimeout, &peers}),
+           relay::RelayCall::kProgressTimeout, &peers, &turns_}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -120,6 +122,9 @@
     relay_.SetPoisonRequests({it.digests().begin(), it.digests().end()},
                              {it.suspected().begin(), it.suspected().end()});
   }
+  if (update.instances_size() > 0) {
+    turns_.SetInstances({update.instances().begin(), update.instances().end()});
+  }
   relay_.SetInstanceCount(update.watchers());
   if (update.has_forwarders()) {
     relay_.SetForwarders({update.forwarders().forwarders().begin(),
@@ -130,6 +135,7 @@
 void EntryRole::UpdateGauges() {
   relay_.UpdateGauges();
   client_.UpdateGauges();
+  turns_.UpdateGauges();
   metrics_.SetGauge("ready", IsReady() ? 1 : 0);
   metrics_.SetGauge("caller_connections",
                     static_cast<double>(callers_.session_count()));
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -15,6 +15,8 @@
 #include "platform/call_codec.h"
 #include "relay/relay.h"
 #include "transport/http_session.h"
+#include "turns/peer_links.h"
+#include "turns/turn_client.h"
 
 namespace hawthorn::main {
 
@@ -57,6 +59,8 @@
   peer::PeerTransport& peers_;
   platform::PlatformCallCodec codec_;
   cluster::DeploymentClient client_;
+  turns::TransportLinks turn_links_;
+  turns::TurnClient turns_;
   relay::Relay relay_;
   transport::HttpEndpoint callers_;
   transport::HttpEndpoint readiness_;
