--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -32,6 +32,8 @@
               clock, metrics, peers,
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
       quota_(IncarnationOf(clock), clock, metrics, peers),
+      turn_links_(peers),
+      turns_({clock, metrics, turn_links_, settings_.zone}),
       relay_(
           {clock, codec_, client_, metrics, settings_.zone,
            std::hash<std::string>{}(settings_.ip),
@@ -45,7 +47,7 @@
            [this](const schema::UpstreamSpeeds& it) {
              client_.ReportSpeeds(it);
            },
-           &quota_, &buffers_}),
+           &quota_, &buffers_, &turns_}),
       callers_([this](transport::HttpSession& session,
                       transport::RelayRequest request) {
         if (!IsReady()) {
@@ -133,6 +135,9 @@
     relay_.SetPoisonRequests({it.digests().begin(), it.digests().end()},
                              {it.suspected().begin(), it.suspected().end()});
   }
+  if (update.instances_size() > 0) {
+    turns_.SetInstances({update.instances().begin(), update.instances().end()});
+  }
   relay_.SetInstanceCount(update.watchers());
   if (update.has_speeds()) {
     relay_.OnSpeeds(update.speeds());
@@ -147,6 +152,7 @@
   relay_.UpdateGauges();
   client_.UpdateGauges();
   quota_.UpdateGauges();
+  turns_.UpdateGauges();
   metrics_.SetGauge("ready", IsReady() ? 1 : 0);
   metrics_.SetGauge("caller_connections",
                     static_cast<double>(callers_.session_count()));
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -16,6 +16,8 @@
 #include "platform/call_codec.h"
 #include "relay/relay.h"
 #include "transport/http_session.h"
+#include "turns/peer_links.h"
+#include "turns/turn_client.h"
 
 namespace hawthorn::main {
 
@@ -64,6 +66,8 @@
   transport::BufferBudget buffers_{kMaxBufferedBytes};
   cluster::DeploymentClient client_;
   cluster::QuotaClient quota_;
+  turns::TransportLinks turn_links_;
+  turns::TurnClient turns_;
   relay::Relay relay_;
   transport::HttpEndpoint callers_;
   transport::HttpEndpoint readiness_;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -71,6 +71,8 @@
     /// What the instance buffers for callers and upstreams. While it is over
     /// its limit, no request is admitted. Null if nobody counts.
     transport::BufferBudget* buffers = nullptr;
+    /// Turns of conversations; null if there is nobody to keep them.
+    TurnHistory* history = nullptr;
   };
 
   explicit Relay(Parts parts, QObject* parent = nullptr);
@@ -153,6 +155,7 @@
   const CallCodec& codec() const override { return parts_.codec; }
   TokenLedger& ledger() override { return parts_.ledger; }
   QuotaSource* quota() override { return parts_.quota; }
+  TurnHistory* history() override { return parts_.history; }
   core::Status Enqueue(RelayCall& call) override;
   std::string ProposeVersion(const RelayCall& call) override;
   void Dequeue(RelayCall& call) override;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -71,6 +71,9 @@
            WithinPatience(kRetryAfter));
     return;
   }
+  if (RefuseUnkeepable()) {
+    return;
+  }
   deadline_timer_.start(allowed);
   TakeCredit();
 }
@@ -111,10 +114,14 @@
 }
 
 void RelayCall::Admit() {
+  state_ = State::kClaiming;
+  if (parts_.route.retains_turns && !parts_.head.previous_turn.empty()) {
+    ReadChain();
+  }
   const bool has_budget =
       parts_.head.token_budget && !parts_.head.program.empty();
   if (!has_budget && !IsBindable()) {
-    EnterQueue();
+    QueueWhenReady();
     return;
   }
   claim_ = MakeClaim(has_budget);
@@ -154,6 +161,7 @@
 
 void RelayCall::Claim() {
   state_ = State::kClaiming;
+  claim_pending_ = true;
   const auto claim_timeout =
       std::min(kMaxClaimTimeout, TimeLeft() / kClaimTimeoutDivisor);
   // If the call ends before the reply arrives, End() settles the claim.
@@ -170,6 +178,7 @@
   if (state_ != State::kClaiming) {
     return;
   }
+  claim_pending_ = false;
   if (!core::IsOk(reply)) {
     const core::Error& error = core::ErrorOf(reply);
     Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
@@ -190,7 +199,13 @@
            "the version that began the stream is not known", std::nullopt);
     return;
   }
-  EnterQueue();
+  QueueWhenReady();
+}
+
+void RelayCall::QueueWhenReady() {
+  if (!claim_pending_ && !chain_pending_) {
+    EnterQueue();
+  }
 }
 
 bool RelayCall::BindAgain() {
@@ -278,7 +293,9 @@
        state_ == State::kAwaitingCredit
            ? "the deadline passed before the request limit was known"
        : state_ == State::kClaiming ? "the deadline passed before the claim"
-                                    : "the deadline passed in the queue");
+       : state_ == State::kRecording
+           ? "the deadline passed before the turn was kept"
+           : "the deadline passed in the queue");
 }
 
 void RelayCall::Refuse(int status, std::string reason,
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -43,6 +43,7 @@
   forward.organisation = parts_.organisation.name;
   forward.time_left = TimeLeft();
   forward.resume_after = last_event_ ? last_event_ : parts_.head.resume_after;
+  forward.history = chain_.text;
   ExchangeLink::Events events;
   events.on_head = [this](const transport::ResponseHead& head,
                           std::optional<uint64_t> length) {
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -171,7 +171,8 @@
 
 RelayFixture::RelayFixture(std::chrono::milliseconds progress_timeout,
                            MemoryLedger* shared_ledger,
-                           peer::PeerTransport* peers, QuotaSource* quota)
+                           peer::PeerTransport* peers, QuotaSource* quota,
+                           TurnHistory* history)
     : shared_ledger_(shared_ledger),
       relay_(
           {clock_, codec_, shared_ledger != nullptr ? *shared_ledger : ledger,
@@ -197,7 +198,7 @@
            },
            progress_timeout, peers,
            [this](const schema::UpstreamSpeeds& it) { speeds.push_back(it); },
-           quota, &buffers}),
+           quota, &buffers, history}),
       endpoint_([this](transport::HttpSession& session,
                        transport::RelayRequest request) {
         relay_.OnRequest(session, std::move(request));
@@ -231,6 +232,13 @@
   route.kind = CallKind::kIdempotent;
   route.max_upstreams = 2;
   builder.AddRoute(route);
+  route.name = "kept";
+  route.path_prefix = "/kept/";
+  route.kind = CallKind::kStream;
+  route.max_upstreams = 1;
+  route.retains_turns = true;
+  route.retention = std::chrono::milliseconds(60000);
+  builder.AddRoute(route);
   ServiceSettings service;
   service.name = "llm";
   service.max_connections = max_connections;
