cluster: Wait with a retirement until a new leader has heard of the turns

A leader that was just elected has no announcement of the retiring instance, and one of a frozen instance grows old; both counted as nothing to wait for.

Change: within 2 s of an election nothing is completed that was not announced, and the last number announced counts for 30 s, in which the other instances make new copies.

--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -68,6 +68,9 @@
   /// Time without an announcement after which an instance is considered dead.
   static constexpr std::chrono::milliseconds kDeadAfter{2000};
   static constexpr std::chrono::milliseconds kAnnounceInterval{400};
+  /// Time after which the turns of an instance that is gone have new copies:
+  /// the others notice within 3 s and copy for some seconds.
+  static constexpr std::chrono::milliseconds kTurnsCopiedAfter{30000};
   /// Time without contact after which an upstream is removed. Long, because an
   /// upstream that cannot reach this instance may still serve others.
   static constexpr std::chrono::milliseconds kUpstreamTimeout{45000};
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -174,12 +174,14 @@
     const bool self = member.id == replica.id();
     ready += member.voter && (self || replica.HasCaughtUp(member.id)) ? 1 : 0;
   }
-  // An instance that is gone cannot move its turns any more, and one that keeps
-  // none reports none.
+  // A new leader has not heard of all instances yet. One that keeps no turns
+  // reports none; the turns of one that is gone are copied by the others.
   const auto announced = announcements_.find(record->instance());
-  const bool has_turns = announced != announcements_.end() &&
-                         Now() - announced->second.at < kDeadAfter &&
-                         announced->second.announcement.unplaced_turns() > 0;
+  const bool has_turns =
+      announced == announcements_.end()
+          ? Now() - leader_since_ < kDeadAfter
+          : announced->second.announcement.unplaced_turns() > 0 &&
+                Now() - announced->second.at < kTurnsCopiedAfter;
   state.set_completed(record->retiring() && !has_turns &&
                       replica.membership_committed() &&
                       membership.FindInstance(record->instance()) == nullptr &&
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -217,6 +217,56 @@
   CHECK(it.IsMember(other));
 }
 
+// Guards against a machine that is reported as emptied while it has the third
+// copy of a turn, and against entry instances that go on writing to it because
+// the watch does not tell them that it retires.
+TEST_CASE("A retirement waits for turns and watchers learn of it") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  const std::string store = it.Add(false, "a");
+  it.Add(false, "b");
+  REQUIRE(WaitFor([&] { return it.VoterCount() == 5; }));
+  uint64_t unplaced = 7;
+  it.host(store).SetUnplacedTurns([&unplaced] { return unplaced; });
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  bool seen_retiring = false;
+  DeploymentClient client(
+      it.Seeds(), 1, it.clock(), it.metrics(), *peers,
+      [&](const schema::DeploymentUpdate& update) {
+        for (const auto& record : update.instances()) {
+          seen_retiring = seen_retiring ||
+                          (record.instance() == store && record.retiring());
+        }
+      });
+  client.Start();
+  REQUIRE(WaitFor([&] { return client.IsCurrent(); }));
+  REQUIRE(WaitFor([&] {
+    const auto reply = it.Propose(it.Leader(), Retire(store));
+    return core::IsOk(reply) && core::Value(reply).known();
+  }));
+  CHECK(WaitFor([&] { return seen_retiring; }));
+  REQUIRE(WaitFor([&] { return !it.IsMember(store); }));
+  bool completed = false;
+  const auto ask = [&] {
+    if (it.Leader().empty()) {
+      return false;
+    }
+    it.host(it.Leader())
+        .ReadRetirement(
+            "machine-" + store,
+            [&completed](const core::Result<schema::RetirementState>& state) {
+              completed = core::IsOk(state) && core::Value(state).completed();
+            });
+    return completed;
+  };
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE_FALSE(ask());
+    test::ProcessEvents();
+  }
+  unplaced = 0;
+  CHECK(WaitFor(ask));
+}
+
 TEST_CASE("A client gets changes and claims budgets if the leader is lost") {
   Deployment it(3);
   it.StartInitialMembers({0, 1, 2});
