turns: Never announce 0 unplaced turns before the retirement is known

One that held nothing a moment before it was retired could have had its last 0 counted although a turn arrived since.

Change: a keeper that does not know that it retires announces at least 1. The test waits for one announcement before it retires the instance.

--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -228,6 +228,10 @@
   REQUIRE(WaitFor([&] { return it.VoterCount() == 5; }));
   uint64_t unplaced = 7;
   it.host(store).SetUnplacedTurns([&unplaced] { return unplaced; });
+  // Its next announcement tells the leader.
+  for (int i = 0; i < 40; ++i) {
+    test::ProcessEvents();
+  }
   const auto peers = it.NewTransport("127.0.0.10", 0);
   bool seen_retiring = false;
   DeploymentClient client(
--- a/tests/turns/turn_model_test.cpp
+++ b/tests/turns/turn_model_test.cpp
@@ -313,6 +313,7 @@
   world.retiring = {"s0"};
   world.Announce();
   REQUIRE(world.store(0)->size() > 0);
+  CHECK(world.store(1)->unplaced_turns() == world.store(1)->size() + 1);
   CHECK(world.store(0)->unplaced_turns() == world.store(0)->size());
   for (int i = 0; i < 100 && world.store(0)->unplaced_turns() > 0; ++i) {
     world.Run(milliseconds(100));
--- a/turns/turn_store.cpp
+++ b/turns/turn_store.cpp
@@ -165,12 +165,12 @@
       std::move(payloads),
       Guarded([this, shared](
                   const core::Result<std::vector<RecordLocation>>& result) {
-        OnAppended(std::move(*shared), result);
+        OnAppended(*shared, result);
       }));
 }
 
 void TurnStore::OnAppended(
-    std::vector<PendingWrite> writes,
+    const std::vector<PendingWrite>& writes,
     const core::Result<std::vector<RecordLocation>>& result) {
   appending_ = false;
   for (const PendingWrite& write : writes) {
@@ -355,7 +355,11 @@
     // Not known yet; a folder that cannot be opened holds nothing to wait for.
     return open_failed_ ? 0 : 1;
   }
-  return self_retiring_ ? queue_.size() : index_.size();
+  if (is_keeper_ && !self_retiring_) {
+    // Never 0, so that no number from before the retirement completes it.
+    return index_.size() + 1;
+  }
+  return queue_.size();
 }
 
 void TurnStore::UpdateGauges() const {
--- a/turns/turn_store.h
+++ b/turns/turn_store.h
@@ -79,8 +79,8 @@
   /// Whether a turn that this instance does not have counts as denied.
   bool complete() const { return open_ && complete_; }
   bool is_open() const { return open_; }
-  /// Turns that would be lost with this instance: those without all copies at
-  /// others if this one retires, otherwise all.
+  /// Turns without all copies at others if this instance retires or keeps none.
+  /// Otherwise more than 0: it is itself one of the places of its turns.
   uint64_t unplaced_turns() const;
   size_t size() const { return index_.size(); }
   /// Turns whose copies are not known to be whole.
@@ -127,7 +127,7 @@
   /// it is not there.
   bool TakeKnown(const schema::TurnCopy& copy);
   void Flush();
-  void OnAppended(std::vector<PendingWrite> writes,
+  void OnAppended(const std::vector<PendingWrite>& writes,
                   const core::Result<std::vector<RecordLocation>>& result);
   void OnRead(const schema::ReadTurns& read, const Reply& reply);
   void Expire();
--- a/turns/turn_store_repair.cpp
+++ b/turns/turn_store_repair.cpp
@@ -266,6 +266,7 @@
 void TurnStore::SendTurns(const StepPtr& step, const std::string& instance,
                           const std::vector<TurnKey>& keys) {
   std::vector<RecordLocation> locations;
+  locations.reserve(keys.size());
   for (const TurnKey& key : keys) {
     locations.push_back(index_.Find(key)->location);
   }
