--- a/tests/turns/turn_model_test.cpp
+++ b/tests/turns/turn_model_test.cpp
@@ -17,8 +17,6 @@
 /// What must be readable: the turns whose writes succeeded.
 struct ModelTurn {
   std::string previous;
-  std::string text;
-  std::string chain_key;
   core::TimePoint expires;
 };
 
@@ -102,7 +100,7 @@
           }
           ++writes;
           const core::TimePoint expires = world_.clock().Now() + kRetention;
-          turns[turn] = {previous, {}, {}, expires};
+          turns[turn] = {previous, expires};
           for (auto it = turns.find(previous); it != turns.end();
                it = turns.find(it->second.previous)) {
             it->second.expires = std::max(it->second.expires, expires);
