--- a/tests/turns/turn_model_test.cpp
+++ b/tests/turns/turn_model_test.cpp
@@ -17,8 +17,6 @@
 /// What must be readable: the turns whose writes succeeded.
 struct ModelTurn {
   std::string previous;
-  std::string text;
-  std::string chain_key;
   core::TimePoint expires;
 };
 
@@ -102,7 +100,7 @@
           }
           ++writes;
           const core::TimePoint expires = world_.clock().Now() + kRetention;
-          turns[turn] = {previous, {}, {}, expires};
+          turns[turn] = {previous, expires};
           for (auto it = turns.find(previous); it != turns.end();
                it = turns.find(it->second.previous)) {
             it->second.expires = std::max(it->second.expires, expires);
@@ -313,6 +311,7 @@
   world.retiring = {"s0"};
   world.Announce();
   REQUIRE(world.store(0)->size() > 0);
+  CHECK(world.store(1)->unplaced_turns() == world.store(1)->size() + 1);
   CHECK(world.store(0)->unplaced_turns() == world.store(0)->size());
   for (int i = 0; i < 100 && world.store(0)->unplaced_turns() > 0; ++i) {
     world.Run(milliseconds(100));
--- a/turns/turn_store.h
+++ b/turns/turn_store.h
@@ -53,6 +53,8 @@
   static constexpr std::chrono::milliseconds kCheckDelay{1500};
   static constexpr std::chrono::milliseconds kCheckTimeout{1000};
   static constexpr std::chrono::milliseconds kSendTimeout{3000};
+  /// Time between two steps of repair that found everything in order.
+  static constexpr std::chrono::milliseconds kStepInterval{1000};
   /// Turns that are checked, and sent to one instance, in one step of repair.
   static constexpr size_t kCheckBatch = 512;
   static constexpr size_t kSendBatch = 192;
@@ -77,8 +79,8 @@
   /// Whether a turn that this instance does not have counts as denied.
   bool complete() const { return open_ && complete_; }
   bool is_open() const { return open_; }
-  /// Turns that would be lost with this instance: those without all copies at
-  /// others if this one retires, otherwise all.
+  /// Turns without all copies at others if this instance retires or keeps none.
+  /// Otherwise more than 0: it is itself one of the places of its turns.
   uint64_t unplaced_turns() const;
   size_t size() const { return index_.size(); }
   /// Turns whose copies are not known to be whole.
@@ -125,7 +127,7 @@
   /// it is not there.
   bool TakeKnown(const schema::TurnCopy& copy);
   void Flush();
-  void OnAppended(std::vector<PendingWrite> writes,
+  void OnAppended(const std::vector<PendingWrite>& writes,
                   const core::Result<std::vector<RecordLocation>>& result);
   void OnRead(const schema::ReadTurns& read, const Reply& reply);
   void Expire();
@@ -170,6 +172,7 @@
   bool open_failed_ = false;
   bool complete_ = false;
   bool marking_ = false;
+  bool is_keeper_ = false;
   bool self_retiring_ = false;
   uint64_t incarnation_ = 0;
   TurnIndex index_;
@@ -184,6 +187,7 @@
   uint32_t active_segment_ = 0;
   uint64_t epoch_ = 0;
   StepPtr step_;
+  core::TimePoint next_step_;
   core::TimePoint next_expiry_;
   core::TimePoint next_status_;
 };
