tests/relay: Check that an organisation's priority is used

A full upstream queues calls of an organisation with a low priority and one call of another. When one place is free, that one must go first. A first form of the test waited for an upstream that was not known; such calls are refused at once.

--- a/tests/relay/organisation_test.cpp
+++ b/tests/relay/organisation_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -227,8 +228,39 @@
   CHECK(it.upstream.requests().empty());
 }
 
-// 1,400 routes and thousands of keys: the look-up must not depend on their
-// number, and the metrics must not grow with it.
+// Load: 10 calls for an upstream that is full with 5. An organisation with a
+// priority must be placed by it and not by that of the route.
+TEST_CASE("The priority of an organisation replaces that of the route") {
+  OrganisationFixture it;
+  OrganisationTable table;
+  table.Add({"late", {}, 7});
+  table.AddKey(DigestOfKey("k1"));
+  table.Add({"usual", {}, std::nullopt});
+  table.AddKey(DigestOfKey("f1"));
+  it.relay.SetOrganisations(std::move(table));
+  ScriptedUpstream busy(
+      [](const std::string&) { return ScriptedUpstream::Step{}; });
+  it.relay.AddUpstream("busy", busy.address());
+  std::vector<std::unique_ptr<Caller>> callers;
+  const auto send = [&](const std::string& id, const std::string& key) {
+    callers.push_back(std::make_unique<Caller>(it.relay.port()));
+    callers.back()->Send(
+        RelayFixture::Request("/once/", id, "X-Api-Key: " + key + "\r\n"));
+    REQUIRE(WaitFor(
+        [&] { return it.relay.relay().open_calls() == callers.size(); }));
+  };
+  for (int n = 0; n < 9; ++n) {
+    send("late" + std::to_string(n), "k1");
+  }
+  send("usual", "f1");
+  REQUIRE(WaitFor([&] { return busy.requests().size() == 5; }));
+  busy.SendOn(0, SignedResponse(busy.requests()[0], "done"));
+  REQUIRE(WaitFor([&] { return busy.requests().size() == 6; }));
+  CHECK(IdOf(busy.requests()[5]) == "usual");
+}
+
+// Thousands of organisations may be configured: the metrics must not grow with
+// their number.
 TEST_CASE("Metrics of organisations have a bounded number of labels") {
   OrganisationTable table;
   for (int n = 0; n < 100; ++n) {
