scheduling: Lend credit with each grant

With 64 instances, 5 organisations at 100 requests a second and 76 at 8, the simulation sent 83 reports to the leader for 100 requests: most instances see less than one request a second of an organisation, so that nothing was lent to them. At least one credit is now lent with each grant, within the same bound, and it is kept for 2 s instead of 1.

A lower number needs a way to call lent credit back.

--- a/scheduling/quota_allocator.cpp
+++ b/scheduling/quota_allocator.cpp
@@ -16,6 +16,9 @@
 constexpr double kRounding = 1e-6;
 /// Part of the capacity below which nothing is lent.
 constexpr double kWellFilled = 0.5;
+/// Lent with each grant, whatever the demand: most organisations send each
+/// instance less than one request a second.
+constexpr double kLeastLent = 1;
 /// Interval of looking for silent instances.
 constexpr std::chrono::milliseconds kWriteOffInterval{200};
 
@@ -247,7 +250,8 @@
   const double lent =
       IsSettling(now)
           ? 0
-          : std::floor(std::min({std::round(expected), spare, lendable}));
+          : std::floor(std::min(
+                {std::max(kLeastLent, std::round(expected)), spare, lendable}));
   if (lent > 0) {
     credit.granted += static_cast<uint32_t>(lent);
     bucket->level -= lent;
--- a/scheduling/quota_stock.h
+++ b/scheduling/quota_stock.h
@@ -36,7 +36,7 @@
   /// Time between two reports while credit is held and no request waits.
   static constexpr std::chrono::milliseconds kReportInterval{700};
   /// Time without a request after which lent credit is returned.
-  static constexpr std::chrono::milliseconds kIdleAfter{1000};
+  static constexpr std::chrono::milliseconds kIdleAfter{2000};
   /// Suggested retry delay if the leader did not answer: about the duration of
   /// an election.
   static constexpr std::chrono::milliseconds kNoAnswerRetryAfter{600};
