scheduling: Leave the admission controller off by default

The learned time of an idle step is too short, so that usual turns count as stretched. Its tests set it on by themselves.

--- a/scheduling/shared_scheduler.h
+++ b/scheduling/shared_scheduler.h
@@ -46,7 +46,7 @@
     /// of a program, so that programs that are let in slowly all end late.
     std::chrono::milliseconds max_first_limited_wait{50};
     /// Whether programs are admitted by AdmissionController under overload.
-    bool admission = true;
+    bool admission = false;
   };
 
   /// By how much a wait for the request limits of several upstreams may exceed
