programs, relay: Refuse what crashes have in common, not only one content

A request that crashes each upstream that runs it, with the same method, host and path and another body in each of 18 programs, was sent on for as long as it came: each body had a digest of its own and three upstreams to crash.

Cause: crashes were counted at one grain, the whole content. Ruled out: lost reports and late lists.

Crashes are now counted at several grains: method, host and path, and these with each prefix of the prompt. The finest grain is refused that was part of three crashes in sequence and of 75 % of all since its first one, under two contents at least, without a success since. Upstreams that end within 20 ms count once, and a request must have been sent after the crash before. The refusal ends after 30 s, twice that at each later crash, and a success clears the grain then. Each instance also judges by the crashes that it saw itself, and looks again before each attempt of a call. Records name the target and the grain.

Placement does not keep suspects apart yet.

--- a/cluster/command_log.cpp
+++ b/cluster/command_log.cpp
@@ -75,4 +75,22 @@
                           : core::ErrorOf(result).message}});
 }
 
+void LogCrashReport(const schema::ReportCrash& report,
+                    const control::CrashTable& crashes) {
+  const uint64_t content = report.fingerprint();
+  std::string grain = crashes.poison().contains(content) ? "content" : "";
+  const auto& refused = crashes.evidence().refused();
+  for (const uint64_t it : report.prefixes()) {
+    grain = refused.contains(it) ? "prompt prefix" : grain;
+  }
+  grain = refused.contains(report.target_digest()) ? "target" : grain;
+  Log(LogLevel::kInfo, "crash report committed",
+      {{"digest", std::to_string(content)},
+       {"target", report.target()},
+       {"upstream", report.upstream()},
+       {"running_calls", std::to_string(report.running_together())},
+       {"refused_grain", grain},
+       {"crashes", std::to_string(crashes.CrashesOf(content))}});
+}
+
 }  // namespace hawthorn::cluster
--- a/cluster/command_log.h
+++ b/cluster/command_log.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "control/crash_table.h"
 #include "core/error.h"
 #include "schema/generated/deployment.pb.h"
 
@@ -21,4 +22,8 @@
 void LogClaim(const schema::TokenReservation& claim,
               const core::Result<schema::DeploymentReply>& result);
 
+/// Logs a crash report that was committed, and what it led to.
+void LogCrashReport(const schema::ReportCrash& report,
+                    const control::CrashTable& crashes);
+
 }  // namespace hawthorn::cluster
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -370,8 +370,8 @@
   group_->Propose(
       command.SerializeAsString(),
       [this, callback = std::move(callback), now, kind = KindOf(command),
-       claim = ClaimOf(command), digest = command.report_crash().fingerprint()](
-          const core::Result<std::string>& it) {
+       claim = ClaimOf(command),
+       report = command.report_crash()](const core::Result<std::string>& it) {
         core::Result<schema::DeploymentReply> result{schema::DeploymentReply()};
         if (core::IsOk(it)) {
           std::get<schema::DeploymentReply>(result).ParseFromString(
@@ -384,11 +384,8 @@
         if (claim) {
           LogClaim(*claim, result);
         }
-        if (digest != 0 && core::IsOk(it)) {
-          Log(LogLevel::kInfo, "crash report committed",
-              {{"digest", std::to_string(digest)},
-               {"crashes",
-                std::to_string(machine_.crashes().CrashesOf(digest))}});
+        if (report.fingerprint() != 0 && core::IsOk(it)) {
+          LogCrashReport(report, machine_.crashes());
         }
         callback(result);
       },
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -107,8 +107,8 @@
   if (!watcher->sent_table ||
       watcher->crash_revision != state_.crashes().revision()) {
     schema::HarmfulRequests* poison_requests = update->mutable_harmful();
-    const std::set<uint64_t>& poison = state_.crashes().poison();
-    const std::set<uint64_t>& suspected = state_.crashes().suspected();
+    const std::set<uint64_t> poison = state_.crashes().AllRefused();
+    const std::set<uint64_t> suspected = state_.crashes().AllSuspected();
     poison_requests->mutable_digests()->Add(poison.begin(), poison.end());
     poison_requests->mutable_suspected()->Add(suspected.begin(),
                                               suspected.end());
--- a/control/crash_table.cpp
+++ b/control/crash_table.cpp
@@ -22,11 +22,31 @@
   if (dropped) {
     UpdateAll();
   }
+  revision_ += evidence_.Report(report, false, now_ms) ? 1 : 0;
 }
 
 void CrashTable::Succeeded(uint64_t digest) {
   crashes_.Succeeded(digest);
   Update(digest);
+  revision_ += evidence_.Succeeded(digest) ? 1 : 0;
+}
+
+void CrashTable::EndRefusals(int64_t now_ms) {
+  revision_ += evidence_.EndRefusals(now_ms) ? 1 : 0;
+}
+
+std::set<uint64_t> CrashTable::AllRefused() const {
+  std::set<uint64_t> all = poison_;
+  for (const auto& [digest, refusal] : evidence_.refused()) {
+    all.insert(digest);
+  }
+  return all;
+}
+
+std::set<uint64_t> CrashTable::AllSuspected() const {
+  std::set<uint64_t> all = suspected_;
+  all.insert(evidence_.suspected().begin(), evidence_.suspected().end());
+  return all;
 }
 
 void CrashTable::Expire(int64_t now_ms) {
@@ -35,6 +55,7 @@
   if (crashes_.crash_count() < crashes) {
     UpdateAll();
   }
+  revision_ += evidence_.Expire(now_ms) ? 1 : 0;
 }
 
 void CrashTable::Update(uint64_t digest) {
@@ -56,11 +77,13 @@
 
 void CrashTable::Save(schema::DeploymentSnapshot* snapshot) const {
   crashes_.WriteTo(snapshot);
+  evidence_.Save(snapshot);
   snapshot->set_crash_revision(revision_);
 }
 
 void CrashTable::Load(const schema::DeploymentSnapshot& snapshot) {
   crashes_.ReadFrom(snapshot);
+  evidence_.Load(snapshot);
   poison_.clear();
   suspected_.clear();
   for (const schema::SnapshotCrash& crash : snapshot.crashes()) {
--- a/control/crash_table.h
+++ b/control/crash_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <set>
 
+#include "programs/crash_evidence.h"
 #include "programs/poison_register.h"
 #include "schema/generated/deployment.pb.h"
 
@@ -24,6 +25,8 @@
   /// Clears a suspected request after an upstream ran it to its end.
   void Succeeded(uint64_t digest);
   void Expire(int64_t now_ms);
+  /// Ends refusals of coarser grains that are over.
+  void EndRefusals(int64_t now_ms);
 
   /// Number of crashed upstreams that ran the request.
   size_t CrashesOf(uint64_t digest) const { return crashes_.CrashesOf(digest); }
@@ -31,7 +34,13 @@
   const std::set<uint64_t>& poison() const { return poison_; }
   /// Requests that are one crash short of becoming poison requests.
   const std::set<uint64_t>& suspected() const { return suspected_; }
-  /// Changes whenever poison() or suspected() does.
+  /// What the crashes tell at coarser grains than a whole request.
+  const programs::CrashEvidence& evidence() const { return evidence_; }
+  /// Digests at all grains that every instance refuses, and those whose success
+  /// clears them.
+  std::set<uint64_t> AllRefused() const;
+  std::set<uint64_t> AllSuspected() const;
+  /// Changes whenever one of these sets does.
   uint64_t revision() const { return revision_; }
   size_t crash_count() const { return crashes_.crash_count(); }
 
@@ -44,6 +53,7 @@
   void UpdateAll();
 
   Register crashes_;
+  programs::CrashEvidence evidence_;
   std::set<uint64_t> poison_;
   std::set<uint64_t> suspected_;
   uint64_t revision_ = 0;
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -68,6 +68,7 @@
   if (before_ms / kSweepIntervalMs != clock_ms_ / kSweepIntervalMs) {
     Sweep();
   }
+  crashes_.EndRefusals(clock_ms_);
   reply.set_known(true);
   switch (parsed.body_case()) {
     case schema::DeploymentCommand::kPublish:
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -17,8 +17,10 @@
 
 /// Retry-After in seconds while no configuration is known.
 constexpr const char* kUnconfiguredRetryAfter = "0.3";
-/// Retry-After in seconds of a poison request: as long as its digest is kept.
-constexpr const char* kPoisonRetryAfter = "600";
+/// Retry-After in seconds of a poison request: the shortest time for which a
+/// grain is refused.
+constexpr const char* kPoisonRetryAfter = "30";
+constexpr const char* kPoisonReason = "the request ends upstreams that run it";
 /// Connections to one upstream that every instance may open, even if its share
 /// of the limit is smaller.
 constexpr size_t kMinConnections = 4;
@@ -62,10 +64,13 @@
   std::string program;
   std::string host;
   std::string target;
+  std::string target_name;
   std::string upstream;
   /// Start of the upstream, as it announced.
   uint64_t started_at_ms = 0;
-  uint64_t digest = 0;
+  RequestDigests digests;
+  core::TimePoint sent_at;
+  core::TimePoint at;
   /// Calls of this instance at the upstream, this one included.
   size_t running_calls = 0;
 };
@@ -79,7 +84,7 @@
                 {"target", it.target},
                 {"upstream", it.upstream},
                 {"started_at_ms", std::to_string(it.started_at_ms)},
-                {"digest", std::to_string(it.digest)},
+                {"digest", std::to_string(it.digests.content)},
                 {"running_calls", std::to_string(it.running_calls)}});
 }
 
@@ -125,16 +130,18 @@
     session.Respond(status::kBadRequest, {}, "the request id is missing");
     return;
   }
-  if (!poison_requests_.empty() &&
-      poison_requests_.contains(ContentDigestOf(request))) {
+  std::vector<scheduling::PrefixSegment> segments = PrefixSegments(head);
+  if (const std::string grain = RefusedGrain(request, segments);
+      !grain.empty()) {
     parts_.metrics.Count("relay_refused_harmful");
     logging::Log(logging::LogLevel::kWarn, "call refused",
                  {{"request", head.request_id},
                   {"program", head.program},
-                  {"reason", "the request ends upstreams that run it"}});
+                  {"target", TargetNameOf(request)},
+                  {"grain", grain},
+                  {"reason", kPoisonReason}});
     session.Respond(status::kServiceUnavailable,
-                    {{"Retry-After", kPoisonRetryAfter}},
-                    "the request ends upstreams that run it");
+                    {{"Retry-After", kPoisonRetryAfter}}, kPoisonReason);
     return;
   }
   // A resumed stream goes on at the service that began it.
@@ -144,7 +151,6 @@
                                : head.request_id;
   std::string service = RouteTable::PickService(*route, key);
   const ServiceSettings* settings = table_->FindService(service);
-  std::vector<scheduling::PrefixSegment> segments = PrefixSegments(head);
   RelayCall::Parts parts{*this,
                          session,
                          std::move(request),
@@ -195,14 +201,22 @@
 
 void Relay::SetPoisonRequests(std::set<uint64_t> digests,
                               std::set<uint64_t> suspected) {
-  if (digests == poison_requests_ && suspected == suspected_requests_) {
+  if (!poison_.SetListed(std::move(digests), std::move(suspected))) {
     return;
   }
-  poison_requests_ = std::move(digests);
-  suspected_requests_ = std::move(suspected);
   logging::Log(logging::LogLevel::kInfo, "poison requests changed",
-               {{"count", std::to_string(poison_requests_.size())},
-                {"suspected", std::to_string(suspected_requests_.size())}});
+               {{"count", std::to_string(poison_.listed())},
+                {"suspected", std::to_string(poison_.suspected())}});
+}
+
+std::string Relay::RefusedGrain(
+    const transport::RelayRequest& request,
+    const std::vector<scheduling::PrefixSegment>& segments) {
+  if (poison_.empty()) {
+    return "";
+  }
+  const auto kind = poison_.Find(DigestsOf(request, segments), NowMs());
+  return kind ? programs::CrashEvidence::ToString(*kind) : "";
 }
 
 scheduling::CallRequest Relay::RequestOf(const RelayCall& call) const {
@@ -235,6 +249,14 @@
 }
 
 core::Status Relay::Enqueue(RelayCall& call) {
+  // It may have crashed upstreams since it came.
+  if (const std::string grain = RefusedGrain(call.request(), call.segments());
+      !grain.empty()) {
+    return core::Error{core::ErrorCode::kUnavailable,
+                       kPoisonReason + (": by its " + grain),
+                       core::Execution::kNotRun,
+                       {}};
+  }
   scheduling::CallRequest request = RequestOf(call);
   request.id = next_id_++;
   core::Status status = scheduler_.Enqueue(request, parts_.clock.Now());
@@ -419,7 +441,10 @@
   broken.target = call.request().target;
   broken.upstream = upstream;
   broken.started_at_ms = call.upstream_started_at_ms();
-  broken.digest = ContentDigestOf(call.request());
+  broken.digests = DigestsOf(call.request(), call.segments());
+  broken.sent_at = call.sent_at();
+  broken.at = parts_.clock.Now();
+  broken.target_name = TargetNameOf(call.request());
   broken.running_calls = RunningCalls(upstream);
   CheckAlive(upstream, [this, broken = std::move(broken)](bool alive) {
     if (alive) {
@@ -432,9 +457,19 @@
     LogBroken(logging::LogLevel::kWarn, "upstream crashed during a call",
               broken);
     schema::ReportCrash report;
-    report.set_fingerprint(broken.digest);
+    report.set_fingerprint(broken.digests.content);
+    report.set_target_digest(broken.digests.target);
+    report.mutable_prefixes()->Add(broken.digests.prefixes.begin(),
+                                   broken.digests.prefixes.end());
+    report.set_target(broken.target_name);
+    report.set_running_together(static_cast<uint32_t>(broken.running_calls));
+    report.set_running_ms(
+        core::MillisecondsBetween(broken.sent_at, broken.at).count());
+    report.set_age_ms(
+        core::MillisecondsBetween(broken.at, parts_.clock.Now()).count());
     report.set_upstream(broken.upstream);
     report.set_incarnation(broken.started_at_ms);
+    poison_.OnCrash(report, NowMs());
     parts_.on_crash(report);
   });
 }
@@ -530,15 +565,16 @@
 
 void Relay::ReportSuccess(const RelayCall& call) {
   const CallSummary& summary = call.summary();
-  if (suspected_requests_.empty() || !parts_.on_success ||
-      !summary.reason.empty() || !transport::IsSuccess(summary.status)) {
+  if (!poison_.has_suspects() || !summary.reason.empty() ||
+      !transport::IsSuccess(summary.status)) {
     return;
   }
-  const uint64_t digest = ContentDigestOf(call.request());
-  // One report is enough until the list changes.
-  if (suspected_requests_.erase(digest) > 0) {
+  for (const uint64_t it :
+       poison_.OnSuccess(DigestsOf(call.request(), call.segments()))) {
     parts_.metrics.Count("relay_suspects_cleared");
-    parts_.on_success(digest);
+    if (parts_.on_success) {
+      parts_.on_success(it);
+    }
   }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,6 +18,7 @@
 #include "relay/forwarder_table.h"
 #include "relay/instance_count.h"
 #include "relay/link_counter.h"
+#include "relay/poison_guard.h"
 #include "relay/relay_call.h"
 #include "relay/request_limits.h"
 #include "relay/silence_watch.h"
@@ -77,8 +78,8 @@
   void SetUpstream(const schema::UpstreamEntry& entry);
   /// Removes every upstream that is not in `known`.
   void RetainUpstreams(const std::set<std::string>& known);
-  /// Sets the digests of the poison requests, which are refused, and of the
-  /// requests that are suspected, whose success is reported.
+  /// Sets the digests of the poison requests at all grains, which are refused,
+  /// and of those that are suspected, whose success is reported.
   void SetPoisonRequests(std::set<uint64_t> digests,
                          std::set<uint64_t> suspected);
   /// Sets the time by which the process exits. From now on, calls whose
@@ -284,6 +285,16 @@
   /// rejects.
   void Pump();
   void LogEnd(const RelayCall& call) const;
+  /// Says at which grain a request is refused because it crashes upstreams;
+  /// empty if it is not.
+  std::string RefusedGrain(
+      const transport::RelayRequest& request,
+      const std::vector<scheduling::PrefixSegment>& segments);
+  int64_t NowMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               parts_.clock.Now().time_since_epoch())
+        .count();
+  }
   /// Reports that a suspected request has succeeded.
   void ReportSuccess(const RelayCall& call);
   /// Number of calls of this instance that run at the upstream.
@@ -319,8 +330,7 @@
   /// Upstreams whose paths are checked for being half-open.
   std::set<std::string> half_open_checks_;
   core::TimePoint next_half_open_survey_;
-  std::set<uint64_t> poison_requests_;
-  std::set<uint64_t> suspected_requests_;
+  PoisonGuard poison_;
   std::optional<core::TimePoint> shutdown_deadline_;
   bool pump_scheduled_ = false;
   QTimer dispatch_timer_;
--- a/relay/request_digest.h
+++ b/relay/request_digest.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
+#include "scheduling/call.h"
 #include "transport/http_message.h"
 
 // Digests that tell whether two requests are the same work for an upstream.
@@ -12,4 +15,20 @@
 /// sends of the same content. Never 0.
 uint64_t ContentDigestOf(const transport::RelayRequest& request);
 
+/// Digests of a request at several grains.
+struct RequestDigests {
+  uint64_t content = 0;
+  /// Method, host and path with each prefix of the prompt, the shortest first.
+  std::vector<uint64_t> prefixes;
+  /// Method, host and path.
+  uint64_t target = 0;
+};
+
+RequestDigests DigestsOf(
+    const transport::RelayRequest& request,
+    const std::vector<scheduling::PrefixSegment>& segments);
+
+/// Method, host and path, for people.
+std::string TargetNameOf(const transport::RelayRequest& request);
+
 }  // namespace hawthorn::relay
--- a/tests/relay/poison_fixture.cpp
+++ b/tests/relay/poison_fixture.cpp
@@ -18,11 +18,18 @@
   }
 }
 
-void SharedDeployment::Commit(const schema::DeploymentCommand& command) {
+void SharedDeployment::Commit(schema::DeploymentCommand command) {
+  if (!has_leader) {
+    return;
+  }
+  if (since_commit_.isValid()) {
+    command.set_elapsed_ms(since_commit_.elapsed());
+  }
+  since_commit_.start();
   state_.Apply(++index_, command.SerializeAsString());
   for (RelayFixture& it : relays_) {
-    it.relay().SetPoisonRequests(state_.crashes().poison(),
-                                 state_.crashes().suspected());
+    it.relay().SetPoisonRequests(state_.crashes().AllRefused(),
+                                 state_.crashes().AllSuspected());
   }
 }
 
@@ -31,9 +38,11 @@
   upstreams_.push_back(std::make_unique<ScriptedUpstream>(
       [this, number](const std::string& request) -> ScriptedUpstream::Step {
         if (request.find(kPoisonPath) != std::string::npos) {
-          ++crashes_;
-          Crash(number);
-          return {"", true};
+          QTimer::singleShot(kCrashDelay, this, [this, number] {
+            ++crashes_;
+            Crash(number);
+          });
+          return {};
         }
         if (withhold_answers && request.find(kSlowPath) != std::string::npos) {
           return {};
@@ -54,16 +63,18 @@
 }
 
 void SharedDeployment::Start(size_t relay, const std::string& path,
-                             const std::string& program) {
+                             const std::string& program,
+                             const std::string& body) {
   callers_.push_back(std::make_unique<Caller>(relays_.at(relay).port()));
   callers_.back()->Send(
       RelayFixture::Request(path, "r" + std::to_string(callers_.size()),
-                            "X-Program-Id: " + program + "\r\n"));
+                            "X-Program-Id: " + program + "\r\n", body));
 }
 
 int SharedDeployment::Send(size_t relay, const std::string& path,
-                           const std::string& program) {
-  Start(relay, path, program);
+                           const std::string& program,
+                           const std::string& body) {
+  Start(relay, path, program, body);
   const Caller& caller = *callers_.back();
   const std::string prefix = "HTTP/1.1 ";
   if (!WaitFor([&] { return caller.received().size() > prefix.size() + 3; })) {
--- a/tests/relay/poison_fixture.h
+++ b/tests/relay/poison_fixture.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <QElapsedTimer>
+#include <QObject>
+#include <QTimer>
 #include <array>
 #include <cstdint>
 #include <memory>
@@ -13,7 +16,7 @@
 
 /// Three relays that share upstreams and the state of a deployment. Reports are
 /// committed at once, and each relay then gets the list of poison requests.
-class SharedDeployment {
+class SharedDeployment : public QObject {
  public:
   SharedDeployment();
 
@@ -32,25 +35,36 @@
   size_t reports() const { return reports_; }
   /// Answers of upstreams to kSlowPath are withheld while set.
   bool withhold_answers = false;
+  /// Reports are lost while set, as there is no leader.
+  bool has_leader = true;
 
   /// Sends a request at a relay and returns the status of its response; 0 if
   /// none comes.
-  int Send(size_t relay, const std::string& path, const std::string& program);
+  int Send(size_t relay, const std::string& path, const std::string& program,
+           const std::string& body = "hi");
+  /// What the caller of the latest request received.
+  const std::string& last_response() const {
+    return callers_.back()->received();
+  }
   /// Sends a request at a relay without waiting for the response.
-  void Start(size_t relay, const std::string& path, const std::string& program);
+  void Start(size_t relay, const std::string& path, const std::string& program,
+             const std::string& body = "hi");
 
   const control::DeploymentState& state() const { return state_; }
 
+  /// Time that an upstream runs a request which crashes it.
+  static constexpr std::chrono::milliseconds kCrashDelay{40};
   static constexpr const char* kPoisonPath = "/read/poison";
   static constexpr const char* kSlowPath = "/read/slow";
 
  private:
-  void Commit(const schema::DeploymentCommand& command);
+  void Commit(schema::DeploymentCommand command);
 
   control::DeploymentState state_;
   std::array<RelayFixture, 3> relays_;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  QElapsedTimer since_commit_;
   uint64_t index_ = 0;
   size_t crashes_ = 0;
   size_t reports_ = 0;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -276,10 +276,12 @@
 
 std::string RelayFixture::Request(const std::string& path,
                                   const std::string& id,
-                                  const std::string& fields) {
+                                  const std::string& fields,
+                                  const std::string& body) {
   return "POST " + path +
          " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\n" +
-         fields + "Content-Length: 2\r\n\r\nhi";
+         fields + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 }  // namespace hawthorn::relay
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -138,7 +138,8 @@
   /// Limits the connections to each upstream from all instances together.
   void SetConnectionLimit(uint32_t connections);
   static std::string Request(const std::string& path, const std::string& id,
-                             const std::string& fields = "");
+                             const std::string& fields = "",
+                             const std::string& body = "hi");
   uint16_t port() const { return endpoint_.port(); }
 
   MemoryLedger ledger;
