--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -348,7 +348,7 @@
   owner.last_used_ms = clock_ms_;
   const auto bound = owner.streams.find(reservation.request());
   if (bound == owner.streams.end()) {
-    AddStream(std::move(stream), &owner);
+    AddStream(stream, &owner);
   } else if (!resumes &&
              reservation.stream().round() > bound->second.stream().round()) {
     *bound->second.mutable_stream() = reservation.stream();
@@ -414,10 +414,10 @@
   return is_known ? std::optional(*found) : std::nullopt;
 }
 
-void DeploymentState::AddStream(schema::BoundStream stream,
+void DeploymentState::AddStream(const schema::BoundStream& stream,
                                 Spending* spending) {
-  const std::string request = stream.request();
-  if (!spending->streams.try_emplace(request, std::move(stream)).second) {
+  const std::string& request = stream.request();
+  if (!spending->streams.try_emplace(request, stream).second) {
     return;
   }
   spending->stream_order.push_back(request);
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -93,7 +93,7 @@
   /// the same one and every stream that may have it is kept.
   static std::optional<schema::StreamVersion> FindByContent(
       const Spending& spending, uint64_t content);
-  static void AddStream(schema::BoundStream stream, Spending* spending);
+  static void AddStream(const schema::BoundStream& stream, Spending* spending);
   void Settle(const schema::TokenSettlement& settlement);
   void ApplyInstance(schema::InstanceRecord record);
   void Retire(const std::string& name, schema::DeploymentReply* reply);
