--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -68,6 +68,7 @@
   if (before_ms / kSweepIntervalMs != clock_ms_ / kSweepIntervalMs) {
     Sweep();
   }
+  crashes_.EndRefusals(clock_ms_);
   reply.set_known(true);
   switch (parsed.body_case()) {
     case schema::DeploymentCommand::kPublish:
@@ -347,7 +348,7 @@
   owner.last_used_ms = clock_ms_;
   const auto bound = owner.streams.find(reservation.request());
   if (bound == owner.streams.end()) {
-    AddStream(std::move(stream), &owner);
+    AddStream(stream, &owner);
   } else if (!resumes &&
              reservation.stream().round() > bound->second.stream().round()) {
     *bound->second.mutable_stream() = reservation.stream();
@@ -413,10 +414,10 @@
   return is_known ? std::optional(*found) : std::nullopt;
 }
 
-void DeploymentState::AddStream(schema::BoundStream stream,
+void DeploymentState::AddStream(const schema::BoundStream& stream,
                                 Spending* spending) {
-  const std::string request = stream.request();
-  if (!spending->streams.try_emplace(request, std::move(stream)).second) {
+  const std::string& request = stream.request();
+  if (!spending->streams.try_emplace(request, stream).second) {
     return;
   }
   spending->stream_order.push_back(request);
--- a/tests/scheduling/program_home_test.cpp
+++ b/tests/scheduling/program_home_test.cpp
@@ -83,7 +83,7 @@
   REQUIRE(home);
   int at_home = 0;
   while (pool.Choose(call, At(0)) == home) {
-    pool.Start(*home, At(0));
+    pool.Start(*home, call, At(0));
     REQUIRE(++at_home <= 10);
   }
   CHECK(at_home >= 1);
--- a/tests/turns/loopback_test.cpp
+++ b/tests/turns/loopback_test.cpp
@@ -142,7 +142,7 @@
 TEST_CASE("a conversation goes on over real links and disks") {
   Deployment deployment;
   relay::RelayFixture it(relay::RelayCall::kProgressTimeout, nullptr, nullptr,
-                         &deployment.client());
+                         nullptr, &deployment.client());
   relay::ScriptedUpstream upstream(
       [](const std::string& request) -> relay::ScriptedUpstream::Step {
         return {relay::StreamHead(request) + relay::EventChunk(1) +
