relay: State that the history is never read from within the call

RelayCall::Admit starts to read the chain before it claims the budget. A callback from within Read would queue the call without its claim, or claim for a call that was refused. TurnClient already answers from the event loop; the interface did not say so. Comment only, so no test was run.

--- a/relay/turn_history.h
+++ b/relay/turn_history.h
@@ -50,7 +50,8 @@
 
   /// Reads the chain that ends with `turn`. Errors: kNotFound if it is certain
   /// that the organisation has no such turn; kUnavailable if it is not.
-  /// `callback` is called exactly once, no later than after `timeout`.
+  /// `callback` is called exactly once, no later than after `timeout` and never
+  /// from within this call: the relay starts its claim after this call.
   virtual void Read(const std::string& organisation, const std::string& turn,
                     std::chrono::milliseconds timeout,
                     ReadCallback callback) = 0;
