--- a/review/1/double_run.cc
+++ b/review/1/double_run.cc
@@ -15,6 +15,7 @@
 /// most one response a second time for kAnswersPerCopy answers, which is less
 /// than 3 in 100.
 constexpr int kRounds = 30;
+constexpr int64_t kLastRoundMs = 80000;
 constexpr int kQuickRequests = 60;
 constexpr int kAnswersPerCopy = 36;
 /// The requests of the burst: most come through one front, so that the others
@@ -106,10 +107,8 @@
       {
         const std::lock_guard<std::mutex> lock(ledger_.mutex);
         const int runs = ++ledger_.runs[id];
-        if (!quick) {
-          NOTE("  %s runs %s (run %d of it)", self.id().c_str(), id.c_str(),
-               runs);
-        }
+        NOTE("  %s runs %s (run %d of it)", self.id().c_str(), id.c_str(),
+             runs);
       }
       Sleep(quick ? kQuickWorkMs : kWorkMs);
       --running_;
@@ -151,9 +150,7 @@
 /// Sends one request as a client does, on a connection of its own.
 void Send(Fleet& fleet, Ledger& ledger, int front, const std::string& id,
           bool quick) {
-  if (!quick) {
-    NOTE("a client sends %s to front %d", id.c_str(), front);
-  }
+  NOTE("a client sends %s to front %d", id.c_str(), front);
   const Answer answer =
       Call(fleet.Front(front),
            Request("POST", quick ? "/deposit/quick" : "/deposit/1",
@@ -162,10 +159,8 @@
                     {"X-Deadline-Ms", std::to_string(kDeadlineMs)}},
                    "amount=100"),
            kDeadlineMs);
-  if (!quick) {
-    NOTE("the client gets %d for %s (%s): %s", answer.status, id.c_str(),
-         answer.end.c_str(), answer.message.body.c_str());
-  }
+  NOTE("the client gets %d for %s (%s): %s", answer.status, id.c_str(),
+       answer.end.c_str(), answer.message.body.c_str());
   const std::lock_guard<std::mutex> lock(ledger.mutex);
   ledger.statuses[id] = answer.status;
 }
@@ -218,7 +213,7 @@
     for (std::thread& it : clients) {
       it.join();
     }
-    if (ledger.HasDouble()) {
+    if (ledger.HasDouble() || NowMs() > kLastRoundMs) {
       break;
     }
   }
--- a/review/3/denied_turn.cc
+++ b/review/3/denied_turn.cc
@@ -11,6 +11,7 @@
 constexpr int kAdded = 2;
 /// Deployments that are tried one after the other, until a turn is denied.
 constexpr int kTrials = 14;
+constexpr int64_t kLastTrialMs = 80000;
 constexpr int kPrograms = 24;
 constexpr int kTurnsOfProgram = 12;
 constexpr int kEvents = 2;
@@ -51,6 +52,7 @@
                       "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       continue;
     }
+    NOTE("  %s runs %s", self.id().c_str(), id.c_str());
     for (int n = 1; n <= kEvents; ++n) {
       const std::string event = "id: " + std::to_string(n) + "\ndata: " + id +
                                 "-" + std::to_string(n) + "\n\n";
@@ -111,6 +113,9 @@
                    Request("POST", "/chat/1", "chat.example", fields,
                            "input of " + id + "\n"),
                    NowMs() + 3000);
+      NOTE("front %d answers %d (%s) to %s after %s", front, answer.status,
+           answer.whole ? "whole" : answer.end.c_str(), id.c_str(),
+           previous.empty() ? "none" : previous.c_str());
       if (!answer.whole ||
           answer.message.Field("Connection").find("close") !=
               std::string::npos) {
@@ -199,7 +204,8 @@
   }
   Record::Get().Open(argv[3]);
   bool is_broken = false;
-  for (int trial = 1; trial <= kTrials && !is_broken; ++trial) {
+  for (int trial = 1; trial <= kTrials && !is_broken && NowMs() < kLastTrialMs;
+       ++trial) {
     NOTE("trial %d", trial);
     Totals totals;
     const std::string folder = std::string(argv[2]) + "/" + std::to_string(trial);
