turns: Confirm the list of keepers before a turn is denied

Cause: a 404 counts denials against the list of keepers that the instance watches. The writer of the turn may be ahead of it. Traced on the unchanged code: instance c had the list of 4 keepers at 04.302 s and a at 04.324 s; a denied turns that c had kept at 04.321 to 04.329 s. Ruled out: keepers that deny although they lost something (none had), lists of retired instances.

Change: before a 404 the reader reads the list linearizably at the leader, after its own read began, and asks the keepers that it did not know. The same cause on related paths: a write with fewer than three copies confirms that there are no more keepers; a keeper that returns empty counts as complete only if it knows every keeper of a confirmed list, and a retired instance that does not answer counts as a loss there. New message ReadInstances; a leader of the build before refuses it, and the answer is then 503. Nothing that is stored changes.

--- a/bench/turns/turns_bench.cpp
+++ b/bench/turns/turns_bench.cpp
@@ -60,11 +60,13 @@
 }
 
 struct Store {
-  Store(const std::string& name, const std::string& folder, bool first_start)
+  Store(const std::string& name, const std::string& folder, bool first_start,
+        const std::vector<schema::InstanceRecord>& list)
       : transport(MakeTransport(name)),
         links(*transport),
         disk(files, {folder, first_start, std::hash<std::string>{}(folder)}),
-        store({clock, metrics, links, disk, name}) {
+        store({clock, metrics, links, disk, name,
+               [&list](InstanceListCallback callback) { callback(list); }}) {
     transport->SetHandler([this](const schema::PeerMessage& message,
                                  const peer::Replier& replier) {
       const auto request = Unpack(message);
@@ -181,20 +183,20 @@
     return std::make_unique<Store>(
         name,
         folder_.filePath(QString::fromStdString(name + suffix)).toStdString(),
-        first_start);
+        first_start, records_);
   }
   void Announce() {
-    std::vector<schema::InstanceRecord> records(kStores);
+    records_.resize(kStores);
     for (size_t i = 0; i < kStores; ++i) {
-      records[i].set_instance("s" + std::to_string(i));
-      records[i].set_zone(
+      records_[i].set_instance("s" + std::to_string(i));
+      records_[i].set_zone(
           std::string(1, static_cast<char>('a' + i % kZoneCount)));
-      records[i].set_peer_address(
+      records_[i].set_peer_address(
           "127.0.0.1:" + std::to_string(stores_[i]->transport->port()));
     }
-    client_.SetInstances(records);
+    client_.SetInstances(records_);
     for (const auto& it : stores_) {
-      it->store.SetKeepers(KeepersOf(records));
+      it->store.SetKeepers(KeepersOf(records_));
     }
   }
   bool AllComplete() const {
@@ -241,13 +243,16 @@
         });
   }
 
+  std::vector<schema::InstanceRecord> records_;
   QTemporaryDir folder_;
   core::SuspendAwareClock clock_;
   core::Metrics metrics_;
   std::vector<std::unique_ptr<Store>> stores_;
   std::unique_ptr<peer::PeerTransport> transport_ = MakeTransport("entry");
   TransportLinks links_{*transport_};
-  TurnClient client_{{clock_, metrics_, links_, "a"}};
+  TurnClient client_{
+      {clock_, metrics_, links_, "a",
+       [this](InstanceListCallback callback) { callback(records_); }}};
   size_t next_chain_ = 0;
   size_t done_ = 0;
   size_t failed_ = 0;
--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -5,6 +5,7 @@
 
 #include "cluster/command_log.h"
 #include "cluster/deployment_host.h"
+#include "cluster/errors.h"
 #include "logging/log.h"
 
 namespace hawthorn::cluster {
@@ -285,6 +286,35 @@
   claim->callback(result);
 }
 
+void DeploymentClient::ReadInstances(InstancesCallback callback) {
+  if (leader_.empty() || !IsCurrent()) {
+    callback(Unavailable("no leader is known"));
+    return;
+  }
+  schema::DeploymentMessage message;
+  message.mutable_read_instances();
+  peers_.Request(
+      core::InstanceId(leader_), Pack(message), kClaimAttemptTimeout,
+      [guard = QPointer<DeploymentClient>(this),
+       callback = std::move(callback)](
+          const core::Result<schema::PeerMessage>& reply) {
+        if (!guard) {
+          return;
+        }
+        const auto read =
+            core::IsOk(reply)
+                ? Unpack(core::Value(reply))
+                : core::Result<schema::DeploymentMessage>(core::ErrorOf(reply));
+        if (!core::IsOk(read)) {
+          callback(core::ErrorOf(read));
+        } else if (!core::Value(read).has_instances()) {
+          callback(Unavailable("the leader returned no list of instances"));
+        } else {
+          callback(core::Value(read).instances());
+        }
+      });
+}
+
 void DeploymentClient::RetryClaims() {
   const std::set<ClaimPtr> claims = claims_;
   for (const ClaimPtr& it : claims) {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -28,6 +28,8 @@
 
  public:
   using UpdateHandler = std::function<void(const schema::DeploymentUpdate&)>;
+  using InstancesCallback =
+      std::function<void(const core::Result<schema::InstanceList>&)>;
 
   /// Time without an update after which the client watches another instance.
   /// Updates arrive at least every WatchRegistry::kKeepAliveInterval.
@@ -80,6 +82,10 @@
              ClaimCallback callback) override;
   void Settle(const relay::TokenClaim& claim, int64_t used) override;
 
+  /// Reads the instances with a disk linearizably, at the leader. An error if
+  /// none is known, or if it does not confirm the list in time.
+  void ReadInstances(InstancesCallback callback);
+
   /// Reports to the group that an upstream crashed while it ran a request.
   /// Retried until the group confirms it.
   void ReportCrash(const schema::ReportCrash& report);
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -345,13 +345,23 @@
       return;
     }
     case schema::DeploymentMessage::kRead:
-      ReadLocally([reply_or_fail](
-                      const core::Result<schema::PublishedConfiguration>& it) {
-        reply_or_fail(it, [](schema::DeploymentMessage* out,
-                             const schema::PublishedConfiguration& read) {
-          *out->mutable_configuration() = read;
-        });
-      });
+      ReadConfigurationLocally(
+          [reply_or_fail](
+              const core::Result<schema::PublishedConfiguration>& it) {
+            reply_or_fail(it, [](schema::DeploymentMessage* out,
+                                 const schema::PublishedConfiguration& read) {
+              *out->mutable_configuration() = read;
+            });
+          });
+      return;
+    case schema::DeploymentMessage::kReadInstances:
+      ReadInstancesLocally(
+          [reply_or_fail](const core::Result<schema::InstanceList>& it) {
+            reply_or_fail(it, [](schema::DeploymentMessage* out,
+                                 const schema::InstanceList& read) {
+              *out->mutable_instances() = read;
+            });
+          });
       return;
     case schema::DeploymentMessage::kRetirement:
       reply_or_fail(LocalRetirementState(message.retirement().name()),
@@ -461,26 +471,44 @@
       ExtractField(std::move(callback), &schema::DeploymentMessage::reply));
 }
 
-void DeploymentHost::ReadLocally(ReadCallback callback) {
+template <typename T>
+void DeploymentHost::ReadLocally(
+    std::function<void(const core::Result<T>&)> callback,
+    std::function<T()> value) {
   group_->Read(
-      [this, callback = std::move(callback)](const core::Status& status) {
+      [callback = std::move(callback),
+       value = std::move(value)](const core::Status& status) {
         if (!core::IsOk(status)) {
           callback(core::ErrorOf(status));
           return;
         }
-        callback(machine_.configuration());
+        callback(value());
       },
       Now());
   Flush();
 }
 
+void DeploymentHost::ReadConfigurationLocally(ReadCallback callback) {
+  ReadLocally<schema::PublishedConfiguration>(
+      std::move(callback), [this] { return machine_.configuration(); });
+}
+
+void DeploymentHost::ReadInstancesLocally(InstancesCallback callback) {
+  ReadLocally<schema::InstanceList>(std::move(callback), [this] {
+    schema::InstanceList list;
+    list.set_leader(options_.self.instance());
+    AppendInstances(machine_, list.mutable_instances());
+    return list;
+  });
+}
+
 void DeploymentHost::ReadConfiguration(ReadCallback callback) {
   if (!group_) {
     callback(Unavailable("the replica is not open yet"));
     return;
   }
   if (is_leader()) {
-    ReadLocally(std::move(callback));
+    ReadConfigurationLocally(std::move(callback));
     return;
   }
   schema::DeploymentMessage message;
@@ -507,6 +535,22 @@
                             &schema::DeploymentMessage::retirement_state));
 }
 
+void DeploymentHost::ReadInstances(InstancesCallback callback) {
+  if (!group_) {
+    callback(Unavailable("the replica is not open yet"));
+    return;
+  }
+  if (is_leader()) {
+    ReadInstancesLocally(std::move(callback));
+    return;
+  }
+  schema::DeploymentMessage message;
+  message.mutable_read_instances();
+  SendToLeader(
+      message, kProposeTimeout,
+      ExtractField(std::move(callback), &schema::DeploymentMessage::instances));
+}
+
 void DeploymentHost::OnUpstreamContact(const std::string& upstream) {
   upstream_contacts_[upstream] = Now();
 }
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -60,6 +60,8 @@
       std::function<void(const core::Result<schema::PublishedConfiguration>&)>;
   using RetirementCallback =
       std::function<void(const core::Result<schema::RetirementState>&)>;
+  using InstancesCallback =
+      std::function<void(const core::Result<schema::InstanceList>&)>;
 
   /// Timeout of a command. Below one second, after which callers of control try
   /// another instance.
@@ -91,6 +93,8 @@
   /// Reads the configuration linearizably.
   void ReadConfiguration(ReadCallback callback);
   void ReadRetirement(const std::string& name, RetirementCallback callback);
+  /// Reads the instances with a disk linearizably.
+  void ReadInstances(InstancesCallback callback);
 
   /// Handles a message from another instance.
   void OnMessage(const schema::DeploymentMessage& message,
@@ -171,7 +175,13 @@
   void ReportUpstreamContacts();
   void ProposeLocally(schema::DeploymentCommand command,
                       ProposeCallback callback);
-  void ReadLocally(ReadCallback callback);
+  /// Passes on what `value` returns once this leader knows that no other one
+  /// has committed anything that is not applied here.
+  template <typename T>
+  void ReadLocally(std::function<void(const core::Result<T>&)> callback,
+                   std::function<T()> value);
+  void ReadConfigurationLocally(ReadCallback callback);
+  void ReadInstancesLocally(InstancesCallback callback);
   core::Result<schema::RetirementState> LocalRetirementState(
       const std::string& name) const;
   /// Sends a request to the leader; kUnavailable if none is known.
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -16,7 +16,13 @@
       peers_(peers),
       turn_links_(peers),
       turn_disk_(turn_files_, TurnOptionsOf(settings_)),
-      turns_({clock, metrics, turn_links_, turn_disk_, settings_.ip}),
+      turns_({clock, metrics, turn_links_, turn_disk_, settings_.ip,
+              [this](turns::InstanceListCallback callback) {
+                host_.ReadInstances(
+                    [callback = std::move(callback)](const auto& read) {
+                      callback(turns::RecordsOf(read));
+                    });
+              }}),
       host_(OptionsOf(settings_), clock, metrics, peers),
       api_(host_, metrics),
       control_([this](transport::HttpSession& session,
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -33,7 +33,13 @@
               [this](const schema::DeploymentUpdate& it) { OnUpdate(it); }),
       quota_(IncarnationOf(clock), clock, metrics, peers),
       turn_links_(peers),
-      turns_({clock, metrics, turn_links_, settings_.zone}),
+      turns_({clock, metrics, turn_links_, settings_.zone,
+              [this](turns::InstanceListCallback callback) {
+                client_.ReadInstances(
+                    [callback = std::move(callback)](const auto& read) {
+                      callback(turns::RecordsOf(read));
+                    });
+              }}),
       relay_(
           {clock, codec_, client_, metrics, settings_.zone,
            std::hash<std::string>{}(settings_.ip),
--- /dev/null
+++ b/tests/turns/list_behind_test.cpp
@@ -0,0 +1,191 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/turns/turn_world.h"
+
+// Lists of keepers that are behind, at entry instances and at keepers.
+namespace hawthorn::turns {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{1500};
+/// Enough chains for some to be placed on any three keepers.
+constexpr int kChains = 60;
+
+std::string TurnOf(int chain) { return "t" + std::to_string(chain); }
+
+/// Writes the first turn of each chain through a client. Returns the turns that
+/// were kept.
+std::vector<std::string> WriteChains(TurnWorld& world, size_t client) {
+  std::vector<std::string> kept;
+  for (int i = 0; i < kChains; ++i) {
+    relay::TurnRecord record;
+    record.turn = TurnOf(i);
+    record.input = "input";
+    record.output = "output";
+    record.retention = milliseconds(60000);
+    world.client(client).Write(record, kTimeout,
+                               [&kept, i](const core::Status& status) {
+                                 if (core::IsOk(status)) {
+                                   kept.push_back(TurnOf(i));
+                                 }
+                               });
+  }
+  world.Run(kTimeout + milliseconds(100));
+  return kept;
+}
+
+struct Reads {
+  int found = 0;
+  int denied = 0;
+  int uncertain = 0;
+
+  bool operator==(const Reads&) const = default;
+};
+
+Reads ReadAll(TurnWorld& world, size_t client,
+              const std::vector<std::string>& turns) {
+  Reads reads;
+  for (const std::string& it : turns) {
+    world.client(client).Read(
+        "", it, kTimeout, [&reads](const core::Result<relay::TurnChain>& read) {
+          if (core::IsOk(read)) {
+            ++reads.found;
+          } else if (core::ErrorOf(read).code == core::ErrorCode::kNotFound) {
+            ++reads.denied;
+          } else {
+            ++reads.uncertain;
+          }
+        });
+  }
+  world.Run(kTimeout + milliseconds(100));
+  return reads;
+}
+
+void RunUntilComplete(TurnWorld& world, size_t store) {
+  for (int i = 0; i < 200 && !world.store(store)->complete(); ++i) {
+    world.Run(milliseconds(100));
+  }
+  REQUIRE(world.store(store)->complete());
+}
+
+}  // namespace
+
+// Guards against 404 for a kept turn whose copies are at keepers that joined
+// and that the watch of the reading instance has not told of yet.
+TEST_CASE(
+    "a client that is behind does not deny turns at keepers that joined") {
+  const size_t before = GENERATE(1, 2, 3, 4, 7);
+  const size_t joined = GENERATE(1, 2, 3);
+  CAPTURE(before, joined);
+  TurnWorld world(11, before, 2);
+  world.behind = {"c1"};
+  for (size_t i = 0; i < joined; ++i) {
+    RunUntilComplete(world, world.AddStore(i % 2 == 0 ? "a" : "b"));
+  }
+  const std::vector<std::string> kept = WriteChains(world, 0);
+  REQUIRE(kept.size() == kChains);
+  CHECK(ReadAll(world, 1, kept) == Reads{kChains, 0, 0});
+  // What does not exist is still denied.
+  CHECK(ReadAll(world, 1, {"none"}) == Reads{0, 1, 0});
+}
+
+// Guards against 404 at an instance that is cut off from the group and whose
+// list stands still, while it reaches keepers that have no copy.
+TEST_CASE("a client that the group does not answer denies nothing") {
+  TurnWorld world(12, 3, 3);
+  world.behind = {"c1"};
+  for (const char* zone : {"a", "b", "c"}) {
+    RunUntilComplete(world, world.AddStore(zone));
+  }
+  const std::vector<std::string> kept = WriteChains(world, 0);
+  REQUIRE(kept.size() == kChains);
+  world.group_answers = false;
+  const Reads reads = ReadAll(world, 1, kept);
+  CHECK(reads.denied == 0);
+  CHECK(reads.found + reads.uncertain == kChains);
+  CHECK(ReadAll(world, 1, {"none"}) == Reads{0, 0, 1});
+}
+
+// Guards against a turn that counts as kept with fewer copies than reads rely
+// on, since its writer knew too few keepers.
+TEST_CASE("a writer that is behind writes all copies") {
+  const size_t before = GENERATE(1, 2);
+  CAPTURE(before);
+  TurnWorld world(13, before, 2);
+  world.behind = {"c0"};
+  for (size_t i = 0; i < 4; ++i) {
+    RunUntilComplete(world, world.AddStore(i % 2 == 0 ? "b" : "a"));
+  }
+  // Repair would add the missing copies later.
+  for (size_t i = 0; i < before; ++i) {
+    world.behind.insert(world.NameOf(i));
+  }
+  const std::vector<std::string> kept = WriteChains(world, 0);
+  REQUIRE(kept.size() == kChains);
+  CHECK(ReadAll(world, 1, kept) == Reads{kChains, 0, 0});
+}
+
+// Guards against turns that are kept with too few copies while the group does
+// not tell whether there are more keepers.
+TEST_CASE("a writer with few keepers needs the word of the group") {
+  TurnWorld world(14, 2, 2);
+  world.group_answers = false;
+  CHECK(WriteChains(world, 0).empty());
+}
+
+// Guards against denials by a keeper that lost its disk and counts as complete
+// again, although keepers that it has not heard of have the only other copies.
+TEST_CASE("a keeper that returns empty is not complete while it is behind") {
+  TurnWorld world(15, 3, 3);
+  const size_t first = world.AddStore("a");
+  const size_t second = world.AddStore("b");
+  RunUntilComplete(world, first);
+  RunUntilComplete(world, second);
+  const std::vector<std::string> kept = WriteChains(world, 0);
+  REQUIRE(kept.size() == kChains);
+  world.cut = {world.NameOf(first), world.NameOf(second)};
+  world.EraseDisk(0);
+  world.behind = {"s0"};
+  world.StartStore(0, false);
+  // It starts with a list from before the two joined.
+  std::vector<Keeper> list;
+  for (const char* it : {"s0", "s1", "s2"}) {
+    list.push_back({it, "a", "", false});
+  }
+  world.store(0)->SetKeepers(list);
+  world.Run(milliseconds(20000));
+  CHECK_FALSE(world.store(0)->complete());
+  CHECK(ReadAll(world, 0, kept).denied == 0);
+  world.cut = {};
+  world.behind = {};
+  world.Announce();
+  RunUntilComplete(world, 0);
+}
+
+// Guards against a confirmed read that answers a question asked after it began.
+TEST_CASE("a read of the list that is under way serves no later question") {
+  std::vector<InstanceListCallback> begun;
+  InstanceListQuery query(
+      [&begun](InstanceListCallback it) { begun.push_back(std::move(it)); });
+  std::vector<size_t> sizes;
+  const auto read = [&] {
+    query.Read([&sizes](const auto& list) {
+      sizes.push_back(core::Value(list).size());
+    });
+  };
+  read();
+  read();
+  read();
+  REQUIRE(begun.size() == 1);
+  std::exchange(begun, {}).front()(std::vector<schema::InstanceRecord>(3));
+  CHECK(sizes == std::vector<size_t>{3});
+  REQUIRE(begun.size() == 1);
+  begun.front()(std::vector<schema::InstanceRecord>(5));
+  CHECK(sizes == std::vector<size_t>{3, 5, 5});
+}
+
+}  // namespace hawthorn::turns
--- a/tests/turns/loopback_test.cpp
+++ b/tests/turns/loopback_test.cpp
@@ -33,11 +33,13 @@
 class Ledger {
  public:
   Ledger(const std::string& name, const std::string& folder,
-         const core::Clock& clock, bool first_start)
+         const core::Clock& clock, bool first_start,
+         const std::vector<schema::InstanceRecord>& list)
       : transport(MakeTransport(name)),
         links_(*transport),
         disk_(files_, {folder, first_start, std::hash<std::string>{}(folder)}),
-        store({clock, metrics_, links_, disk_, name}) {
+        store({clock, metrics_, links_, disk_, name,
+               [&list](InstanceListCallback callback) { callback(list); }}) {
     transport->SetHandler([this](const schema::PeerMessage& message,
                                  const peer::Replier& replier) {
       const auto request = Unpack(message);
@@ -108,30 +110,33 @@
         name,
         folder_.filePath(QString::fromStdString(name + generation_[number]))
             .toStdString(),
-        clock_, first_start);
+        clock_, first_start, records_);
   }
   void Announce() {
-    std::vector<schema::InstanceRecord> records(ledgers_.size());
+    records_.resize(ledgers_.size());
     for (size_t i = 0; i < ledgers_.size(); ++i) {
-      records[i].set_instance("l" + std::to_string(i));
-      records[i].set_zone(i % 2 == 0 ? "a" : "b");
-      records[i].set_peer_address(
+      records_[i].set_instance("l" + std::to_string(i));
+      records_[i].set_zone(i % 2 == 0 ? "a" : "b");
+      records_[i].set_peer_address(
           "127.0.0.1:" + std::to_string(ledgers_[i]->transport->port()));
     }
-    client_.SetInstances(records);
+    client_.SetInstances(records_);
     for (const auto& it : ledgers_) {
-      it->store.SetKeepers(KeepersOf(records));
+      it->store.SetKeepers(KeepersOf(records_));
     }
   }
 
   QTemporaryDir folder_;
+  std::vector<schema::InstanceRecord> records_;
   core::SystemClock clock_;
   core::Metrics metrics_;
   std::vector<std::string> generation_ = std::vector<std::string>(4);
   std::vector<std::unique_ptr<Ledger>> ledgers_;
   std::unique_ptr<peer::PeerTransport> transport_ = MakeTransport("entry");
   TransportLinks links_{*transport_};
-  TurnClient client_{{clock_, metrics_, links_, "a"}};
+  TurnClient client_{
+      {clock_, metrics_, links_, "a",
+       [this](InstanceListCallback callback) { callback(records_); }}};
 };
 
 }  // namespace
--- a/tests/turns/turn_world.cpp
+++ b/tests/turns/turn_world.cpp
@@ -115,8 +115,9 @@
   for (size_t i = 0; i < zones; ++i) {
     client_links_.push_back(
         std::make_unique<WorldLinks>(*this, "c" + std::to_string(i)));
-    clients_.push_back(std::make_unique<TurnClient>(TurnClient::Parts{
-        clock_, metrics_, *client_links_.back(), zone_of(i)}));
+    clients_.push_back(std::make_unique<TurnClient>(
+        TurnClient::Parts{clock_, metrics_, *client_links_.back(), zone_of(i),
+                          ReaderFor("c" + std::to_string(i))}));
   }
   for (size_t i = 0; i < stores; ++i) {
     StartStore(i, true);
@@ -127,7 +128,31 @@
 
 TurnWorld::~TurnWorld() { events_.clear(); }
 
-void TurnWorld::Announce() {
+size_t TurnWorld::AddStore(const std::string& zone) {
+  const size_t number = machines_.size();
+  machines_.push_back(std::make_unique<Machine>());
+  machines_.back()->zone = zone;
+  machines_.back()->links = std::make_unique<WorldLinks>(*this, NameOf(number));
+  StartStore(number, false);
+  return number;
+}
+
+InstanceListReader TurnWorld::ReaderFor(const std::string& name) {
+  return [this, name](InstanceListCallback callback) {
+    At(Delay(), [this, name, callback = std::move(callback)] {
+      if (group_answers && !cut.contains(name)) {
+        callback(Records());
+      } else {
+        callback(core::Error{core::ErrorCode::kUnavailable,
+                             "no leader is known",
+                             core::Execution::kNotRun,
+                             {}});
+      }
+    });
+  };
+}
+
+std::vector<schema::InstanceRecord> TurnWorld::Records() const {
   std::vector<schema::InstanceRecord> records;
   for (size_t i = 0; i < machines_.size(); ++i) {
     schema::InstanceRecord record;
@@ -136,12 +161,19 @@
     record.set_retiring(retiring.contains(NameOf(i)));
     records.push_back(record);
   }
-  for (const auto& it : clients_) {
-    it->SetInstances(records);
+  return records;
+}
+
+void TurnWorld::Announce() {
+  const std::vector<schema::InstanceRecord> records = Records();
+  for (size_t i = 0; i < clients_.size(); ++i) {
+    if (!behind.contains("c" + std::to_string(i))) {
+      clients_[i]->SetInstances(records);
+    }
   }
-  for (const auto& it : machines_) {
-    if (it->store) {
-      it->store->SetKeepers(KeepersOf(records));
+  for (size_t i = 0; i < machines_.size(); ++i) {
+    if (machines_[i]->store && !behind.contains(NameOf(i))) {
+      machines_[i]->store->SetKeepers(KeepersOf(records));
     }
   }
 }
@@ -155,7 +187,8 @@
   options.segment_bytes = 2000;
   it.disk = std::make_unique<WorldDisk>(*this, it.files, options);
   it.store = std::make_unique<TurnStore>(
-      TurnStore::Parts{clock_, metrics_, *it.links, *it.disk, NameOf(number)});
+      TurnStore::Parts{clock_, metrics_, *it.links, *it.disk, NameOf(number),
+                       ReaderFor(NameOf(number))});
   it.store->Start();
   Announce();
 }
--- a/tests/turns/turn_world.h
+++ b/tests/turns/turn_world.h
@@ -30,7 +30,10 @@
   void EraseDisk(size_t number);
   /// Whether every store runs, is complete and has all copies placed.
   bool IsHealthy() const;
-  /// Tells everyone which instances there are.
+  /// Adds a store with an empty disk; it does not start the deployment.
+  /// Returns its number.
+  size_t AddStore(const std::string& zone);
+  /// Tells everyone but those in `behind` which instances there are.
   void Announce();
 
   std::string NameOf(size_t store) const { return "s" + std::to_string(store); }
@@ -45,6 +48,11 @@
   /// Instances and clients that reach nobody.
   std::set<std::string> cut;
   std::set<std::string> retiring;
+  /// Instances and clients whose watch stands still. Clients are "c0", "c1" and
+  /// so on.
+  std::set<std::string> behind;
+  /// Whether the group confirms reads of its list.
+  bool group_answers = true;
   /// Lost and duplicated messages in 1000.
   uint64_t lost_per_mille = 0;
   uint64_t duplicated_per_mille = 0;
@@ -61,6 +69,9 @@
     std::unique_ptr<TurnStore> store;
   };
 
+  std::vector<schema::InstanceRecord> Records() const;
+  /// Reads the list for an instance or a client.
+  InstanceListReader ReaderFor(const std::string& name);
   void At(std::chrono::milliseconds delay, std::function<void()> event);
   std::chrono::milliseconds Delay();
   bool Reaches(const std::string& a, const std::string& b) const {
--- a/turns/turn_client.cpp
+++ b/turns/turn_client.cpp
@@ -9,7 +9,8 @@
 
 namespace hawthorn::turns {
 
-TurnClient::TurnClient(Parts parts) : parts_(std::move(parts)) {}
+TurnClient::TurnClient(Parts parts)
+    : parts_(std::move(parts)), list_query_(parts_.read_instances) {}
 
 TurnClient::~TurnClient() = default;
 
@@ -19,9 +20,10 @@
   Refresh();
 }
 
-void TurnClient::Refresh() {
+std::vector<Keeper> TurnClient::ActiveKeepers(
+    const std::vector<schema::InstanceRecord>& instances) {
   const core::TimePoint now = parts_.clock.Now();
-  std::vector<Keeper> keepers = KeepersOf(instances_);
+  std::vector<Keeper> keepers = KeepersOf(instances);
   std::erase_if(keepers, [&](const Keeper& it) {
     if (!it.retiring) {
       retiring_.erase(it.instance);
@@ -31,6 +33,12 @@
         retiring_.emplace(it.instance, now + kLeavingTime);
     return until->second <= now;
   });
+  return keepers;
+}
+
+void TurnClient::Refresh() {
+  const core::TimePoint now = parts_.clock.Now();
+  std::vector<Keeper> keepers = ActiveKeepers(instances_);
   if (keepers == *keepers_) {
     return;
   }
@@ -50,13 +58,43 @@
                 {"left", std::to_string(left_.size())}});
 }
 
-size_t TurnClient::KnownKeepers() {
-  if (!retiring_.empty()) {
-    Refresh();
-  }
+size_t TurnClient::CountPossibleKeepers(const KeeperList& list) {
   const core::TimePoint now = parts_.clock.Now();
   std::erase_if(left_, [now](const auto& it) { return it.second <= now; });
-  return keepers_->size() + left_.size();
+  const auto left = std::count_if(left_.begin(), left_.end(), [&](auto& it) {
+    return std::none_of(list->begin(), list->end(), [&](const Keeper& keeper) {
+      return keeper.instance == it.first;
+    });
+  });
+  return list->size() + static_cast<size_t>(left);
+}
+
+void TurnClient::ConfirmKeepers(
+    std::function<void(const core::Result<KeeperList>&)> callback) {
+  parts_.metrics.Count("turns_lists_confirmed");
+  list_query_.Read(
+      [this, callback = std::move(callback)](
+          const core::Result<std::vector<schema::InstanceRecord>>& list) {
+        if (!core::IsOk(list)) {
+          callback(core::ErrorOf(list));
+          return;
+        }
+        std::vector<Keeper> keepers = ActiveKeepers(core::Value(list));
+        for (const Keeper& it : keepers) {
+          parts_.links.SetAddress(it.instance, it.address);
+        }
+        for (const Keeper& it : *keepers_) {
+          const bool is_listed = std::any_of(
+              keepers.begin(), keepers.end(), [&](const Keeper& other) {
+                return other.instance == it.instance;
+              });
+          if (!is_listed) {
+            keepers.push_back(it);
+          }
+        }
+        callback(KeeperList(
+            std::make_shared<std::vector<Keeper>>(std::move(keepers))));
+      });
 }
 
 const std::string* TurnClient::ChainKeyOf(const TurnKey& key) const {
@@ -79,6 +117,9 @@
 void TurnClient::Read(const std::string& organisation, const std::string& turn,
                       std::chrono::milliseconds timeout,
                       ReadCallback callback) {
+  if (!retiring_.empty()) {
+    Refresh();
+  }
   auto read = std::make_shared<TurnRead>(*this, organisation, turn,
                                          std::move(callback));
   read->Start(timeout);
--- a/turns/turn_client.h
+++ b/turns/turn_client.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "relay/turn_history.h"
+#include "turns/instance_list.h"
 #include "turns/peer_links.h"
 #include "turns/placement.h"
 #include "turns/turn_key.h"
@@ -45,6 +46,7 @@
     PeerLinks& links;
     /// Availability zone of this instance.
     std::string zone;
+    InstanceListReader read_instances;
   };
 
   explicit TurnClient(Parts parts);
@@ -70,8 +72,15 @@
   void RememberChainKey(const TurnKey& key, const std::string& chain_key);
   /// Takes the keepers from instances_.
   void Refresh();
-  /// Keepers, and those that left a short time ago.
-  size_t KnownKeepers();
+  /// Keepers among `instances`, without those that began to retire long ago.
+  std::vector<Keeper> ActiveKeepers(
+      const std::vector<schema::InstanceRecord>& instances);
+  /// Keepers of `list`, and those that left a short time ago.
+  size_t CountPossibleKeepers(const KeeperList& list);
+  /// Calls back with a list that contains every keeper that was added before
+  /// this call, and those that this instance knew before.
+  void ConfirmKeepers(
+      std::function<void(const core::Result<KeeperList>&)> callback);
 
   Parts parts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -81,6 +90,7 @@
   std::unordered_map<std::string, core::TimePoint> left_;
   /// Until when retiring instances count.
   std::unordered_map<std::string, core::TimePoint> retiring_;
+  InstanceListQuery list_query_;
   std::unordered_map<TurnKey, std::string, TurnKeyHash> chain_keys_;
   std::deque<TurnKey> chain_key_order_;
 };
--- a/turns/turn_read.cpp
+++ b/turns/turn_read.cpp
@@ -14,7 +14,6 @@
       organisation_(std::move(organisation)),
       turn_(std::move(turn)),
       callback_(std::move(callback)),
-      known_keepers_(client.KnownKeepers()),
       keepers_(client.keepers_) {}
 
 void TurnRead::Start(std::chrono::milliseconds timeout) {
@@ -208,26 +207,76 @@
 size_t TurnRead::NeededDenials() const {
   // Each turn has kCopies copies, so that at least one is among all instances
   // but kTolerated. With fewer instances, each of them has a copy.
-  return known_keepers_ > kTolerated ? known_keepers_ - kTolerated
-                                     : known_keepers_;
+  const size_t known = client_.CountPossibleKeepers(keepers_);
+  return known > kTolerated ? known - kTolerated : known;
 }
 
 void TurnRead::OnDenied(const std::string& instance) {
   denials_.insert(instance);
-  if (denials_.size() < NeededDenials()) {
+  CheckDenials();
+}
+
+void TurnRead::CheckDenials() {
+  if (list_state_ == ListState::kBeingConfirmed ||
+      denials_.size() < NeededDenials()) {
+    return;
+  }
+  if (!found_.empty()) {
+    logging::Log(logging::LogLevel::kError, "a turn of a chain is missing",
+                 {{"turn", turn_}, {"missing", sought_}});
+    Fail(core::ErrorCode::kUnavailable, "a turn of the chain is missing");
     return;
   }
-  if (found_.empty()) {
-    client_.parts_.metrics.Count("turns_certain_misses");
-    Finish(core::Error{core::ErrorCode::kNotFound,
-                       "there is no turn " + turn_,
-                       core::Execution::kNotRun,
-                       {}});
+  if (list_state_ == ListState::kWatched) {
+    // Whoever wrote the turn may have known keepers that the watch has not
+    // told of yet.
+    list_state_ = ListState::kBeingConfirmed;
+    client_.ConfirmKeepers(
+        [self = shared_from_this()](const core::Result<KeeperList>& list) {
+          if (!self->IsOver()) {
+            self->OnListConfirmed(list);
+          }
+        });
     return;
   }
-  logging::Log(logging::LogLevel::kError, "a turn of a chain is missing",
-               {{"turn", turn_}, {"missing", sought_}});
-  Fail(core::ErrorCode::kUnavailable, "a turn of the chain is missing");
+  client_.parts_.metrics.Count("turns_certain_misses");
+  logging::Log(logging::LogLevel::kInfo, "turn denied",
+               {{"turn", turn_},
+                {"denials", std::to_string(denials_.size())},
+                {"keepers", std::to_string(keepers_->size())}});
+  Finish(core::Error{core::ErrorCode::kNotFound,
+                     "there is no turn " + turn_,
+                     core::Execution::kNotRun,
+                     {}});
+}
+
+void TurnRead::OnListConfirmed(const core::Result<KeeperList>& list) {
+  if (!core::IsOk(list)) {
+    client_.parts_.metrics.Count("turns_lists_unconfirmed");
+    Fail(core::ErrorCode::kUnavailable,
+         "the list of instances that keep turns is not confirmed: " +
+             core::ErrorOf(list).message);
+    return;
+  }
+  const size_t before = keepers_->size();
+  keepers_ = core::Value(list);
+  list_state_ = ListState::kConfirmed;
+  if (keepers_->size() > before) {
+    client_.parts_.metrics.Count("turns_lists_behind");
+    logging::Log(logging::LogLevel::kInfo, "watched list of keepers is behind",
+                 {{"turn", turn_},
+                  {"watched", std::to_string(before)},
+                  {"confirmed", std::to_string(keepers_->size())}});
+  }
+  CheckDenials();
+  if (IsOver()) {
+    return;
+  }
+  groups_.assign(1, {});
+  for (const Keeper& it : *keepers_) {
+    groups_.front().push_back(it.instance);
+  }
+  AskNextGroup();
 }
 
 void TurnRead::Succeed() {
--- a/turns/turn_read.h
+++ b/turns/turn_read.h
@@ -32,6 +32,11 @@
   /// was asked for.
   bool TakeTurns(const schema::ReadTurnsReply& reply);
   void OnDenied(const std::string& instance);
+  /// Ends the read if the denials make it certain that there is no such turn.
+  /// The first time, the list of keepers that they are counted against is
+  /// confirmed before.
+  void CheckDenials();
+  void OnListConfirmed(const core::Result<KeeperList>& list);
   /// Denials that make it certain that there is no such turn.
   size_t NeededDenials() const;
   void Succeed();
@@ -45,8 +50,11 @@
   std::string organisation_;
   std::string turn_;
   relay::TurnHistory::ReadCallback callback_;
-  size_t known_keepers_ = 0;
   KeeperList keepers_;
+  /// Whether keepers_ contains every keeper that was added before this read
+  /// began, so that the turn cannot be at others alone.
+  enum class ListState { kWatched, kBeingConfirmed, kConfirmed };
+  ListState list_state_ = ListState::kWatched;
   core::TimePoint deadline_;
   bool finished_ = false;
   /// Turns found so far, the newest first.
--- a/turns/turn_store.cpp
+++ b/turns/turn_store.cpp
@@ -45,7 +45,8 @@
 
 }  // namespace
 
-TurnStore::TurnStore(Parts parts) : parts_(std::move(parts)) {}
+TurnStore::TurnStore(Parts parts)
+    : parts_(std::move(parts)), list_query_(parts_.read_instances) {}
 
 void TurnStore::Start() {
   parts_.disk.Open(Guarded([this](const core::Result<TurnLog::Opened>& opened) {
--- a/turns/turn_store.h
+++ b/turns/turn_store.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/metrics.h"
+#include "turns/instance_list.h"
 #include "turns/peer_links.h"
 #include "turns/placement.h"
 #include "turns/repair_queue.h"
@@ -33,6 +34,7 @@
     TurnDisk& disk;
     /// This instance.
     std::string self;
+    InstanceListReader read_instances;
   };
 
   using Reply = std::function<void(const core::Result<schema::TurnMessage>&)>;
@@ -146,7 +148,13 @@
   void OnMissed(const std::string& instance);
   /// Checks the copies of all turns again.
   void CheckAll(const char* reason);
+  /// Marks the folder as complete if all that it may have lost is at others.
   void CheckComplete();
+  void MarkComplete();
+  /// Whether the other keepers have repaired what this one may have lost.
+  bool IsRepaired() const;
+  /// Whether each of these instances that keeps turns is among the known ones.
+  bool KnowsKeepers(const std::vector<schema::InstanceRecord>& instances) const;
   void RepairStep();
   void OnChecked(const StepPtr& step, const std::string& instance,
                  const std::vector<TurnKey>& asked,
@@ -172,9 +180,11 @@
   bool open_failed_ = false;
   bool complete_ = false;
   bool marking_ = false;
+  bool confirming_ = false;
   bool is_keeper_ = false;
   bool self_retiring_ = false;
   uint64_t incarnation_ = 0;
+  InstanceListQuery list_query_;
   TurnIndex index_;
   RepairQueue queue_;
   std::vector<Keeper> keepers_;
--- a/turns/turn_store_repair.cpp
+++ b/turns/turn_store_repair.cpp
@@ -126,10 +126,7 @@
   }
 }
 
-void TurnStore::CheckComplete() {
-  if (complete_ || marking_ || !is_keeper_) {
-    return;
-  }
+bool TurnStore::IsRepaired() const {
   // This instance and others that are not complete are losses already. What an
   // instance that does not answer had is at another one only while the losses
   // are not more than a turn has copies to spare.
@@ -137,18 +134,55 @@
   bool all_there = true;
   for (const auto& [instance, peer] : peers_) {
     if (peer.retiring && !peer.reachable) {
-      // It left once its turns were at others.
+      // It left once its turns were at others, or it failed before.
+      ++lost;
       continue;
     }
     if (peer.reachable && !peer.repaired_for_us) {
-      return;
+      return false;
     }
     all_there = all_there && peer.reachable;
     lost += peer.reachable && peer.complete ? 0 : 1;
   }
-  if (!all_there && lost > kTolerated) {
+  return all_there || lost <= kTolerated;
+}
+
+bool TurnStore::KnowsKeepers(
+    const std::vector<schema::InstanceRecord>& instances) const {
+  const std::vector<Keeper> keepers = KeepersOf(instances);
+  return std::all_of(keepers.begin(), keepers.end(), [&](const Keeper& it) {
+    return it.instance == parts_.self || peers_.contains(it.instance);
+  });
+}
+
+void TurnStore::CheckComplete() {
+  if (complete_ || marking_ || confirming_ || !is_keeper_ || !IsRepaired()) {
     return;
   }
+  // A keeper that was added while this instance was away may hold the only
+  // other copies of what it had.
+  confirming_ = true;
+  list_query_.Read(
+      [this](const core::Result<std::vector<schema::InstanceRecord>>& list) {
+        confirming_ = false;
+        if (!core::IsOk(list)) {
+          Log(LogLevel::kWarn, "instances that keep turns not confirmed",
+              {{"error", core::ErrorOf(list).message}});
+          return;
+        }
+        if (!KnowsKeepers(core::Value(list))) {
+          Log(LogLevel::kInfo, "known instances that keep turns are behind",
+              {{"known", std::to_string(peers_.size())},
+               {"confirmed", std::to_string(core::Value(list).size())}});
+          return;
+        }
+        if (!complete_ && is_keeper_ && IsRepaired()) {
+          MarkComplete();
+        }
+      });
+}
+
+void TurnStore::MarkComplete() {
   marking_ = true;
   parts_.disk.MarkComplete(Guarded([this](const core::Status& status) {
     marking_ = false;
--- a/turns/turn_write.cpp
+++ b/turns/turn_write.cpp
@@ -10,10 +10,7 @@
 
 TurnWrite::TurnWrite(TurnClient& client, const relay::TurnRecord& record,
                      relay::TurnHistory::WriteCallback callback)
-    : client_(client),
-      alive_(client.alive_),
-      callback_(std::move(callback)),
-      keepers_(client.keepers_) {
+    : client_(client), alive_(client.alive_), callback_(std::move(callback)) {
   schema::TurnCopy* copy = message_.mutable_write()->add_copies();
   schema::StoredTurn* turn = copy->mutable_turn();
   turn->set_format(kTurnFormat);
@@ -28,9 +25,20 @@
   turn->set_retention_ms(record.retention.count());
   copy->set_remaining_ms(
       (record.retention + TurnStore::kExtraRetention).count());
-  order_ = PreferredKeepers(PlaceOf(turn->chain_key()), *keepers_);
-  copies_ = RequiredCopies(*keepers_);
-  zones_ = RequiredZones(*keepers_);
+  UseKeepers(client.keepers_);
+}
+
+void TurnWrite::UseKeepers(KeeperList keepers) {
+  lists_.push_back(std::move(keepers));
+  const std::vector<Keeper>& list = *lists_.back();
+  const std::string& chain_key = message_.write().copies(0).turn().chain_key();
+  order_ = PreferredKeepers(PlaceOf(chain_key), list);
+  copies_ = RequiredCopies(list);
+  zones_ = RequiredZones(list);
+  acknowledged_.clear();
+  in_flight_.clear();
+  slow_.clear();
+  failed_.clear();
 }
 
 void TurnWrite::Start(std::chrono::milliseconds timeout) {
@@ -96,9 +104,9 @@
       core::MillisecondsBetween(client_.parts_.clock.Now(), deadline_);
   client_.parts_.links.Request(
       keeper->instance, message_, std::max(left, std::chrono::milliseconds(1)),
-      [self = shared_from_this(),
-       keeper](const core::Result<schema::TurnMessage>& reply) {
-        if (!self->IsOver()) {
+      [self = shared_from_this(), keeper,
+       list = lists_.size()](const core::Result<schema::TurnMessage>& reply) {
+        if (!self->IsOver() && self->lists_.size() == list) {
           self->OnReply(keeper, reply);
         }
       });
@@ -138,16 +146,58 @@
       acknowledged_.end()) {
     acknowledged_.push_back(keeper);
   }
-  if (copies_ > 0 && Suffices(acknowledged_, copies_, zones_)) {
-    const schema::StoredTurn& turn = message_.write().copies(0).turn();
-    client_.RememberChainKey(KeyOf(turn), turn.chain_key());
-    client_.parts_.metrics.Count("turns_chains_written");
-    Finish(std::monostate{});
+  if (copies_ == 0 || !Suffices(acknowledged_, copies_, zones_)) {
+    Proceed();
+  } else if (copies_ < kCopies) {
+    // Only while there are no more keepers, fewer copies are enough for reads
+    // that count denials.
+    ConfirmList();
+  } else {
+    Succeed();
+  }
+}
+
+void TurnWrite::ConfirmList() {
+  if (std::exchange(confirming_, true)) {
+    return;
+  }
+  client_.ConfirmKeepers(
+      [self = shared_from_this()](const core::Result<KeeperList>& list) {
+        if (!self->IsOver()) {
+          self->confirming_ = false;
+          self->OnListConfirmed(list);
+        }
+      });
+}
+
+void TurnWrite::OnListConfirmed(const core::Result<KeeperList>& list) {
+  if (!core::IsOk(list)) {
+    last_error_ = "the list of instances that keep turns is not confirmed: " +
+                  core::ErrorOf(list).message;
+    client_.parts_.links.After(TurnClient::kRetryDelay,
+                               [self = shared_from_this()] {
+                                 if (!self->IsOver()) {
+                                   self->ConfirmList();
+                                 }
+                               });
+    return;
+  }
+  if (RequiredCopies(*core::Value(list)) <= copies_) {
+    Succeed();
     return;
   }
+  // Those that have the turn already acknowledge it at once.
+  UseKeepers(core::Value(list));
   Proceed();
 }
 
+void TurnWrite::Succeed() {
+  const schema::StoredTurn& turn = message_.write().copies(0).turn();
+  client_.RememberChainKey(KeyOf(turn), turn.chain_key());
+  client_.parts_.metrics.Count("turns_chains_written");
+  Finish(std::monostate{});
+}
+
 void TurnWrite::Finish(const core::Status& status) {
   finished_ = true;
   // The timer of the deadline still refers to this object.
--- a/turns/turn_write.h
+++ b/turns/turn_write.h
@@ -19,11 +19,17 @@
   void Start(std::chrono::milliseconds timeout);
 
  private:
+  /// Begins to write the copies to keepers of this list.
+  void UseKeepers(KeeperList keepers);
   /// Sends the turn to as many instances as are needed for its copies.
   void Proceed();
   void Send(const Keeper* keeper);
   void OnReply(const Keeper* keeper,
                const core::Result<schema::TurnMessage>& reply);
+  /// Ends the write once no keeper was added for which the copies are too few.
+  void ConfirmList();
+  void OnListConfirmed(const core::Result<KeeperList>& list);
+  void Succeed();
   void Finish(const core::Status& status);
   bool IsOver() const { return finished_ || alive_.expired(); }
 
@@ -31,7 +37,9 @@
   std::weak_ptr<bool> alive_;
   schema::TurnMessage message_;
   relay::TurnHistory::WriteCallback callback_;
-  KeeperList keepers_;
+  /// The pointers below are to elements of the last list. Replies may still
+  /// refer to those of the lists before.
+  std::vector<KeeperList> lists_;
   std::vector<const Keeper*> order_;
   size_t copies_ = 0;
   size_t zones_ = 0;
@@ -45,6 +53,7 @@
   /// Their first failure was logged.
   std::set<const Keeper*> logged_;
   bool retry_planned_ = false;
+  bool confirming_ = false;
   bool finished_ = false;
   std::string last_error_;
 };
