relay: Send a request once on a connection, and match responses to that send

Cause: a response was matched by the request id alone, while a connection on which an upstream has refused a call was kept and could carry the same call again. Ruled out: copies that arrive with the first response or while the connection is idle; both close it.

Change: a connection remembers requests that ended on it without success, and the pool never hands it to one of them again, also for exchanges of other instances. A response without an id answers only the first request of its connection. ForwardedHead.is_only_send tells the instance that has the call; where it is absent, as from the build before, a second refusal by an upstream is not taken as "not run".

--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -58,6 +58,7 @@
 
 /// Status and header fields of a response from an upstream, decoded.
 struct ResponseInfo {
+  int status = 0;
   /// The response carries the signature of an upstream. Its value is not
   /// verified.
   bool has_signature = false;
@@ -86,6 +87,16 @@
   std::optional<std::chrono::milliseconds> idle_timeout;
 
   bool operator==(const ResponseInfo&) const = default;
+
+  /// The upstream certainly did not run the request that this answers.
+  bool IsRefusal() const { return not_run || wrong_upstream; }
+  /// Whether this may answer the request with the id `expected`. A faulty
+  /// upstream may send a response once more at the place of a later one, so
+  /// that one without an id belongs to the request only if `is_first` on its
+  /// connection.
+  bool MayAnswer(std::string_view expected, bool is_first) const {
+    return request_id.empty() ? is_first : request_id == expected;
+  }
 };
 
 /// Header fields that the relay sets on a forwarded request.
--- a/relay/exchange_link.h
+++ b/relay/exchange_link.h
@@ -51,6 +51,11 @@
   virtual void Abandon() = 0;
   /// Pauses or resumes reading the response, for backpressure.
   virtual void SetReading(bool reading) = 0;
+  /// Whether no earlier request on the connection had the id of the current
+  /// one. Otherwise a response with that id may be the copy of an earlier one.
+  virtual bool is_only_send() const { return true; }
+  /// Whether a response without an id can only be that to the current request.
+  virtual bool is_first_exchange() const { return true; }
   /// Instance that carries the exchange out; empty for an own connection.
   virtual std::string forwarder() const { return {}; }
 };
--- a/relay/forward_server.cpp
+++ b/relay/forward_server.cpp
@@ -65,11 +65,13 @@
   ResponseMatch OnHead(const transport::ResponseHead& head,
                        std::optional<uint64_t> length) {
     const ResponseInfo info = server_.host_.codec().DecodeResponse(head);
-    if (!info.request_id.empty() && info.request_id != request_.request_id()) {
+    if (!info.MayAnswer(request_.request_id(), link_->is_first_exchange())) {
       return ResponseMatch::kForeign;
     }
     response_ = info;
-    Send(EncodeHead(head, length));
+    schema::ForwardedPart part = EncodeHead(head, length);
+    part.mutable_head()->set_is_only_send(link_->is_only_send());
+    Send(std::move(part));
     return ResponseMatch::kOwn;
   }
 
--- a/relay/forwarded_link.cpp
+++ b/relay/forwarded_link.cpp
@@ -60,6 +60,7 @@
   switch (part.part_case()) {
     case schema::ForwardedPart::kHead: {
       on_outcome_(true);
+      is_only_send_ = part.head().is_only_send();
       const auto length = part.head().has_length()
                               ? std::optional(part.head().length())
                               : std::nullopt;
--- a/relay/forwarded_link.h
+++ b/relay/forwarded_link.h
@@ -32,6 +32,9 @@
   void Abandon() override;
   void SetReading(bool reading) override;
   std::string forwarder() const override { return forwarder_; }
+  /// False while not known, also if the other instance does not tell.
+  bool is_only_send() const override { return is_only_send_; }
+  bool is_first_exchange() const override { return is_only_send_; }
 
  private:
   void OnPart(const schema::PeerMessage& message);
@@ -46,6 +49,7 @@
   Events events_;
   peer::StreamHandle stream_;
   bool is_open_ = false;
+  bool is_only_send_ = false;
 };
 
 }  // namespace hawthorn::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -406,7 +406,8 @@
   if (is_forwarded) {
     return OpenThroughForwarder(call, it->second, must_be_fresh);
   }
-  return links_.Acquire(id, it->second.address, must_be_fresh);
+  return links_.Acquire(id, it->second.address, must_be_fresh,
+                        call.head().request_id);
 }
 
 void Relay::CloseLink(const RelayCall& call, ExchangeLink* link,
@@ -424,15 +425,19 @@
     return;
   }
   // A link without a forwarder is an own connection.
-  ReturnLink(upstream, call.upstream_started_at_ms(), true,
-             static_cast<UpstreamLink*>(link), response);
+  ReturnLink({upstream, call.upstream_started_at_ms(), call.head().request_id},
+             true, static_cast<UpstreamLink*>(link), response);
 }
 
-void Relay::ReturnLink(const std::string& upstream, uint64_t started_at_ms,
-                       bool is_kept, UpstreamLink* link,
-                       const ResponseInfo& response) {
-  const bool is_current = StartTimeOf(upstream) == started_at_ms &&
-                          !drain_marks_.Contains(upstream, started_at_ms);
+void Relay::ReturnLink(const ExchangeId& exchange, bool is_kept,
+                       UpstreamLink* link, const ResponseInfo& response) {
+  const std::string& upstream = exchange.upstream;
+  const bool is_current =
+      StartTimeOf(upstream) == exchange.started_at_ms &&
+      !drain_marks_.Contains(upstream, exchange.started_at_ms);
+  if (!transport::IsSuccess(response.status)) {
+    link->RememberUnserved(exchange.request_id);
+  }
   if (!is_kept || !link->reusable() || !is_current) {
     links_.Discard(upstream, link);
     return;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -197,10 +197,18 @@
                         const std::string& origin,
                         schema::ForwardEnd end) override;
 
-  /// Keeps a connection of this instance to an incarnation of an upstream for
-  /// reuse if it may be used again, and closes it otherwise.
-  void ReturnLink(const std::string& upstream, uint64_t started_at_ms,
-                  bool is_kept, UpstreamLink* link,
+  /// A request that was sent to an incarnation of an upstream.
+  struct ExchangeId {
+    std::string upstream;
+    uint64_t started_at_ms = 0;
+    std::string request_id;
+
+    bool operator==(const ExchangeId&) const = default;
+  };
+
+  /// Keeps a connection of this instance for reuse after an exchange if it may
+  /// be used again, and closes it otherwise.
+  void ReturnLink(const ExchangeId& exchange, bool is_kept, UpstreamLink* link,
                   const ResponseInfo& response);
   /// Names the upstream and its incarnation to another instance.
   static schema::ForwardRequest ForwardRequestFor(const Upstream& upstream);
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -403,6 +403,10 @@
   std::optional<TokenClaim> claim_;
   /// Software version of the stream, as the group has recorded it.
   std::optional<StreamBinding> binding_;
+  /// Upstreams that the call was sent to, and whether the current one was among
+  /// them before.
+  std::set<std::string> sent_to_;
+  bool was_sent_before_ = false;
   /// Upstreams that may have run the call and are not known to have crashed.
   std::set<std::string> ran_at_;
   int not_run_attempts_ = 0;
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -53,6 +53,7 @@
   events.on_complete = [this] { OnComplete(); };
   events.on_failed = [this](LinkFailure failure) { OnFailed(failure); };
   ++sent_exchanges_;
+  was_sent_before_ = !sent_to_.insert(upstream_).second;
   link_->Start(parts_.host.codec().EncodeForward(parts_.request, forward),
                std::move(events));
 }
@@ -80,6 +81,9 @@
                           failure == LinkFailure::kForwarderFailed;
   if (was_unsent && link_ != nullptr) {
     --sent_exchanges_;
+    if (!was_sent_before_) {
+      sent_to_.erase(upstream_);
+    }
   }
   switch (failure) {
     case LinkFailure::kUnreachable:
--- a/relay/relay_call_response.cpp
+++ b/relay/relay_call_response.cpp
@@ -22,9 +22,11 @@
   const ResponseInfo info = parts_.host.codec().DecodeResponse(head);
   parts_.host.OnResponseHead(*this, info);
   const bool success = transport::IsSuccess(head.status);
-  if (!info.request_id.empty() && info.request_id != parts_.head.request_id) {
+  if (!info.MayAnswer(parts_.head.request_id, link_->is_first_exchange())) {
     parts_.host.OnDecision(*this, "response skipped",
-                           "it belongs to request " + info.request_id);
+                           info.request_id.empty()
+                               ? "it names no request"
+                               : "it belongs to request " + info.request_id);
     return ResponseMatch::kForeign;
   }
   response_ = head;
@@ -37,7 +39,13 @@
     RejectResponse();
     return ResponseMatch::kOwn;
   }
-  if (info.not_run || info.wrong_upstream) {
+  if (info.IsRefusal()) {
+    if (!link_->is_only_send() && was_sent_before_) {
+      parts_.host.OnDecision(*this, "refusal not trusted",
+                             "it may be that of an earlier attempt");
+      RejectResponse();
+      return ResponseMatch::kOwn;
+    }
     ignore_body_ = true;
     return ResponseMatch::kOwn;
   }
@@ -203,7 +211,7 @@
   if (state_ != State::kRunning) {
     return;
   }
-  if (response_info_.not_run || response_info_.wrong_upstream) {
+  if (response_info_.IsRefusal()) {
     OnNotRun();
     return;
   }
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -361,7 +361,8 @@
   const std::string& id = request.upstream();
   parts_.metrics.Count("relay_forwarded_for_others");
   served_links_.Add(id);
-  return links_.Acquire(id, upstreams_.at(id).address, request.must_be_fresh());
+  return links_.Acquire(id, upstreams_.at(id).address, request.must_be_fresh(),
+                        request.request_id());
 }
 
 void Relay::CloseForwarded(const schema::ForwardRequest& request,
@@ -372,7 +373,8 @@
   const bool is_kept = it != upstreams_.end() &&
                        !IsDraining(it->second.entry) && !response.draining &&
                        links_.OpenCount(id) <= ConnectionLimit(it->second);
-  ReturnLink(id, request.started_at_ms(), is_kept, link, response);
+  ReturnLink({id, request.started_at_ms(), request.request_id()}, is_kept, link,
+             response);
 }
 
 void Relay::CheckForwarded(const schema::ForwardRequest& request,
--- a/relay/upstream_link.cpp
+++ b/relay/upstream_link.cpp
@@ -38,6 +38,7 @@
 
 void UpstreamLink::Start(std::string_view request, Events events) {
   reusable_ = false;
+  ++exchanges_;
   foreign_responses_ = 0;
   events_ = std::move(events);
   body_rule_ = request.starts_with("HEAD ") ? transport::BodyRule::kNone
--- a/relay/upstream_link.h
+++ b/relay/upstream_link.h
@@ -2,12 +2,15 @@
 
 #include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "core/clock.h"
 #include "relay/exchange_link.h"
@@ -43,8 +46,25 @@
   /// Also closes the connection.
   void Abandon() override;
 
+  /// Requests whose ids a connection remembers before it is given up.
+  static constexpr size_t kMaxRememberedRequests = 64;
+
   /// Whether the connection can carry another exchange.
-  bool reusable() const { return reusable_; }
+  bool reusable() const {
+    return reusable_ && unserved_.size() < kMaxRememberedRequests;
+  }
+  bool is_first_exchange() const override { return exchanges_ == 1; }
+  /// Remembers a request that ended here without success, so that it may be
+  /// sent again elsewhere: a copy of its response may still come.
+  void RememberUnserved(std::string request_id) {
+    unserved_.push_back(std::move(request_id));
+  }
+  /// Whether the connection may carry the request: it must not have carried it
+  /// before.
+  bool MayCarry(const std::string& request_id) const {
+    return std::find(unserved_.begin(), unserved_.end(), request_id) ==
+           unserved_.end();
+  }
   /// False once the connection was closed or has failed.
   bool is_open() const { return socket_.is_open(); }
   void SetReading(bool reading) override { socket_.SetReading(reading); }
@@ -77,6 +97,8 @@
   transport::BodyRule body_rule_ = transport::BodyRule::kAsFramed;
   bool skipping_ = false;
   int foreign_responses_ = 0;
+  uint64_t exchanges_ = 0;
+  std::vector<std::string> unserved_;
   std::function<void()> on_idle_end_;
   std::function<void()> on_bytes_;
   std::function<void(bool)> on_checked_;
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -1,6 +1,7 @@
 #include "relay/upstream_link_pool.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace hawthorn::relay {
@@ -20,27 +21,45 @@
           &UpstreamLinkPool::CloseExpired);
 }
 
+UpstreamLink* UpstreamLinkPool::TakeIdle(Links* links, size_t index) {
+  UpstreamLink* link = links->idle[index].link;
+  links->idle.erase(links->idle.begin() + static_cast<ptrdiff_t>(index));
+  link->SetIdleEndHandler(nullptr);
+  return link;
+}
+
 UpstreamLink* UpstreamLinkPool::Acquire(const std::string& upstream,
                                         const transport::SocketAddress& address,
-                                        bool must_be_fresh) {
+                                        bool must_be_fresh,
+                                        const std::string& request_id) {
   Links& links = links_[upstream];
   const core::TimePoint now = clock_.Now();
   ++links.in_use;
-  while (!links.idle.empty()) {
-    const IdleLink candidate = links.idle.back();
-    const bool usable =
-        candidate.link->is_open() && now < candidate.expires_at &&
-        (!must_be_fresh || now - candidate.idle_since < kMaxFreshIdleTime);
-    if (!usable && must_be_fresh && candidate.link->is_open()) {
+  const auto close = [](UpstreamLink* link) {
+    link->Abandon();
+    link->deleteLater();
+  };
+  std::optional<size_t> carried;
+  for (size_t i = links.idle.size(); i-- > 0;) {
+    const IdleLink& it = links.idle[i];
+    const bool is_open = it.link->is_open();
+    const bool is_fresh =
+        !must_be_fresh || now - it.idle_since < kMaxFreshIdleTime;
+    if (is_open && !is_fresh) {
       break;
     }
-    links.idle.pop_back();
-    candidate.link->SetIdleEndHandler(nullptr);
-    if (usable) {
-      return candidate.link;
+    if (!is_open || now >= it.expires_at) {
+      close(TakeIdle(&links, i));
+      carried.reset();
+    } else if (!it.link->MayCarry(request_id)) {
+      carried = i;
+    } else {
+      return TakeIdle(&links, i);
     }
-    candidate.link->Abandon();
-    candidate.link->deleteLater();
+  }
+  if (carried) {
+    // The new connection takes its place among those that are allowed.
+    close(TakeIdle(&links, *carried));
   }
   return NewLink(upstream, address);
 }
@@ -74,7 +93,7 @@
     ++links.in_use;
     link = NewLink(upstream, address);
   } else {
-    link = Acquire(upstream, address, false);
+    link = Acquire(upstream, address, false, {});
   }
   auto* timer = new QTimer(link);
   timer->setSingleShot(true);
--- a/relay/upstream_link_pool.h
+++ b/relay/upstream_link_pool.h
@@ -36,12 +36,13 @@
   UpstreamLinkPool(const core::Clock& clock, transport::BufferBudget* buffers,
                    QObject* parent);
 
-  /// Returns a connection to `upstream`: an idle one, or a new one that is
-  /// still connecting. With `must_be_fresh` an idle one is reused only within
-  /// kMaxFreshIdleTime.
+  /// Returns a connection to `upstream` for a request: an idle one, or a new
+  /// one that is still connecting. With `must_be_fresh` an idle one is reused
+  /// only within kMaxFreshIdleTime. Never one on which the request was sent
+  /// before: its response could not be told from a copy of the earlier one.
   UpstreamLink* Acquire(const std::string& upstream,
                         const transport::SocketAddress& address,
-                        bool must_be_fresh);
+                        bool must_be_fresh, const std::string& request_id);
   /// Opens a new connection to test whether the upstream is reachable, and
   /// keeps it in the pool. One check for each upstream runs at a time; callers
   /// that ask meanwhile get its result.
@@ -88,6 +89,8 @@
     core::TimePoint last_heard;
   };
 
+  /// Removes the idle connection with this index and returns it.
+  static UpstreamLink* TakeIdle(Links* links, size_t index);
   UpstreamLink* NewLink(const std::string& upstream,
                         const transport::SocketAddress& address);
   void OnAnswerChecked(const std::string& upstream, UpstreamLink* link,
