platform, relay, cluster: Leave odd entries out and follow the others

Cause, by reader: one unusable seed kept a process from starting; a heartbeat could name port 0, names of any length and a start far in the future, after which the real upstream looked old; an update that could not be read was dropped while its watch went on; numbers of requests overflowed, so that a turn of 2^63 - 1 tokens was granted and made the sum of its program negative; an id that is no UTF-8 made the message of up to 255 other settlements unreadable.

Change: ranges are checked where each value is decoded; the odd entry is left out with one log record and a counter. An unreadable update ends the watch. Ids of callers that are no UTF-8 or too long get 400 with the reason. The calls of the existing heartbeat tests name the time now; their checks are the same.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -122,7 +122,15 @@
 void DeploymentClient::OnWatchEvent(const schema::PeerMessage& event) {
   const auto message = Unpack(event);
   if (!core::IsOk(message) || !core::Value(message).has_update()) {
+    // What changed would be missing for as long as this watch lasts, and a new
+    // one begins with the whole state.
+    metrics_.Count("unreadable_updates");
     Log(LogLevel::kWarn, "unreadable update", {{"source", source_}});
+    peers_.CancelStream(watch_);
+    OnWatchEnd(core::Error{core::ErrorCode::kInvalidArgument,
+                           "unreadable update",
+                           core::Execution::kUnknown,
+                           {}});
     return;
   }
   const schema::DeploymentUpdate& update = core::Value(message).update();
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -24,7 +24,7 @@
                     });
               }}),
       host_(OptionsOf(settings_), clock, metrics, peers),
-      api_(host_, metrics),
+      api_(host_, clock, metrics),
       control_([this](transport::HttpSession& session,
                       const transport::RelayRequest& request) {
         api_.OnRequest(session, request);
--- a/main/roles/platform_process.cpp
+++ b/main/roles/platform_process.cpp
@@ -93,6 +93,7 @@
   }
 
   core::Status Start() {
+    ReportUnusableSeeds();
     core::Status status = peers_.Listen();
     if (core::IsOk(status)) {
       status = role_->Start();
@@ -127,14 +128,25 @@
       return;
     }
     const auto& settings = std::get<platform::BootSettings>(loaded);
-    if (settings.seeds == settings_.seeds) {
+    if (settings.seeds == settings_.seeds &&
+        settings.unusable_seeds == settings_.unusable_seeds) {
       return;
     }
     settings_.seeds = settings.seeds;
+    settings_.unusable_seeds = settings.unusable_seeds;
+    ReportUnusableSeeds();
     Log(LogLevel::kInfo, "seeds changed");
     role_->AddSeeds(settings_.SeedPeers());
   }
 
+  void ReportUnusableSeeds() {
+    for (const std::string& it : settings_.unusable_seeds) {
+      metrics_.Count("settings_unusable_seeds");
+      Log(LogLevel::kWarn, "seed left out",
+          {{"seed", it}, {"reason", "not an address"}});
+    }
+  }
+
   PlatformOptions options_;
   platform::BootSettings settings_;
   core::SuspendAwareClock clock_;
--- a/relay/call_codec.h
+++ b/relay/call_codec.h
@@ -52,6 +52,8 @@
   std::string api_key = {};
   /// Time until the program should be finished, if the caller says so.
   std::optional<std::chrono::milliseconds> program_time_left;
+  /// Why the request is malformed; empty if it is not.
+  std::string fault = {};
 
   bool operator==(const CallHead&) const = default;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -138,6 +138,13 @@
     session.Respond(status::kBadRequest, {}, "the request id is missing");
     return;
   }
+  if (!head.fault.empty()) {
+    parts_.metrics.Count("relay_malformed_requests");
+    logging::Log(logging::LogLevel::kWarn, "malformed request",
+                 {{"route", route->name}, {"reason", head.fault}});
+    session.Respond(status::kBadRequest, {}, head.fault);
+    return;
+  }
   if (parts_.buffers != nullptr && parts_.buffers->IsOver()) {
     RefuseForBuffers(session, head);
     return;
--- a/relay/relay_upstreams.cpp
+++ b/relay/relay_upstreams.cpp
@@ -21,6 +21,12 @@
 void Relay::SetUpstream(const schema::UpstreamEntry& entry) {
   const std::string& id = entry.upstream();
   const auto address = transport::ParseAddress(entry.address());
+  if (!entry.gone() && !core::IsOk(address)) {
+    parts_.metrics.Count("relay_unusable_entries");
+    logging::Log(
+        logging::LogLevel::kWarn, "unusable entry of an upstream",
+        {{"upstream", id}, {"reason", core::ErrorOf(address).message}});
+  }
   if (entry.gone() || !core::IsOk(address)) {
     RemoveUpstream(id);
     return;
@@ -53,8 +59,10 @@
 void Relay::TakeRecordedLimit(const schema::UpstreamEntry& before,
                               const schema::UpstreamEntry& entry) {
   const auto limit_of = [](const schema::UpstreamEntry& it) {
-    return it.has_request_limit() ? std::optional(it.request_limit())
-                                  : std::nullopt;
+    const double limit = it.request_limit();
+    return it.has_request_limit() && std::isfinite(limit) && limit >= 0
+               ? std::optional(limit)
+               : std::nullopt;
   };
   const std::optional<double> limit = limit_of(entry);
   const bool same_incarnation = before.started_at_ms() == entry.started_at_ms();
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -564,6 +564,35 @@
   CHECK(source.claims == 1);
 }
 
+// Guards against a client that goes on with a watch after a change that it
+// could not read, and so never learns of it.
+TEST_CASE("A client begins a new watch after an unreadable update") {
+  Deployment it(1);
+  ScriptedSource source(it, "127.0.0.73");
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  DeploymentClient client({source.address()}, 1, it.clock(), it.metrics(),
+                          *peers, [](const schema::DeploymentUpdate&) {});
+  client.Start();
+  REQUIRE(WaitFor([&] { return source.watcher.has_value(); }));
+  source.Update(source.id);
+  REQUIRE(WaitFor([&] { return client.IsCurrent(); }));
+  schema::PeerMessage unreadable;
+  unreadable.set_deployment(std::string("\x22\x05\xff", 3));
+  REQUIRE(core::IsOk(source.watcher->SendChunk(unreadable)));
+  // Later updates would keep the first watch alive.
+  for (int n = 0; n < 10 && source.watches == 1; ++n) {
+    bool passed = false;
+    QTimer::singleShot(100, [&passed] { passed = true; });
+    REQUIRE(WaitFor([&] { return passed; }));
+    if (source.watches == 1 && source.watcher->IsOpen()) {
+      source.Update(source.id);
+    }
+  }
+  CHECK(source.watches == 2);
+  source.Update(source.id);
+  CHECK(WaitFor([&] { return client.IsCurrent(); }));
+}
+
 TEST_CASE("A client replaces an unresponsive source by another one") {
   Deployment it(1);
   ScriptedSource unresponsive(it, "127.0.0.71");
--- a/tests/platform/heartbeat_test.cpp
+++ b/tests/platform/heartbeat_test.cpp
@@ -13,6 +13,8 @@
     R"({"service":"llm","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
     R"("capacity":12,"state":"ready","call_seq":4,"born":1700000000000})";
 
+const core::WallTime kNow{std::chrono::milliseconds(1700000005000)};
+
 /// Replaces the first occurrence of `from`.
 std::string With(const std::string& from, const std::string& to) {
   std::string text = kValid;
@@ -20,7 +22,7 @@
 }
 
 TEST_CASE("A valid heartbeat is decoded") {
-  const auto entry = DecodeHeartbeat("u1", kValid);
+  const auto entry = DecodeHeartbeat("u1", kValid, kNow);
   REQUIRE(entry);
   CHECK(entry->upstream() == "u1");
   CHECK(entry->max_running() == 12);
@@ -28,23 +30,24 @@
   CHECK(entry->software_version() == "v1");
   CHECK(entry->started_at_ms() == 1700000000000);
   CHECK_FALSE(entry->draining());
-  CHECK(DecodeStartTime(kValid) == 1700000000000);
+  CHECK(DecodeStartTime(kValid, kNow) == 1700000000000);
 }
 
 TEST_CASE("A heartbeat with numbers out of range names no upstream") {
   for (const char* number : {"-1", "0", "0.5", "1e300", "-1e300", "99999999"}) {
     CAPTURE(number);
-    CHECK_FALSE(DecodeHeartbeat("u1", With("12", number)).has_value());
+    CHECK_FALSE(DecodeHeartbeat("u1", With("12", number), kNow).has_value());
   }
   for (const char* number : {"-1", "1e300", "1e17", "0.5"}) {
     CAPTURE(number);
     CHECK_FALSE(
         DecodeHeartbeat(
-            "u1", With("\"call_seq\":4", std::string("\"call_seq\":") + number))
+            "u1", With("\"call_seq\":4", std::string("\"call_seq\":") + number),
+            kNow)
             .has_value());
     CHECK_FALSE(
-        DecodeHeartbeat("u1", With("1700000000000", number)).has_value());
-    CHECK(DecodeStartTime(With("1700000000000", number)) == 0);
+        DecodeHeartbeat("u1", With("1700000000000", number), kNow).has_value());
+    CHECK(DecodeStartTime(With("1700000000000", number), kNow) == 0);
   }
 }
 
@@ -67,8 +70,8 @@
       text = text.substr(0, at) + piece +
              text.substr(std::min(text.size(), at + removed));
     }
-    DecodeHeartbeat("u1", text);
-    DecodeStartTime(text);
+    DecodeHeartbeat("u1", text, kNow);
+    DecodeStartTime(text, kNow);
     DecodeConfiguration(text);
   }));
 }
