--- a/tests/relay/out_of_step_test.cpp
+++ b/tests/relay/out_of_step_test.cpp
@@ -49,7 +49,7 @@
 }
 
 // Guards against ORDER: an upstream that starts again under its id with another
-// version is taken for what its last record says (KNOWN-RED.txt, entry 3).
+// version is taken for what its last record says (KNOWN-RED.txt).
 TEST_CASE(
     "known-red: A stream does not go on at another version under one id") {
   RelayFixture it;
