cluster, consensus: Show how far a follower is behind its leader

The age of the last contact cannot tell a follower that hears its leader from one that has applied what the leader committed (hypothesis H1 of docs/incidents/stale-followers.md), and nothing tells how many instances an entry instance may watch (H3).

Adds the gauges leader_commit_index, to be read beside applied_index, and watch_sources. The replica only records what it is told; no decision changes. HostOptions can name the file system, so that a test can stall a disk.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -90,6 +90,7 @@
   const bool has_update = last_update_ != core::TimePoint();
   metrics_.SetGauge("update_age_ms",
                     has_update ? static_cast<double>(age.count()) : -1);
+  metrics_.SetGauge("watch_sources", static_cast<double>(sources_.size()));
   metrics_.SetGauge("open_claims", static_cast<double>(claims_.size()));
   metrics_.SetGauge("open_settlements",
                     static_cast<double>(settlements_.size()));
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -92,7 +92,8 @@
   storage::SegmentStoreOptions store_options;
   store_options.folder = options_.data_folder + "/deployment";
   store_options.first_incarnation = bootstraps ? kInitialMemberIncarnation : 0;
-  auto store = storage::SegmentStore::Open(store_options, &files_);
+  auto store = storage::SegmentStore::Open(
+      store_options, options_.files == nullptr ? &files_ : options_.files);
   if (!core::IsOk(store)) {
     return core::ErrorOf(store);
   }
@@ -152,6 +153,7 @@
   set("leader_contact_age_ms",
       contact ? core::MillisecondsBetween(*contact, Now()).count() : -1);
   set("applied_index", group_->applied_index());
+  set("leader_commit_index", group_->replica().leader_commit_index());
   set("configuration_version", machine_.configuration().version());
   set("upstreams_known", machine_.upstreams().size());
   set("upstream_revision", machine_.upstream_revision());
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -46,6 +46,9 @@
   uint64_t seed = 1;
   /// Reads the request limits of organisations from a configuration.
   QuotaServer::LimitDecoder limit_decoder = {};
+  /// Files of the replica; null for those of the operating system. Must outlive
+  /// the host.
+  storage::FileSystem* files = nullptr;
 };
 
 /// Owns the replica of this instance. Lives in one thread with an event loop;
@@ -108,6 +111,10 @@
   /// is within kContactLimit.
   bool IsCurrent() const;
   bool is_leader() const { return group_ && group_->is_leader(); }
+  /// Index of the last entry of the log that the local state contains.
+  uint64_t applied_index() const {
+    return group_ ? group_->applied_index() : 0;
+  }
   const control::DeploymentState& state() const { return machine_; }
   /// Returns whether this instance is a voter under its current incarnation.
   bool IsVoter() const {
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -266,6 +266,7 @@
   leader_ = leader;
   verified_index_ = 0;
   reported_index_ = 0;
+  leader_commit_index_ = 0;
   transfer_campaign_ = false;
   votes_.clear();
   incoming_.reset();
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -112,6 +112,11 @@
   const ReplicaId& leader() const { return leader_; }
   uint64_t commit_index() const { return commit_index_; }
   uint64_t last_index() const { return log_.last_index(); }
+  /// Highest commit index that the leader of this term has told; on the leader,
+  /// its own.
+  uint64_t leader_commit_index() const {
+    return role_ == Role::kLeader ? commit_index_ : leader_commit_index_;
+  }
   /// Calls `visitor` with each entry of the log, committed or not.
   template <typename Visitor>
   void VisitEntries(Visitor&& visitor) const {
@@ -235,6 +240,9 @@
   Role role_ = Role::kFollower;
   ReplicaId leader_;
   uint64_t commit_index_ = 0;
+  /// Highest commit index that the leader of this term has told; see
+  /// leader_commit_index.
+  uint64_t leader_commit_index_ = 0;
   /// Last committed index that was returned in the actions.
   uint64_t emitted_index_ = 0;
   bool storage_failed_ = false;
--- a/consensus/replica_follower.cpp
+++ b/consensus/replica_follower.cpp
@@ -38,6 +38,7 @@
   }
   OnLeaderContact(message);
   const schema::AppendRequest& request = message.append();
+  leader_commit_index_ = std::max(leader_commit_index_, request.commit());
   const uint64_t previous = request.previous_index();
   const bool log_matches = previous <= commit_index_ ||
                            log_.TermAt(previous) == request.previous_term();
@@ -102,6 +103,7 @@
   }
   OnLeaderContact(message);
   const schema::SnapshotPiece& chunk = message.snapshot();
+  leader_commit_index_ = std::max(leader_commit_index_, chunk.index());
   if (chunk.index() <= commit_index_) {
     verified_index_ = std::max(verified_index_, commit_index_);
     AcknowledgeAppend(chunk.round());
