tests/cluster: Show that a follower that is behind serves watches

A follower's disk stalls; the leader stops sending it entries after 32 appends that were not acknowledged and goes on with heartbeats. The follower counts as current for as long as the stall lasts: 2 s after version 2 was acknowledged, an entry instance that watches it still has version 1.

--- a/tests/cluster/deployment_fixture.cpp
+++ b/tests/cluster/deployment_fixture.cpp
@@ -31,6 +31,7 @@
 
 Deployment::~Deployment() {
   for (auto& [id, node] : nodes_) {
+    node.files->SetStalled(false);
     node.host.reset();
     node.peers.reset();
   }
@@ -95,6 +96,7 @@
     options.initial_members = initial_members_;
   }
   node.started_before = true;
+  options.files = node.files.get();
   options.seeds = Seeds();
   options.data_folder = node.disk->path().toStdString();
   options.seed = std::hash<std::string>{}(id);
@@ -128,6 +130,10 @@
   nodes_.at(id).disk = std::make_unique<QTemporaryDir>();
 }
 
+void Deployment::SetDiskStalled(const std::string& id, bool stalled) {
+  nodes_.at(id).files->SetStalled(stalled);
+}
+
 void Deployment::SetIsolated(const std::string& id, bool isolated) {
   std::set<core::InstanceId> others;
   for (auto& [other, node] : nodes_) {
--- a/tests/cluster/deployment_fixture.h
+++ b/tests/cluster/deployment_fixture.h
@@ -13,6 +13,7 @@
 #include "core/metrics.h"
 #include "peer/peer_transport.h"
 #include "tests/support/event_loop.h"
+#include "tests/support/stalling_files.h"
 
 namespace hawthorn::cluster {
 
@@ -34,6 +35,8 @@
   void Kill(const std::string& id);
   /// Replaces the disk of an instance with an empty one.
   void LoseDisk(const std::string& id);
+  /// Stalls the disk of an instance, or ends that.
+  void SetDiskStalled(const std::string& id, bool stalled);
   /// Cuts the links between an instance and all others in both directions, or
   /// restores them.
   void SetIsolated(const std::string& id, bool isolated);
@@ -74,6 +77,8 @@
     bool started_before = false;
     uint16_t port = 0;
     std::unique_ptr<QTemporaryDir> disk;
+    std::unique_ptr<test::StallingFiles> files =
+        std::make_unique<test::StallingFiles>();
     std::unique_ptr<peer::PeerTransport> peers;
     std::unique_ptr<DeploymentHost> host;
   };
--- /dev/null
+++ b/tests/cluster/stale_source_test.cpp
@@ -0,0 +1,91 @@
+#include <QElapsedTimer>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+#include "deployment_fixture.h"
+
+namespace hawthorn::cluster {
+namespace {
+
+/// Entries by which a follower that hears its leader is clearly behind it.
+constexpr uint64_t kBehind = 500;
+
+schema::DeploymentCommand SmallCommand() {
+  schema::DeploymentCommand command;
+  command.set_succeeded_request(1);
+  return command;
+}
+
+/// A client that watches one instance first.
+struct Watcher {
+  Watcher(Deployment* it, const std::string& source)
+      : peers(it->NewTransport("127.0.0.10", 0)),
+        client({SeedOf(it, source)}, 1, it->clock(), it->metrics(), *peers,
+               [this](const schema::DeploymentUpdate& update) {
+                 if (update.has_configuration()) {
+                   version = update.configuration().version();
+                 }
+               }) {
+    client.Start();
+  }
+
+  static std::string SeedOf(Deployment* it, const std::string& source) {
+    for (const std::string& seed : it->Seeds()) {
+      if (HostOf(seed) == source) {
+        return seed;
+      }
+    }
+    return {};
+  }
+
+  std::unique_ptr<peer::PeerTransport> peers;
+  uint64_t version = 0;
+  DeploymentClient client;
+};
+
+std::string FollowerOf(Deployment* it) {
+  const std::string leader = it->Leader();
+  return it->initial_member(0) == leader ? it->initial_member(1)
+                                         : it->initial_member(0);
+}
+
+/// Commits commands until `follower` lacks kBehind entries.
+bool FallBehind(Deployment* it, const std::string& follower) {
+  return WaitFor([&] {
+    const std::string leader = it->Leader();
+    if (leader.empty()) {
+      return false;
+    }
+    it->Propose(leader, SmallCommand());
+    return it->host(leader).applied_index() >
+           it->host(follower).applied_index() + kBehind;
+  });
+}
+
+// Guards against entry instances that keep an old configuration because the
+// instance that they watch is behind its leader.
+TEST_CASE(
+    "known-red: A follower whose disk stalls ends its watches once it is "
+    "behind") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const std::string follower = FollowerOf(&it);
+  Watcher watcher(&it, follower);
+  REQUIRE(WaitFor(
+      [&] { return watcher.version == 1 && watcher.client.IsCurrent(); }));
+  it.SetDiskStalled(follower, true);
+  REQUIRE(FallBehind(&it, follower));
+  REQUIRE(it.Publish(2));
+  QElapsedTimer timer;
+  timer.start();
+  constexpr qint64 kApplyMs = 2000;
+  while (timer.elapsed() < kApplyMs && watcher.version < 2) {
+    test::ProcessEvents();
+  }
+  CHECK(watcher.version == 2);
+}
+
+}  // namespace
+}  // namespace hawthorn::cluster
