cluster, consensus: Serve state only while it is known to be current

What callers saw: on real processes, configurations that were acknowledged and not in force 2 s later. Reproduced by tests only.

Cause: an instance counted as current when it had heard a leader within 600 ms. It kept its watchers, sent keep-alives and, to new watchers, its old state as the whole table. The class: a fact without the position it was learned at.

Change: Replica::CurrentAsOf tells up to which time the applied entries include everything committed: the leader's commit index is applied here and lies in its term, and the age is that of the last reply that the leader echoes. Watches, announcements and the list of keepers ask for it; finding the leader goes on by contact. Updates and watches carry index and term of the state. A client takes no update from before its own and prefers sources that tell.

Builds: a leader that does not echo is believed by its commit index alone, which every build sends. Sources without a position serve if no other does.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -106,6 +106,7 @@
   source_ = it->first;
   schema::DeploymentMessage message;
   message.mutable_watch()->set_configuration_version(configuration_version_);
+  *message.mutable_watch()->mutable_position() = position_;
   if (forwarder_) {
     *message.mutable_watch()->mutable_forwarder() = *forwarder_;
   }
@@ -126,15 +127,15 @@
     // What changed would be missing for as long as this watch lasts, and a new
     // one begins with the whole state.
     metrics_.Count("unreadable_updates");
-    Log(LogLevel::kWarn, "unreadable update", {{"source", source_}});
-    peers_.CancelStream(watch_);
-    OnWatchEnd(core::Error{core::ErrorCode::kInvalidArgument,
-                           "unreadable update",
-                           core::Execution::kUnknown,
-                           {}});
+    LeaveSource(core::ErrorCode::kInvalidArgument, "unreadable update");
     return;
   }
   const schema::DeploymentUpdate& update = core::Value(message).update();
+  if (!IsUpToDate(update)) {
+    metrics_.Count("updates_behind");
+    LeaveSource(core::ErrorCode::kUnavailable, "the source is behind");
+    return;
+  }
   last_update_ = clock_.Now();
   first_update_.stop();
   first_update_timeout_ = kFirstUpdateTimeout;
@@ -171,13 +172,36 @@
   }
 }
 
+bool DeploymentClient::IsUpToDate(const schema::DeploymentUpdate& update) {
+  const uint64_t index = update.position().index();
+  if (update.has_position()) {
+    sources_without_position_ = 0;
+    if (index < position_.index()) {
+      return false;
+    }
+    position_ = update.position();
+    return true;
+  }
+  // A source of an earlier build may be behind without telling. It serves if no
+  // other one does.
+  const bool is_first = first_update_.isActive();
+  if (is_first && position_.index() > 0 &&
+      sources_without_position_ < sources_.size()) {
+    ++sources_without_position_;
+    return false;
+  }
+  return true;
+}
+
 void DeploymentClient::OnFirstUpdateTimeout() {
-  peers_.CancelStream(watch_);
   first_update_timeout_ = std::min(first_update_timeout_ * 2, kUpdateTimeout);
-  OnWatchEnd(core::Error{core::ErrorCode::kDeadlineExceeded,
-                         "no first update in time",
-                         core::Execution::kUnknown,
-                         {}});
+  LeaveSource(core::ErrorCode::kDeadlineExceeded, "no first update in time");
+}
+
+void DeploymentClient::LeaveSource(core::ErrorCode code,
+                                   const std::string& reason) {
+  peers_.CancelStream(watch_);
+  OnWatchEnd(core::Error{code, reason, core::Execution::kUnknown, {}});
 }
 
 void DeploymentClient::OnWatchEnd(const core::Status& status) {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -132,6 +132,11 @@
   void SendReport(const schema::DeploymentCommand& command);
   void Watch();
   void OnWatchEvent(const schema::PeerMessage& event);
+  /// Ends the watch and begins another one later.
+  void LeaveSource(core::ErrorCode code, const std::string& reason);
+  /// Returns whether the update was made from a state at or beyond the one that
+  /// this client has.
+  bool IsUpToDate(const schema::DeploymentUpdate& update);
   void OnWatchEnd(const core::Status& status);
   void OnFirstUpdateTimeout();
   void TryClaim(const ClaimPtr& claim);
@@ -171,6 +176,10 @@
   size_t source_cursor_ = 0;
   std::string leader_;
   uint64_t configuration_version_ = 0;
+  /// The newest state that an update was made from. Older ones are not taken.
+  schema::StatePosition position_;
+  /// Sources left in a row because they do not tell their position.
+  size_t sources_without_position_ = 0;
   core::TimePoint last_update_;
   peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -144,14 +144,16 @@
   const auto set = [this](const char* name, auto value) {
     metrics_.SetGauge(name, static_cast<double>(value));
   };
-  const auto contact = group_->replica().LastContact();
+  const auto age_ms = [this](const std::optional<core::TimePoint>& time) {
+    return time ? core::MillisecondsBetween(*time, Now()).count() : -1;
+  };
   set("is_leader", is_leader() ? 1 : 0);
   set("term", group_->replica().term());
   set("voters", voter_count());
   set("members", group_->replica().membership().members().size());
-  // The value is -1 before the first contact.
-  set("leader_contact_age_ms",
-      contact ? core::MillisecondsBetween(*contact, Now()).count() : -1);
+  // These are -1 before the first contact.
+  set("leader_contact_age_ms", age_ms(group_->replica().LastContact()));
+  set("state_age_ms", age_ms(group_->replica().CurrentAsOf()));
   set("applied_index", group_->applied_index());
   set("leader_commit_index", group_->replica().leader_commit_index());
   set("configuration_version", machine_.configuration().version());
@@ -211,12 +213,42 @@
 
 void DeploymentHost::UpdateWatches() {
   if (IsCurrent()) {
-    watches_.Update(group_->replica().leader().instance);
+    watches_.Update(MakeWatchSource());
   } else if (!watches_.empty()) {
-    Log(LogLevel::kWarn, "lost contact to a leader",
-        {{"watchers", std::to_string(watches_.size())}});
-    watches_.End(Unavailable("no contact to a leader"));
+    const bool contact = HasLeaderContact();
+    Log(LogLevel::kWarn,
+        contact ? "behind the leader" : "lost contact to a leader",
+        {{"watchers", std::to_string(watches_.size())},
+         {"applied", std::to_string(group_->applied_index())},
+         {"committed",
+          std::to_string(group_->replica().leader_commit_index())}});
+    watches_.End(
+        Unavailable(contact ? "behind the leader" : "no contact to a leader"));
+  }
+}
+
+WatchSource DeploymentHost::MakeWatchSource() const {
+  const consensus::LogPosition& applied = group_->applied_position();
+  WatchSource source;
+  source.leader = group_->replica().leader().instance;
+  source.position.set_index(applied.index);
+  source.position.set_term(applied.term);
+  return source;
+}
+
+void DeploymentHost::OnWatch(const schema::WatchRequest& request,
+                             const std::string& from,
+                             const peer::Replier& replier) {
+  if (!IsCurrent()) {
+    replier.Fail(Unavailable(HasLeaderContact() ? "behind the leader"
+                                                : "no contact to a leader"));
+    return;
   }
+  if (request.position().index() > group_->applied_index()) {
+    replier.Fail(Unavailable("behind the watcher"));
+    return;
+  }
+  watches_.Add(request, from, replier, MakeWatchSource());
 }
 
 void DeploymentHost::Flush() {
@@ -272,6 +304,11 @@
     return;
   }
   last_applied_index_ = group_->applied_index();
+  if (group_->install_count() != last_install_count_) {
+    // What the snapshot leaves out was removed, which no later change tells.
+    last_install_count_ = group_->install_count();
+    watches_.ResendTables();
+  }
   for (const auto& [id, record] : machine_.instances()) {
     SetPeerAddress(id, record.peer_address());
   }
@@ -279,6 +316,14 @@
 }
 
 bool DeploymentHost::IsCurrent() const {
+  if (!group_) {
+    return false;
+  }
+  const auto known_at = group_->replica().CurrentAsOf();
+  return known_at && Now() - *known_at < kContactLimit;
+}
+
+bool DeploymentHost::HasLeaderContact() const {
   if (!group_) {
     return false;
   }
@@ -321,12 +366,7 @@
       OnAnnouncement(message.announcement(), replier);
       return;
     case schema::DeploymentMessage::kWatch:
-      if (!IsCurrent()) {
-        replier.Fail(Unavailable("no contact to a leader"));
-        return;
-      }
-      watches_.Add(message.watch(), from, replier,
-                   group_->replica().leader().instance);
+      OnWatch(message.watch(), from, replier);
       return;
     case schema::DeploymentMessage::kPropose: {
       schema::DeploymentCommand command;
@@ -441,7 +481,7 @@
     std::function<void(const core::Result<schema::DeploymentMessage>&)>
         callback) {
   const std::string leader = RemoteLeader();
-  if (leader.empty() || !IsCurrent()) {
+  if (leader.empty() || !HasLeaderContact()) {
     callback(Unavailable("no leader is known"));
     return;
   }
@@ -586,7 +626,7 @@
 void DeploymentHost::ReportUpstreamContacts() {
   const core::TimePoint now = Now();
   if (now < next_contact_report_ || upstream_contacts_.empty() ||
-      !IsCurrent()) {
+      !HasLeaderContact()) {
     return;
   }
   next_contact_report_ = now + kContactReportInterval;
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -69,8 +69,9 @@
   /// Timeout of a command. Below one second, after which callers of control try
   /// another instance.
   static constexpr std::chrono::milliseconds kProposeTimeout{900};
-  /// Time without contact with a leader after which the state of this instance
-  /// may be outdated. Several heartbeat intervals and their transit time.
+  /// Time without contact with a leader after which none is known, and greatest
+  /// age of a state that is served. Several heartbeat intervals and their
+  /// transit time.
   static constexpr std::chrono::milliseconds kContactLimit{600};
   static constexpr std::chrono::milliseconds kTickInterval{30};
   /// Time without an announcement after which an instance is considered dead.
@@ -107,9 +108,12 @@
   /// Records contact with an upstream.
   void OnUpstreamContact(const std::string& upstream);
 
-  /// Returns whether the local state is current: the last contact with a leader
-  /// is within kContactLimit.
+  /// Returns whether the local state may be served: it includes everything that
+  /// the group had committed up to kContactLimit ago.
   bool IsCurrent() const;
+  /// Returns whether there was contact with a leader within kContactLimit. The
+  /// local state may still be behind.
+  bool HasLeaderContact() const;
   bool is_leader() const { return group_ && group_->is_leader(); }
   /// Index of the last entry of the log that the local state contains.
   uint64_t applied_index() const {
@@ -168,6 +172,10 @@
   /// entries of the log, applied or not.
   void LearnStoredAddresses();
   void UpdateWatches();
+  /// What watchers are told of this source.
+  WatchSource MakeWatchSource() const;
+  void OnWatch(const schema::WatchRequest& request, const std::string& from,
+               const peer::Replier& replier);
   /// Instances of the deployment that have watchers, as far as known.
   std::set<std::string> InstancesWithWatchers() const;
   void OnSpeeds(const schema::UpstreamSpeeds& speeds, const std::string& from);
@@ -214,6 +222,7 @@
   /// Time at which the batch in flight was passed to the journal.
   core::TimePoint sync_started_at_;
   uint64_t last_applied_index_ = 0;
+  uint64_t last_install_count_ = 0;
   bool was_leader_ = false;
   std::string known_leader_;
   core::TimePoint last_command_;
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -52,7 +52,7 @@
     watches_.SetForwarders(CollectForwarders());
     return;
   }
-  std::string to = IsCurrent() ? RemoteLeader() : std::string();
+  std::string to = HasLeaderContact() ? RemoteLeader() : std::string();
   // A leader without a known address cannot be asked; others know the address.
   if (!peer_addresses_.contains(to) && !peer_addresses_.empty()) {
     auto target = peer_addresses_.begin();
@@ -127,7 +127,7 @@
   for (const schema::InstanceRecord& record : list.instances()) {
     SetPeerAddress(record.instance(), record.peer_address());
   }
-  if (IsCurrent() || list.leader().empty() ||
+  if (HasLeaderContact() || list.leader().empty() ||
       list.leader() == options_.self.instance()) {
     return;
   }
@@ -147,7 +147,7 @@
   known.at = Now();
   schema::DeploymentMessage reply;
   reply.mutable_instances()->set_leader(
-      IsCurrent() ? group_->replica().leader().instance : std::string());
+      HasLeaderContact() ? group_->replica().leader().instance : std::string());
   if (is_leader()) {
     reply.mutable_instances()->set_watchers(
         static_cast<uint32_t>(CountWatchers()));
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -20,7 +20,7 @@
 void WatchRegistry::Add(const schema::WatchRequest& request,
                         const std::string& instance,
                         const peer::Replier& replier,
-                        const std::string& leader) {
+                        const WatchSource& source) {
   watchers_.remove_if(
       [&instance](const Watcher& it) { return it.instance == instance; });
   Watcher watcher;
@@ -32,7 +32,13 @@
     watcher.forwarder->set_instance(instance);
   }
   watchers_.push_back(std::move(watcher));
-  Send(&watchers_.back(), leader);
+  Send(&watchers_.back(), source);
+}
+
+void WatchRegistry::ResendTables() {
+  for (Watcher& it : watchers_) {
+    it.sent_table = false;
+  }
 }
 
 uint64_t WatchRegistry::InstancesDigest() const {
@@ -46,21 +52,23 @@
   return digest;
 }
 
-void WatchRegistry::Update(const std::string& leader) {
+void WatchRegistry::Update(const WatchSource& source) {
   watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
   const core::TimePoint now = clock_.Now();
   for (Watcher& it : watchers_) {
     const bool due =
+        !it.sent_table ||
         it.configuration_version < state_.configuration().version() ||
         it.upstream_revision < state_.upstream_revision() ||
         it.crash_revision != state_.crashes().revision() ||
-        it.last_leader != leader || it.last_instances != InstancesDigest() ||
+        it.last_leader != source.leader ||
+        it.last_instances != InstancesDigest() ||
         it.seen_forwarders != forwarders_.digest() ||
         it.last_sent + kKeepAliveInterval <= now ||
         (it.last_sent + SpeedBoard::kInterval <= now &&
          speeds_.HasNews(it.speed_cursor, it.instance, now));
     if (due) {
-      Send(&it, leader);
+      Send(&it, source);
     }
   }
 }
@@ -104,7 +112,7 @@
   return serialized;
 }
 
-void WatchRegistry::Send(Watcher* watcher, const std::string& leader) {
+void WatchRegistry::Send(Watcher* watcher, const WatchSource& source) {
   schema::DeploymentMessage message;
   schema::DeploymentUpdate* update = message.mutable_update();
   if (state_.configuration().version() > watcher->configuration_version) {
@@ -133,7 +141,8 @@
     poison_requests->mutable_suspected()->Add(suspected.begin(),
                                               suspected.end());
   }
-  update->set_leader(leader);
+  update->set_leader(source.leader);
+  *update->mutable_position() = source.position;
   if (watcher->last_instances != InstancesDigest() || !watcher->sent_table) {
     AppendInstances(state_, update->mutable_instances());
   }
@@ -156,7 +165,7 @@
       watcher->configuration_version, state_.configuration().version());
   watcher->upstream_revision = state_.upstream_revision();
   watcher->crash_revision = state_.crashes().revision();
-  watcher->last_leader = leader;
+  watcher->last_leader = source.leader;
   watcher->last_instances = InstancesDigest();
   watcher->last_sent = clock_.Now();
 }
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -17,6 +17,13 @@
 
 namespace hawthorn::cluster {
 
+/// What watchers are told of the instance that they watch.
+struct WatchSource {
+  std::string leader;
+  /// The state that updates are made from.
+  schema::StatePosition position;
+};
+
 /// Instances that watch the state of the deployment at this instance, and what
 /// was sent to each.
 class WatchRegistry {
@@ -32,7 +39,7 @@
   /// Adds a watcher and sends it all upstreams. Replaces an earlier watch of
   /// the same instance.
   void Add(const schema::WatchRequest& request, const std::string& instance,
-           const peer::Replier& replier, const std::string& leader);
+           const peer::Replier& replier, const WatchSource& source);
   /// Sets the total number of watchers at all instances, including this one.
   void SetTotal(size_t total) { total_ = total; }
   /// Sets the forwarders of the whole deployment.
@@ -43,7 +50,9 @@
   /// The watchers of this instance that are forwarders.
   std::vector<schema::Forwarder> OwnForwarders() const;
   /// Sends changes, and keep-alive updates where they are due.
-  void Update(const std::string& leader);
+  void Update(const WatchSource& source);
+  /// Sends all upstreams to each watcher with its next update.
+  void ResendTables();
   /// Ends all watches, so that the watchers choose another instance.
   void End(const core::Error& reason);
 
@@ -75,7 +84,7 @@
 
   /// Digest of what watchers need to know of the instances with a disk.
   uint64_t InstancesDigest() const;
-  void Send(Watcher* watcher, const std::string& leader);
+  void Send(Watcher* watcher, const WatchSource& source);
   /// Adds the forwarders for the watcher to an update if they have changed;
   /// returns them serialized.
   std::string AddForwarders(const Watcher& watcher,
--- a/consensus/group.h
+++ b/consensus/group.h
@@ -169,7 +169,11 @@
   const Replica& replica() const { return replica_; }
   bool is_leader() const { return replica_.role() == Role::kLeader; }
   /// Index of the last entry applied to the state machine.
-  uint64_t applied_index() const { return applied_; }
+  uint64_t applied_index() const { return applied_.index; }
+  /// That entry with its term.
+  const LogPosition& applied_position() const { return applied_; }
+  /// Number of snapshots of the leader that replaced the state.
+  uint64_t install_count() const { return install_count_; }
   uint64_t snapshot_count() const { return snapshot_count_; }
   /// Error of the last write; empty if it succeeded.
   std::optional<core::Error> storage_error() const {
@@ -223,7 +227,8 @@
       failure_ = core::ErrorOf(status);
       return;
     }
-    applied_ = snapshot.index;
+    applied_ = LogPosition{snapshot.index, snapshot.term};
+    ++install_count_;
     applied_since_snapshot_ = 0;
     bytes_since_snapshot_ = 0;
   }
@@ -233,7 +238,7 @@
     if (entry.kind == storage::EntryKind::kCommand) {
       reply = machine_->Apply(entry.index, entry.data);
     }
-    applied_ = entry.index;
+    applied_ = LogPosition{entry.index, entry.term};
     ++applied_since_snapshot_;
     bytes_since_snapshot_ += entry.data.size();
     const auto it = proposals_.find(entry.index);
@@ -267,7 +272,7 @@
     }
     std::vector<uint64_t> ready;
     for (const auto& [token, read] : reads_) {
-      if (read.index && *read.index <= applied_) {
+      if (read.index && *read.index <= applied_.index) {
         ready.push_back(token);
       }
     }
@@ -299,10 +304,10 @@
   void MaybeCompact() {
     const bool due = applied_since_snapshot_ >= options_.snapshot_entries ||
                      bytes_since_snapshot_ >= options_.snapshot_bytes;
-    if (!due || replica_.persisted_index() < applied_) {
+    if (!due || replica_.persisted_index() < applied_.index) {
       return;
     }
-    if (!core::IsOk(replica_.Compact(applied_, machine_->Snapshot()))) {
+    if (!core::IsOk(replica_.Compact(applied_.index, machine_->Snapshot()))) {
       return;
     }
     applied_since_snapshot_ = 0;
@@ -319,10 +324,11 @@
   std::map<uint64_t, Proposal> proposals_;
   std::map<uint64_t, PendingRead> reads_;
   uint64_t last_token_ = 0;
-  uint64_t applied_ = 0;
+  LogPosition applied_;
   uint64_t applied_since_snapshot_ = 0;
   uint64_t bytes_since_snapshot_ = 0;
   uint64_t snapshot_count_ = 0;
+  uint64_t install_count_ = 0;
   std::optional<core::Error> failure_;
   std::optional<core::Error> last_storage_error_;
 };
--- a/consensus/leader_state.h
+++ b/consensus/leader_state.h
@@ -33,6 +33,8 @@
   /// Last heartbeat round that the replica acknowledged.
   uint64_t acked_round = 0;
   std::optional<core::TimePoint> last_contact;
+  /// Number of the last reply, echoed to the replica.
+  uint64_t last_reply = 0;
   /// The snapshot being sent and the number of bytes received so far.
   std::shared_ptr<const storage::Snapshot> snapshot;
   uint64_t snapshot_offset = 0;
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -12,6 +12,7 @@
       queue_(0),
       random_(options_.seed),
       now_(now),
+      last_reply_number_(static_cast<uint64_t>(now.time_since_epoch().count())),
       started_at_(now) {
   const bool first_start = state.empty();
   hard_state_ = state.hard_state;
@@ -243,6 +244,16 @@
   return last_contact_;
 }
 
+std::optional<core::TimePoint> Replica::CurrentAsOf() const {
+  // Until an entry of its term is committed, a new leader does not know what
+  // earlier leaders have committed.
+  if (role_ == Role::kLeader && CommittedInTerm()) {
+    return std::max(current_as_of_,
+                    leader_state_->ConfirmedRoundStart(membership()));
+  }
+  return current_as_of_;
+}
+
 bool Replica::fresh() const { return membership().empty() && term() == 0; }
 
 schema::ConsensusMessage Replica::MessageTo(const ReplicaId& to) const {
@@ -262,6 +273,7 @@
     hard_state_ = storage::HardState{new_term, {}};
     queue_.MarkHardState();
   }
+  current_as_of_ = CurrentAsOf();
   role_ = Role::kFollower;
   leader_ = leader;
   verified_index_ = 0;
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -140,6 +140,11 @@
   /// Time of the last contact with a leader since this process started; for a
   /// leader, with a majority. Empty before the first contact.
   std::optional<core::TimePoint> LastContact() const;
+  /// Time up to which the applied entries are known to include everything that
+  /// the group had committed; empty if that was never known. Older than the
+  /// last contact while this replica is behind, while the leader has not
+  /// committed in its term, and if messages are delayed.
+  std::optional<core::TimePoint> CurrentAsOf() const;
   /// Returns whether the last write failed.
   bool storage_failed() const { return storage_failed_; }
   /// Returns whether the store was empty and this replica belongs to no group.
@@ -196,6 +201,9 @@
   void OnLeaderContact(const schema::ConsensusMessage& message);
   void OnAppend(const schema::ConsensusMessage& message);
   uint64_t MergeEntries(const schema::AppendRequest& request);
+  void UpdateCurrentAsOf(const schema::AppendRequest& request);
+  /// Numbers a reply to the leader and records when it was made.
+  uint64_t NextReplyNumber();
   void RejectAppend(const schema::ConsensusMessage& message);
   void AcknowledgeAppend(uint64_t round);
   void OnSnapshotChunk(const schema::ConsensusMessage& message);
@@ -243,6 +251,12 @@
   /// Highest commit index that the leader of this term has told; see
   /// leader_commit_index.
   uint64_t leader_commit_index_ = 0;
+  /// See CurrentAsOf; for a leader, the time before its leadership.
+  std::optional<core::TimePoint> current_as_of_;
+  /// Times of the replies that the leader has not echoed, by number. Numbers of
+  /// one process do not occur in another.
+  std::map<uint64_t, core::TimePoint> reply_times_;
+  uint64_t last_reply_number_ = 0;
   /// Last committed index that was returned in the actions.
   uint64_t emitted_index_ = 0;
   bool storage_failed_ = false;
--- a/consensus/replica_follower.cpp
+++ b/consensus/replica_follower.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Replies whose time is kept until the leader echoes them; far more than are
+/// sent within a heartbeat interval.
+constexpr size_t kMaxReplyTimes = 4096;
+
 storage::EntryKind KindOf(const schema::LogRecord& record) {
   switch (record.kind()) {
     case schema::LOG_ENTRY_KIND_EMPTY:
@@ -38,10 +42,10 @@
   }
   OnLeaderContact(message);
   const schema::AppendRequest& request = message.append();
-  leader_commit_index_ = std::max(leader_commit_index_, request.commit());
   const uint64_t previous = request.previous_index();
   const bool log_matches = previous <= commit_index_ ||
                            log_.TermAt(previous) == request.previous_term();
+  leader_commit_index_ = std::max(leader_commit_index_, request.commit());
   if (!log_matches) {
     RejectAppend(message);
     return;
@@ -49,12 +53,40 @@
   const uint64_t merged_up_to = MergeEntries(request);
   verified_index_ = std::max(verified_index_, merged_up_to);
   AdvanceCommit(std::min(request.commit(), verified_index_));
+  UpdateCurrentAsOf(request);
   if (request.entries().empty() ||
       queue_.persisted_index() >= verified_index_) {
     AcknowledgeAppend(request.round());
   }
 }
 
+void Replica::UpdateCurrentAsOf(const schema::AppendRequest& request) {
+  if (commit_index_ < leader_commit_index_ ||
+      log_.TermAt(leader_commit_index_) != term()) {
+    return;
+  }
+  // The message may have been on its way for long, so its age is that of the
+  // last reply that the leader had received.
+  core::TimePoint known_at = now_;
+  if (request.has_last_reply()) {
+    const auto it = reply_times_.find(request.last_reply());
+    if (it == reply_times_.end()) {
+      return;
+    }
+    known_at = it->second;
+    reply_times_.erase(reply_times_.begin(), it);
+  }
+  current_as_of_ = std::max(current_as_of_, std::optional(known_at));
+}
+
+uint64_t Replica::NextReplyNumber() {
+  reply_times_[++last_reply_number_] = now_;
+  if (reply_times_.size() > kMaxReplyTimes) {
+    reply_times_.erase(reply_times_.begin());
+  }
+  return last_reply_number_;
+}
+
 uint64_t Replica::MergeEntries(const schema::AppendRequest& request) {
   uint64_t index = request.previous_index();
   for (const schema::LogRecord& record : request.entries()) {
@@ -83,6 +115,7 @@
     hint = log_.FirstIndexOfTerm(previous);
   }
   reply->set_hint(std::max(hint, commit_index_ + 1));
+  reply->set_number(NextReplyNumber());
   Send(std::move(out));
 }
 
@@ -91,6 +124,7 @@
   schema::ConsensusMessage out = MessageTo(leader_);
   out.mutable_append_reply()->set_round(round);
   out.mutable_append_reply()->set_match(reported_index_);
+  out.mutable_append_reply()->set_number(NextReplyNumber());
   Send(std::move(out));
 }
 
@@ -121,6 +155,7 @@
   out.mutable_snapshot_reply()->set_index(chunk.index());
   out.mutable_snapshot_reply()->set_received(received);
   out.mutable_snapshot_reply()->set_round(chunk.round());
+  out.mutable_snapshot_reply()->set_number(NextReplyNumber());
   Send(std::move(out));
   if (received == chunk.total_size()) {
     InstallSnapshot(chunk);
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -72,6 +72,7 @@
   request->set_previous_term(*log_.TermAt(progress->next - 1));
   request->set_commit(commit_index_);
   request->set_round(leader_state_->round());
+  request->set_last_reply(progress->last_reply);
   if (!heartbeat) {
     for (LogEntry& entry :
          log_.Slice(progress->next, options_.max_append_bytes)) {
@@ -192,6 +193,7 @@
   if (progress == nullptr) {
     return;
   }
+  progress->last_reply = reply.number();
   if (reply.rejected()) {
     const bool stale = reply.previous_index() <= progress->match ||
                        (progress->state == Progress::State::kProbe &&
@@ -241,6 +243,9 @@
   const schema::SnapshotReply& reply = message.snapshot_reply();
   leader_state_->Acknowledge(from, reply.round(), now_);
   Progress* progress = leader_state_->Find(from);
+  if (progress != nullptr) {
+    progress->last_reply = reply.number();
+  }
   if (progress == nullptr || progress->state != Progress::State::kSnapshot ||
       progress->snapshot->index != reply.index() ||
       progress->snapshot_offset == reply.received()) {
--- a/tests/cluster/stale_source_test.cpp
+++ b/tests/cluster/stale_source_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "cluster/errors.h"
 #include "deployment_fixture.h"
 
 namespace hawthorn::cluster {
@@ -66,7 +67,7 @@
 // Guards against entry instances that keep an old configuration because the
 // instance that they watch is behind its leader.
 TEST_CASE(
-    "known-red: A follower whose disk stalls ends its watches once it is "
+    "A follower whose disk stalls ends its watches once it is "
     "behind") {
   Deployment it(3);
   it.StartInitialMembers({0, 1, 2});
@@ -87,5 +88,124 @@
   CHECK(watcher.version == 2);
 }
 
+/// A source of updates that the test writes.
+class FakeSource {
+ public:
+  FakeSource(Deployment* it, const std::string& ip)
+      : peers_(it->NewTransport(ip, 0)),
+        address_(ip + ":" + std::to_string(peers_->port())) {
+    peers_->SetHandler([this](const schema::PeerMessage& message,
+                              const peer::Replier& replier) {
+      const auto unpacked = Unpack(message);
+      if (core::IsOk(unpacked) && core::Value(unpacked).has_watch()) {
+        request = core::Value(unpacked).watch();
+        ++watches;
+        replier_ = replier;
+        Send();
+      }
+    });
+  }
+
+  /// Sends `update` to the watcher.
+  void Send() {
+    schema::DeploymentMessage message;
+    *message.mutable_update() = update;
+    replier_.SendChunk(Pack(message));
+  }
+  void EndWatch() { replier_.Fail(Unavailable("the test ends the watch")); }
+  const std::string& address() const { return address_; }
+
+  schema::DeploymentUpdate update;
+  schema::WatchRequest request;
+  int watches = 0;
+
+ private:
+  std::unique_ptr<peer::PeerTransport> peers_;
+  std::string address_;
+  peer::Replier replier_;
+};
+
+/// An update with the table of upstreams of a state, whose only upstream is
+/// named after the state.
+schema::DeploymentUpdate TableAt(uint64_t index) {
+  schema::DeploymentUpdate update;
+  update.set_whole_table(true);
+  update.set_leader("127.0.0.99");
+  update.mutable_position()->set_index(index);
+  update.mutable_position()->set_term(1);
+  update.add_upstreams()->set_upstream("at " + std::to_string(index));
+  return update;
+}
+
+/// A client that watches the first of two sources.
+struct TwoSources {
+  TwoSources()
+      : first(&it, "127.0.0.71"),
+        second(&it, "127.0.0.72"),
+        peers(it.NewTransport("127.0.0.10", 0)),
+        client({first.address(), second.address()}, 0, it.clock(), it.metrics(),
+               *peers, [this](const schema::DeploymentUpdate& update) {
+                 if (update.upstreams_size() > 0) {
+                   known = update.upstreams(0).upstream();
+                 }
+               }) {}
+
+  Deployment it{0};
+  FakeSource first;
+  FakeSource second;
+  std::unique_ptr<peer::PeerTransport> peers;
+  std::string known;
+  DeploymentClient client;
+};
+
+// Guards against upstreams that drain or have left and that come back with the
+// table of a source that is behind.
+TEST_CASE("A client takes no state older than the one it has") {
+  TwoSources it;
+  it.first.update = TableAt(20);
+  it.second.update = TableAt(10);
+  it.client.Start();
+  REQUIRE(WaitFor([&] { return it.known == "at 20"; }));
+  it.first.EndWatch();
+  // It asks the other source, which lacks ten entries, and returns.
+  REQUIRE(WaitFor([&] { return it.first.watches == 2; }));
+  CHECK(it.second.watches == 1);
+  CHECK(it.second.request.position().index() == 20);
+  CHECK(it.known == "at 20");
+  // Once it has caught up, it serves.
+  it.second.update = TableAt(21);
+  it.first.EndWatch();
+  CHECK(WaitFor([&] { return it.known == "at 21"; }));
+}
+
+TEST_CASE("A client leaves a source whose state falls back") {
+  TwoSources it;
+  it.first.update = TableAt(20);
+  it.second.update = TableAt(30);
+  it.client.Start();
+  REQUIRE(WaitFor([&] { return it.known == "at 20"; }));
+  it.first.update = TableAt(19);
+  it.first.Send();
+  CHECK(WaitFor([&] { return it.known == "at 30"; }));
+}
+
+TEST_CASE("A client prefers sources that tell what their state contains") {
+  TwoSources it;
+  it.first.update = TableAt(20);
+  it.second.update = TableAt(25);
+  // The build before does not tell.
+  it.second.update.clear_position();
+  it.client.Start();
+  REQUIRE(WaitFor([&] { return it.known == "at 20"; }));
+  it.first.EndWatch();
+  REQUIRE(WaitFor([&] { return it.first.watches == 2; }));
+  CHECK(it.second.watches == 1);
+  CHECK(it.known == "at 20");
+  // Without any other source, it serves.
+  it.first.update.clear_position();
+  it.first.EndWatch();
+  CHECK(WaitFor([&] { return it.known == "at 25"; }));
+}
+
 }  // namespace
 }  // namespace hawthorn::cluster
