cluster: Grant credit only once the leader knows the configuration in force

Found by reading; no caller saw it.

The quota server gets no contact until an entry of the leader's term is committed, and refuses as without a majority. Replica::KnowsCommits tells; 'nobody is current before a new leader commits in its term' checks it while the leader has contact and no commit, and after.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -206,9 +206,13 @@
 }
 
 void DeploymentHost::UpdateQuota() {
-  quota_.Update(
-      {is_leader(), group_->replica().term(), group_->replica().LastContact()},
-      machine_.configuration(), Now());
+  const consensus::Replica& replica = group_->replica();
+  // The limits of a leader that has not committed in its term may be those of
+  // an earlier configuration.
+  const auto contact =
+      replica.KnowsCommits() ? replica.LastContact() : std::nullopt;
+  quota_.Update({is_leader(), replica.term(), contact},
+                machine_.configuration(), Now());
 }
 
 void DeploymentHost::UpdateWatches() {
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -244,10 +244,12 @@
   return last_contact_;
 }
 
+bool Replica::KnowsCommits() const {
+  return role_ == Role::kLeader && CommittedInTerm();
+}
+
 std::optional<core::TimePoint> Replica::CurrentAsOf() const {
-  // Until an entry of its term is committed, a new leader does not know what
-  // earlier leaders have committed.
-  if (role_ == Role::kLeader && CommittedInTerm()) {
+  if (KnowsCommits()) {
     return std::max(current_as_of_,
                     leader_state_->ConfirmedRoundStart(membership()));
   }
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -145,6 +145,9 @@
   /// last contact while this replica is behind, while the leader has not
   /// committed in its term, and if messages are delayed.
   std::optional<core::TimePoint> CurrentAsOf() const;
+  /// Returns whether this replica leads and knows what earlier leaders have
+  /// committed, because an entry of its term is committed.
+  bool KnowsCommits() const;
   /// Returns whether the last write failed.
   bool storage_failed() const { return storage_failed_; }
   /// Returns whether the store was empty and this replica belongs to no group.
--- a/tests/consensus/current_state_test.cpp
+++ b/tests/consensus/current_state_test.cpp
@@ -227,11 +227,13 @@
   REQUIRE(leader != old_leader);
   REQUIRE_FALSE(leader.empty());
   CHECK(it.ContactAge(leader) < kSteadyAge);
+  CHECK_FALSE(it.node(leader).group->replica().KnowsCommits());
   for (const std::string name : {"a", "b", "c"}) {
     CHECK(it.StateAge(name) > milliseconds(1000));
   }
   it.SetFilter(nullptr);
   it.Run(milliseconds(1500));
+  CHECK(it.node(it.Leader()).group->replica().KnowsCommits());
   for (const std::string name : {"a", "b", "c"}) {
     CHECK(it.StateAge(name) < kSteadyAge);
   }
