consensus: Let a leader vouch for a follower's state only while confirmed

A replaced leader that still reaches one follower goes on telling it its commit index, and that follower takes its state for current: entries that the new leader has committed and acknowledged are missing there.

Cause: the leader echoed each reply of the follower at once. The echo shows how old the message is, not that its sender still leads. Old replies of the others, found in buffers or delayed, keep a replaced leader going for up to an election timeout after they arrive.

Change: the leader echoes the last reply that it had received before the start of the latest round that a majority acknowledged. No other leader had been elected when that reply was made. Messages are the same in number and layout; an earlier build reads the echo as before.

--- a/consensus/leader_state.cpp
+++ b/consensus/leader_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace hawthorn::consensus {
 
@@ -34,9 +35,31 @@
   if (round_starts_.size() > kMaxRounds) {
     round_starts_.erase(round_starts_.begin());
   }
+  for (auto& [id, progress] : others_) {
+    progress.reply_before_round[round_] = progress.last_reply;
+    if (progress.reply_before_round.size() > kMaxRounds) {
+      progress.reply_before_round.erase(progress.reply_before_round.begin());
+    }
+  }
   return round_;
 }
 
+uint64_t LeaderState::ConfirmedReply(const Membership& membership,
+                                     const ReplicaId& id) {
+  Progress* progress = Find(id);
+  if (progress == nullptr) {
+    return 0;
+  }
+  auto& replies = progress->reply_before_round;
+  const auto after = replies.upper_bound(ConfirmedRound(membership));
+  if (after == replies.begin()) {
+    return 0;
+  }
+  const auto latest = std::prev(after);
+  replies.erase(replies.begin(), latest);
+  return latest->second;
+}
+
 void LeaderState::Acknowledge(const ReplicaId& id, uint64_t round,
                               core::TimePoint now) {
   Progress* progress = Find(id);
--- a/consensus/leader_state.h
+++ b/consensus/leader_state.h
@@ -33,8 +33,11 @@
   /// Last heartbeat round that the replica acknowledged.
   uint64_t acked_round = 0;
   std::optional<core::TimePoint> last_contact;
-  /// Number of the last reply, echoed to the replica.
+  /// Number of the last reply.
   uint64_t last_reply = 0;
+  /// The last reply before each round that may still be the latest confirmed
+  /// one, by round.
+  std::map<uint64_t, uint64_t> reply_before_round;
   /// The snapshot being sent and the number of bytes received so far.
   std::shared_ptr<const storage::Snapshot> snapshot;
   uint64_t snapshot_offset = 0;
@@ -76,6 +79,11 @@
                             uint64_t local_persisted,
                             bool require_durable) const;
 
+  /// Returns the number of the last reply of `id` that arrived before the start
+  /// of the latest round that a majority acknowledged; 0 if there is none. No
+  /// other leader had been elected when that reply was made.
+  uint64_t ConfirmedReply(const Membership& membership, const ReplicaId& id);
+
   /// Returns whether a majority acknowledged `round` or a later one.
   bool RoundConfirmed(const Membership& membership, uint64_t round) const;
   /// Start time of the latest round that a majority acknowledged.
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -72,7 +72,8 @@
   request->set_previous_term(*log_.TermAt(progress->next - 1));
   request->set_commit(commit_index_);
   request->set_round(leader_state_->round());
-  request->set_last_reply(progress->last_reply);
+  // A leader that was replaced does not know what was committed since.
+  request->set_last_reply(leader_state_->ConfirmedReply(membership(), id));
   if (!heartbeat) {
     for (LogEntry& entry :
          log_.Slice(progress->next, options_.max_append_bytes)) {
--- a/tests/consensus/fault_property_test.cpp
+++ b/tests/consensus/fault_property_test.cpp
@@ -39,6 +39,7 @@
   RC_ASSERT(counts.delayed > 0U);
   RC_ASSERT(counts.acknowledged > 0U);
   RC_ASSERT(counts.reads > 0U);
+  RC_ASSERT(counts.steps_current > 0U);
   const auto fired = [&](FaultKind kind) {
     return counts.faults[static_cast<size_t>(kind)] > 0;
   };
@@ -103,10 +104,32 @@
     SimulationOptions options{5, 5, false};
     options.lease_reads = *rc::gen::arbitrary<bool>();
     options.lazy = true;
+    options.delayed = *rc::gen::element(20, 100, 300);
+    options.max_appends_in_flight = *rc::gen::element<size_t>(1, 2, 4, 32);
     RunPlan(options);
   });
 }
 
+// Guards against a follower that counts as current by the word of a leader that
+// was replaced: old messages let that leader go on.
+TEST_CASE("a replaced leader does not vouch for the state of its follower") {
+  const uint64_t seed = GENERATE(range(1, 21));
+  CAPTURE(seed);
+  SimulationOptions options{5, 5, false, seed};
+  options.lease_reads = false;
+  options.delayed = 30;
+  Simulation simulation(options);
+  REQUIRE(simulation.WaitUntilAllVote(30000));
+  for (int target = 1; target < 6; ++target) {
+    simulation.Apply({FaultKind::kPartition, target, 3000});
+    simulation.Run(2000);
+  }
+  simulation.Finish();
+  CHECK(simulation.violation() == "");
+  CHECK(simulation.counts().faults[static_cast<size_t>(FaultKind::kPartition)] >
+        0U);
+}
+
 TEST_CASE("without leases all replicas restart and elect a leader at once") {
   const uint64_t seed = GENERATE(range(1, 21));
   CAPTURE(seed);
