storage: Write again after a disk refused a sync or a truncation

With a majority of such disks nothing is acknowledged any more.

Cause: after a failed sync, or an append whose truncation fails too, every write failed until the folder was opened again.

Change: what a failed write leaves after the last synced record is truncated before the next append, and the batch is written again. The pages are dirty again then, so the sync covers them; a mere second sync might not.

--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -88,10 +88,6 @@
 }
 
 core::Status SegmentStore::Write(const LogBatch& batch) {
-  if (needs_reopen_) {
-    return CorruptionError(options_.folder, file_size_,
-                           "an earlier sync failed; open the folder again");
-  }
   if (batch.snapshot) {
     core::Status saved = SaveSnapshot(*batch.snapshot);
     if (!core::IsOk(saved)) {
@@ -361,6 +357,15 @@
 }
 
 core::Status SegmentStore::AppendRecord(const LogBatch& batch) {
+  if (has_unsynced_tail_) {
+    // A later sync may report success although pages of the failed one are
+    // lost, so the tail is written again, not synced again.
+    core::Status truncated = file_->Truncate(file_size_);
+    if (!core::IsOk(truncated)) {
+      return truncated;
+    }
+    has_unsynced_tail_ = false;
+  }
   if (file_size_ >= options_.segment_bytes) {
     core::Status rolled = OpenSegment(segments_.back().number + 1);
     if (!core::IsOk(rolled)) {
@@ -368,16 +373,15 @@
     }
   }
   const std::string record = EncodeBatch(batch);
-  core::Status appended = file_->Append(record);
-  if (!core::IsOk(appended)) {
-    needs_reopen_ = !core::IsOk(file_->Truncate(file_size_));
-    return appended;
+  has_unsynced_tail_ = true;
+  core::Status written = file_->Append(record);
+  if (core::IsOk(written)) {
+    written = file_->Sync();
   }
-  core::Status synced = file_->Sync();
-  if (!core::IsOk(synced)) {
-    needs_reopen_ = true;
-    return synced;
+  if (!core::IsOk(written)) {
+    return written;
   }
+  has_unsynced_tail_ = false;
   file_size_ += record.size();
   if (batch.reset_log) {
     for (Segment& segment : segments_) {
--- a/storage/segment_store.h
+++ b/storage/segment_store.h
@@ -84,9 +84,8 @@
   uint64_t snapshot_index_ = 0;
   std::vector<std::string> old_snapshots_;
   uint64_t truncated_bytes_ = 0;
-  /// The content of the file is unknown because a sync or truncation failed.
-  /// Writes fail until the folder is opened again.
-  bool needs_reopen_ = false;
+  /// A failed write left unknown content after file_size_.
+  bool has_unsynced_tail_ = false;
 };
 
 }  // namespace hawthorn::storage
--- /dev/null
+++ b/tests/storage/disk_fault_test.cpp
@@ -0,0 +1,73 @@
+// The store on a disk that refuses writes for some time.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <string>
+
+#include "storage/segment_store.h"
+#include "tests/support/refusing_files.h"
+
+namespace hawthorn::storage {
+namespace {
+
+/// A temporary folder that is removed at the end of the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = "/tmp/hawthorn-store-XXXXXX";
+    path_ = ::mkdtemp(pattern.data());
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+LogBatch BatchOf(uint64_t first, uint64_t last, uint64_t term) {
+  LogBatch batch;
+  batch.hard_state = HardState{term, ReplicaId{"a", 7}};
+  for (uint64_t index = first; index <= last; ++index) {
+    batch.entries.push_back(LogEntry{index, term, EntryKind::kCommand,
+                                     "value " + std::to_string(index)});
+  }
+  return batch;
+}
+
+// Guards against a replica whose journal stays failed after its disk works
+// again: a sync or the truncation of a torn record had failed once.
+TEST_CASE("a store writes again when its disk does") {
+  const TemporaryFolder folder;
+  test::RefusingFiles files;
+  {
+    auto opened = SegmentStore::Open({folder.path()}, &files);
+    REQUIRE(core::IsOk(opened));
+    SegmentStore& store = *core::Value(opened);
+    REQUIRE(core::IsOk(store.Write(BatchOf(1, 3, 2))));
+    using Refusals = test::RefusingFiles::Refusals;
+    uint64_t next = 4;
+    for (const Refusals& refusals :
+         {Refusals{true, false, false}, Refusals{true, true, false},
+          Refusals{false, false, true}, Refusals{true, true, true}}) {
+      files.refusals() = refusals;
+      CHECK_FALSE(core::IsOk(store.Write(BatchOf(next, next + 5, 2))));
+      CHECK_FALSE(core::IsOk(store.Write(BatchOf(next, next + 5, 2))));
+      files.refusals() = {};
+      // Shorter than what was refused, which must not remain behind it.
+      CHECK(core::IsOk(store.Write(BatchOf(next, next, 3))));
+      ++next;
+    }
+    CHECK(core::IsOk(store.Write(BatchOf(next, next, 3))));
+  }
+  auto opened = SegmentStore::Open({folder.path()}, &files);
+  REQUIRE(core::IsOk(opened));
+  CHECK(core::Value(opened)->truncated_bytes() == 0);
+  const auto state = core::Value(opened)->Load();
+  REQUIRE(core::IsOk(state));
+  CHECK(core::Value(state).hard_state.term == 3);
+  CHECK(core::Value(state).entries.size() == 8);
+}
+
+}  // namespace
+}  // namespace hawthorn::storage
--- /dev/null
+++ b/tests/support/refusing_files.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "storage/file_system.h"
+
+namespace hawthorn::test {
+
+/// File system that refuses writes, truncations or syncs while told to, like a
+/// faulty disk. Other operations are those of the operating system.
+class RefusingFiles final : public storage::FileSystem {
+ public:
+  struct Refusals {
+    /// An append writes half of its bytes before it fails.
+    bool appends = false;
+    bool truncations = false;
+    bool syncs = false;
+  };
+
+  Refusals& refusals() { return refusals_; }
+  /// Number of operations that were refused.
+  int refused() const { return refused_; }
+
+  core::Result<std::unique_ptr<storage::WritableFile>> OpenForAppend(
+      const std::string& path) override {
+    auto opened = files_.OpenForAppend(path);
+    if (!core::IsOk(opened)) {
+      return core::ErrorOf(opened);
+    }
+    return std::unique_ptr<storage::WritableFile>(
+        std::make_unique<File>(core::TakeValue(std::move(opened)), this));
+  }
+  core::Result<std::string> ReadAll(const std::string& path) override {
+    return files_.ReadAll(path);
+  }
+  core::Result<std::string> ReadAt(const std::string& path, uint64_t offset,
+                                   size_t size) override {
+    return files_.ReadAt(path, offset, size);
+  }
+  core::Result<std::vector<std::string>> List(
+      const std::string& folder) override {
+    return files_.List(folder);
+  }
+  core::Status CreateFolder(const std::string& folder) override {
+    return files_.CreateFolder(folder);
+  }
+  core::Status SyncFolder(const std::string& folder) override {
+    return Refuse(refusals_.syncs) ? Error() : files_.SyncFolder(folder);
+  }
+  core::Status Rename(const std::string& from, const std::string& to) override {
+    return files_.Rename(from, to);
+  }
+  core::Status Remove(const std::string& path) override {
+    return files_.Remove(path);
+  }
+  core::Result<std::shared_ptr<void>> Lock(const std::string& path) override {
+    return files_.Lock(path);
+  }
+
+ private:
+  class File final : public storage::WritableFile {
+   public:
+    File(std::unique_ptr<storage::WritableFile> file, RefusingFiles* owner)
+        : file_(std::move(file)), owner_(owner) {}
+    core::Status Append(std::string_view bytes) override {
+      if (owner_->Refuse(owner_->refusals_.appends)) {
+        file_->Append(bytes.substr(0, bytes.size() / 2));
+        return Error();
+      }
+      return file_->Append(bytes);
+    }
+    core::Status Sync() override {
+      return owner_->Refuse(owner_->refusals_.syncs) ? Error() : file_->Sync();
+    }
+    core::Status Truncate(uint64_t size) override {
+      return owner_->Refuse(owner_->refusals_.truncations)
+                 ? Error()
+                 : file_->Truncate(size);
+    }
+
+   private:
+    std::unique_ptr<storage::WritableFile> file_;
+    RefusingFiles* owner_;
+  };
+
+  bool Refuse(bool refuse) {
+    refused_ += refuse ? 1 : 0;
+    return refuse;
+  }
+  static core::Status Error() {
+    return core::Error{core::ErrorCode::kStorage, "the disk refuses writes",
+                       core::Execution::kNotRun, std::nullopt};
+  }
+
+  storage::PosixFileSystem files_;
+  Refusals refusals_;
+  int refused_ = 0;
+};
+
+}  // namespace hawthorn::test
