--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds kLazyInterval{30};
 constexpr uint64_t kSnapshotEntries = 4000;
 constexpr std::chrono::milliseconds kContactReportInterval{5000};
+/// Time after a failed write before the journal tries again.
+constexpr std::chrono::milliseconds kJournalRetryDelay{100};
 /// Organisation label of the metrics of work for the deployment itself.
 const core::OrganisationId kDeploymentWork("deployment");
 
@@ -266,9 +268,11 @@
     message.SerializeToString(out.mutable_group()->mutable_payload());
     peers_.Send(core::InstanceId(to), std::move(out));
   }
-  if (std::optional<storage::LogBatch> batch = group_->TakeBatch(now)) {
-    sync_started_at_ = now;
-    journal_->Write(kDeploymentGroup, *store_, std::move(*batch));
+  if (now >= next_write_) {
+    if (std::optional<storage::LogBatch> batch = group_->TakeBatch(now)) {
+      sync_started_at_ = now;
+      journal_->Write(kDeploymentGroup, *store_, std::move(*batch));
+    }
   }
   AfterApply();
 }
@@ -277,6 +281,7 @@
   metrics_.Observe({kDeploymentWork, "journal", "sync"},
                    Now() - sync_started_at_);
   if (!core::IsOk(written.status)) {
+    next_write_ = Now() + kJournalRetryDelay;
     metrics_.Count("journal_errors");
     Log(LogLevel::kError, "the journal failed",
         {{"error", core::ErrorOf(written.status).message}});
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -221,6 +221,8 @@
   bool flush_scheduled_ = false;
   /// Time at which the batch in flight was passed to the journal.
   core::TimePoint sync_started_at_;
+  /// Time before which no batch is passed to the journal.
+  core::TimePoint next_write_;
   uint64_t last_applied_index_ = 0;
   uint64_t last_install_count_ = 0;
   bool was_leader_ = false;
--- a/tests/storage/disk_fault_test.cpp
+++ b/tests/storage/disk_fault_test.cpp
@@ -50,10 +50,10 @@
     for (const Refusals& refusals :
          {Refusals{true, false, false}, Refusals{true, true, false},
           Refusals{false, false, true}, Refusals{true, true, true}}) {
-      files.refusals() = refusals;
+      files.SetRefusals(refusals);
       CHECK_FALSE(core::IsOk(store.Write(BatchOf(next, next + 5, 2))));
       CHECK_FALSE(core::IsOk(store.Write(BatchOf(next, next + 5, 2))));
-      files.refusals() = {};
+      files.SetRefusals({});
       // Shorter than what was refused, which must not remain behind it.
       CHECK(core::IsOk(store.Write(BatchOf(next, next, 3))));
       ++next;
--- a/tests/support/refusing_files.h
+++ b/tests/support/refusing_files.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,7 +22,10 @@
     bool syncs = false;
   };
 
-  Refusals& refusals() { return refusals_; }
+  void SetRefusals(const Refusals& refusals) {
+    const std::lock_guard lock(mutex_);
+    refusals_ = refusals;
+  }
   /// Number of operations that were refused.
   int refused() const { return refused_; }
 
@@ -48,7 +53,7 @@
     return files_.CreateFolder(folder);
   }
   core::Status SyncFolder(const std::string& folder) override {
-    return Refuse(refusals_.syncs) ? Error() : files_.SyncFolder(folder);
+    return Refuse(&Refusals::syncs) ? Error() : files_.SyncFolder(folder);
   }
   core::Status Rename(const std::string& from, const std::string& to) override {
     return files_.Rename(from, to);
@@ -66,19 +71,18 @@
     File(std::unique_ptr<storage::WritableFile> file, RefusingFiles* owner)
         : file_(std::move(file)), owner_(owner) {}
     core::Status Append(std::string_view bytes) override {
-      if (owner_->Refuse(owner_->refusals_.appends)) {
+      if (owner_->Refuse(&Refusals::appends)) {
         file_->Append(bytes.substr(0, bytes.size() / 2));
         return Error();
       }
       return file_->Append(bytes);
     }
     core::Status Sync() override {
-      return owner_->Refuse(owner_->refusals_.syncs) ? Error() : file_->Sync();
+      return owner_->Refuse(&Refusals::syncs) ? Error() : file_->Sync();
     }
     core::Status Truncate(uint64_t size) override {
-      return owner_->Refuse(owner_->refusals_.truncations)
-                 ? Error()
-                 : file_->Truncate(size);
+      return owner_->Refuse(&Refusals::truncations) ? Error()
+                                                    : file_->Truncate(size);
     }
 
    private:
@@ -86,9 +90,10 @@
     RefusingFiles* owner_;
   };
 
-  bool Refuse(bool refuse) {
-    refused_ += refuse ? 1 : 0;
-    return refuse;
+  bool Refuse(bool Refusals::*operation) {
+    const std::lock_guard lock(mutex_);
+    refused_ += refusals_.*operation ? 1 : 0;
+    return refusals_.*operation;
   }
   static core::Status Error() {
     return core::Error{core::ErrorCode::kStorage, "the disk refuses writes",
@@ -96,8 +101,9 @@
   }
 
   storage::PosixFileSystem files_;
+  std::mutex mutex_;
   Refusals refusals_;
-  int refused_ = 0;
+  std::atomic<int> refused_ = 0;
 };
 
 }  // namespace hawthorn::test
