platform, main: Follow a committed configuration in part

What callers saw: an entry instance whose checks were stricter than those of the build that had accepted a configuration refused the whole of it, and went on with the routes of the version before.

Cause: the check of an operator's order was applied again to what the group had committed. The limits of organisations were read by the same check at the leader.

Change: DecodeCommittedConfiguration takes a committed version and leaves out or replaces the parts that this build cannot use; the findings are logged and counted (configurations_in_part). Content that is no JSON object, or whose lists of routes, services or tenants are no lists, stays unreadable: without the list of tenants every route would be open. The number of the version is that of the commit.

That the roles pass the findings on is built and read, not tested.

--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -64,11 +64,10 @@
   options.data_folder = settings.data_folder;
   options.seed = std::hash<std::string>{}(settings.ip);
   options.limit_decoder = [](const std::string& content) {
-    const auto decoded = platform::DecodeConfiguration(content);
-    const auto* table =
-        std::get_if<std::shared_ptr<const relay::RouteTable>>(&decoded);
-    return table == nullptr ? std::nullopt
-                            : std::optional((*table)->QuotaLimits());
+    const auto committed = platform::DecodeCommittedConfiguration(content, 0);
+    return committed.table == nullptr
+               ? std::nullopt
+               : std::optional(committed.table->QuotaLimits());
   };
   return options;
 }
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -106,23 +106,32 @@
          client_.HadContactWithin(kReadyContactLimit);
 }
 
+void EntryRole::TakeConfiguration(
+    const schema::PublishedConfiguration& committed) {
+  auto [table, findings] = platform::DecodeCommittedConfiguration(
+      committed.content(), committed.version());
+  const std::string version = std::to_string(committed.version());
+  if (table == nullptr) {
+    Log(LogLevel::kError, "committed configuration is unreadable",
+        {{"version", version}, {"findings", findings.Report()}});
+    return;
+  }
+  if (!findings.empty()) {
+    metrics_.Count("configurations_in_part");
+    Log(LogLevel::kError, "committed configuration is used in part",
+        {{"version", version}, {"findings", findings.Report()}});
+  }
+  const relay::CallerLimits& limits = table->limits();
+  callers_.SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
+                      limits.head_timeout,
+                      limits.idle_timeout});
+  quota_.SetLimits(table->version(), table->QuotaLimits());
+  relay_.SetTable(std::move(table));
+}
+
 void EntryRole::OnUpdate(const schema::DeploymentUpdate& update) {
   if (update.has_configuration()) {
-    auto decoded =
-        platform::DecodeConfiguration(update.configuration().content());
-    if (std::holds_alternative<core::FindingList>(decoded)) {
-      Log(LogLevel::kError, "committed configuration is unreadable",
-          {{"findings", std::get<core::FindingList>(decoded).Report()}});
-    } else {
-      auto table = std::get<std::shared_ptr<const relay::RouteTable>>(
-          std::move(decoded));
-      const relay::CallerLimits& limits = table->limits();
-      callers_.SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
-                          limits.head_timeout,
-                          limits.idle_timeout});
-      quota_.SetLimits(table->version(), table->QuotaLimits());
-      relay_.SetTable(std::move(table));
-    }
+    TakeConfiguration(update.configuration());
   }
   quota_.SetLeader(update.leader());
   if (update.whole_table()) {
--- a/main/roles/entry_role.h
+++ b/main/roles/entry_role.h
@@ -51,6 +51,9 @@
 
  private:
   void OnUpdate(const schema::DeploymentUpdate& update);
+  /// Puts a committed configuration into force, as far as this build can use
+  /// it. The one before stays in force if it is unreadable.
+  void TakeConfiguration(const schema::PublishedConfiguration& committed);
   void ContinueDrain();
   bool IsReady() const;
   /// Time after which the drain ends even if calls are still open.
--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -170,5 +170,53 @@
   CHECK(Accepted(WithSecondRoute("i.example")));
 }
 
+// Guards against an instance that refuses a whole committed configuration
+// because its checks are stricter than those of the build that accepted it.
+TEST_CASE("Parts of a committed configuration are used without the others") {
+  const auto taken = [](const std::string& content) {
+    CommittedConfiguration it = DecodeCommittedConfiguration(content, 9);
+    CHECK_FALSE(it.findings.empty());
+    REQUIRE(it.table);
+    CHECK(it.table->version() == 9);
+    return it.table;
+  };
+  // Of two equal routes the first is selected, as by other builds.
+  const Table duplicate = taken(WithSecondRoute("H.Example"));
+  CHECK(duplicate->Find("h.example", "/a/b")->name == "s");
+  CHECK(duplicate->routes().size() == 1);
+  const Table unknown =
+      taken(Replaced(R"({"service":"shop")", R"({"service":"gone")"));
+  CHECK(unknown->Find("h.example", "/a/b")->services ==
+        std::vector<relay::WeightedService>{{"llm", 90}});
+  const Table number = taken(Replaced(R"("slo_ms":200)", R"("slo_ms":-1)"));
+  CHECK(number->Find("h.example", "/a/b")->latency_objective ==
+        milliseconds(0));
+  CHECK(number->Find("h.example", "/a/b")->timeout == milliseconds(3000));
+  const Table route = taken(Replaced(R"("routes":[)", R"("routes":[7,)"));
+  CHECK(route->Find("h.example", "/a/b") != nullptr);
+  const Table keys = taken(
+      Replaced(R"("limits":{)",
+               R"("tenants":[{"name":"a","api_keys":["k1"]},7,)"
+               R"({"name":"b","priority":0.5,"api_keys":["k2"]}],"limits":{)"));
+  CHECK(keys->FindOrganisation("k1")->name == "a");
+  CHECK(keys->FindOrganisation("k2")->name == "b");
+  CHECK(DecodeCommittedConfiguration(Valid(), 7).findings.empty());
+}
+
+// Guards against opening every route to callers without a key, or dropping all
+// routes, because a list cannot be read.
+TEST_CASE("A committed configuration without a readable list is unreadable") {
+  for (const std::string& content :
+       {std::string("[]"), Valid().substr(0, 200),
+        Replaced(R"("routes":[)", R"("routes":7,"other":[)"),
+        Replaced(R"("services":[)", R"("services":7,"other":[)"),
+        Replaced(R"("limits":{)", R"("tenants":7,"limits":{)")}) {
+    CAPTURE(content);
+    const CommittedConfiguration it = DecodeCommittedConfiguration(content, 9);
+    CHECK_FALSE(it.table);
+    CHECK_FALSE(it.findings.empty());
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::platform
