cluster: Hold a configuration version only once it is in force

What callers saw: an entry instance that could not read a configuration went on with the one before for good: it was not asked for again, and a new watch did not bring it either.

Cause: DeploymentClient counted a version as held when it had received it, before the entry role had decoded it, and named it in its next watch.

Change: after each update the client asks which version is in force. A received one that is not is asked for again at another source, after 0.5 s and then less often, up to every 8 s; the one before stays in force. The gauge configuration_version_unreadable and the counter configurations_unreadable show it. FakeSource moves to a header and can keep its watches alive.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -43,6 +43,9 @@
   first_update_.setSingleShot(true);
   connect(&first_update_, &QTimer::timeout, this,
           &DeploymentClient::OnFirstUpdateTimeout);
+  unreadable_retry_.setSingleShot(true);
+  connect(&unreadable_retry_, &QTimer::timeout, this,
+          &DeploymentClient::OnUnreadableRetry);
   settle_timer_.setSingleShot(true);
   connect(&settle_timer_, &QTimer::timeout, this,
           &DeploymentClient::SendSettlements);
@@ -91,6 +94,8 @@
   metrics_.SetGauge("update_age_ms",
                     has_update ? static_cast<double>(age.count()) : -1);
   metrics_.SetGauge("watch_sources", static_cast<double>(sources_.size()));
+  metrics_.SetGauge("configuration_version_unreadable",
+                    static_cast<double>(unreadable_version_));
   metrics_.SetGauge("open_claims", static_cast<double>(claims_.size()));
   metrics_.SetGauge("open_settlements",
                     static_cast<double>(settlements_.size()));
@@ -151,10 +156,39 @@
     UpdateInstance(record.instance(), record.peer_address(),
                    record.serves_control());
   }
-  if (update.configuration().version() > configuration_version_) {
-    configuration_version_ = update.configuration().version();
-  }
   on_update_(update);
+  UpdateHeldVersion(update);
+}
+
+void DeploymentClient::UpdateHeldVersion(
+    const schema::DeploymentUpdate& update) {
+  const uint64_t received = update.configuration().version();
+  configuration_version_ =
+      std::max(configuration_version_,
+               version_in_force_ ? version_in_force_() : received);
+  unreadable_version_ = std::max(unreadable_version_, received);
+  if (configuration_version_ >= unreadable_version_) {
+    unreadable_version_ = 0;
+    unreadable_retry_delay_ = kUnreadableRetryDelay;
+    unreadable_retry_.stop();
+    return;
+  }
+  if (update.has_configuration()) {
+    metrics_.Count("configurations_unreadable");
+  }
+  if (!unreadable_retry_.isActive()) {
+    unreadable_retry_.start(unreadable_retry_delay_);
+    unreadable_retry_delay_ =
+        std::min(unreadable_retry_delay_ * 2, kMaxUnreadableRetryDelay);
+  }
+}
+
+void DeploymentClient::OnUnreadableRetry() {
+  // Without a watch, the next one asks for the version anyway.
+  if (!retry_.isActive()) {
+    LeaveSource(core::ErrorCode::kUnavailable,
+                "a configuration is not in force");
+  }
 }
 
 void DeploymentClient::ReportSpeeds(const schema::UpstreamSpeeds& speeds) {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -58,6 +58,11 @@
   static constexpr std::chrono::milliseconds kSettleRetryDelay{200};
   /// Delay between two attempts to report how a request ended.
   static constexpr std::chrono::milliseconds kReportRetryDelay{300};
+  /// Delay after which a configuration that did not come into force is asked
+  /// for at another source. It doubles with each further one, up to
+  /// kMaxUnreadableRetryDelay.
+  static constexpr std::chrono::milliseconds kUnreadableRetryDelay{500};
+  static constexpr std::chrono::milliseconds kMaxUnreadableRetryDelay{8000};
   /// Maximum number of reports that the group has not confirmed; further ones
   /// are lost.
   static constexpr size_t kMaxOpenReports = 1024;
@@ -73,6 +78,13 @@
   void SetForwarder(schema::Forwarder forwarder) {
     forwarder_ = std::move(forwarder);
   }
+  /// Sets the function that returns the configuration version in force here,
+  /// called after each update. A version that was received and is not in force
+  /// is asked for again. To be called before Start. Without it, each version
+  /// that was received counts as in force.
+  void SetVersionInForce(std::function<uint64_t()> version_in_force) {
+    version_in_force_ = std::move(version_in_force);
+  }
   void Start();
   /// Sets the gauges to their current values.
   void UpdateGauges() const;
@@ -138,6 +150,10 @@
   /// this client has.
   bool IsUpToDate(const schema::DeploymentUpdate& update);
   void OnWatchEnd(const core::Status& status);
+  /// Notes which version is held once an update was handled.
+  void UpdateHeldVersion(const schema::DeploymentUpdate& update);
+  /// Asks another source for the version that is not in force.
+  void OnUnreadableRetry();
   void OnFirstUpdateTimeout();
   void TryClaim(const ClaimPtr& claim);
   void OnClaimReply(const ClaimPtr& claim,
@@ -175,7 +191,13 @@
   std::string source_;
   size_t source_cursor_ = 0;
   std::string leader_;
+  std::function<uint64_t()> version_in_force_;
+  /// Highest version that is in force here; sources send later ones.
   uint64_t configuration_version_ = 0;
+  /// Highest version that was received and is not in force; 0 if none.
+  uint64_t unreadable_version_ = 0;
+  std::chrono::milliseconds unreadable_retry_delay_{kUnreadableRetryDelay};
+  QTimer unreadable_retry_;
   /// The newest state that an update was made from. Older ones are not taken.
   schema::StatePosition position_;
   /// Sources left in a row because they do not tell their position.
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -93,6 +93,8 @@
   forwarder.set_zone(settings_.zone);
   forwarder.set_peer_address(settings_.PeerAddress());
   client_.SetForwarder(std::move(forwarder));
+  client_.SetVersionInForce(
+      [this] { return relay_.table() ? relay_.table()->version() : 0; });
   client_.Start();
   return readiness_.ListenAt(settings_.readiness_address);
 }
--- /dev/null
+++ b/tests/cluster/held_version_test.cpp
@@ -0,0 +1,99 @@
+#include <QElapsedTimer>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "deployment_fixture.h"
+#include "fake_source.h"
+
+namespace hawthorn::cluster {
+namespace {
+
+schema::DeploymentUpdate WithVersion(uint64_t version) {
+  schema::DeploymentUpdate update = TableAt(version);
+  update.mutable_configuration()->set_version(version);
+  return update;
+}
+
+/// A client of several sources on an instance that can read versions up to
+/// `readable`.
+struct Reader {
+  explicit Reader(size_t sources) {
+    std::vector<std::string> seeds;
+    for (size_t n = 0; n < sources; ++n) {
+      list.push_back(std::make_unique<FakeSource>(
+          &it, "127.0.0." + std::to_string(71 + n)));
+      list.back()->KeepAlive();
+      seeds.push_back(list.back()->address());
+    }
+    client = std::make_unique<DeploymentClient>(
+        seeds, 0, it.clock(), it.metrics(), *peers,
+        [this](const schema::DeploymentUpdate& update) {
+          const uint64_t version = update.configuration().version();
+          received += update.has_configuration() ? 1 : 0;
+          if (version <= readable) {
+            in_force = std::max(in_force, version);
+          }
+        });
+    client->SetVersionInForce([this] { return in_force; });
+  }
+
+  FakeSource& source(size_t n) { return *list.at(n); }
+
+  Deployment it{0};
+  std::unique_ptr<peer::PeerTransport> peers = it.NewTransport("127.0.0.10", 0);
+  std::vector<std::unique_ptr<FakeSource>> list;
+  uint64_t readable = 0;
+  uint64_t in_force = 0;
+  int received = 0;
+  std::unique_ptr<DeploymentClient> client;
+};
+
+// Guards against an instance that keeps the configuration before for good
+// because one that it could not read counts as held.
+TEST_CASE("A configuration that is not in force is asked for again") {
+  Reader it(2);
+  it.readable = 1;
+  it.source(0).update = WithVersion(1);
+  it.source(1).update = WithVersion(2);
+  it.client->Start();
+  REQUIRE(WaitFor([&] { return it.in_force == 1; }));
+  it.source(0).update = WithVersion(2);
+  it.source(0).Send();
+  REQUIRE(WaitFor([&] { return it.received == 2; }));
+  // Another source is asked, and told the version in force.
+  REQUIRE(WaitFor([&] { return it.source(1).watches == 1; }));
+  CHECK(it.source(1).request.configuration_version() == 1);
+  REQUIRE(WaitFor([&] { return it.received == 3; }));
+  CHECK(it.in_force == 1);
+  it.readable = 2;
+  REQUIRE(WaitFor([&] { return it.in_force == 2; }));
+  // Once it is in force, it is not asked for again.
+  it.source(0).EndWatch();
+  it.source(1).EndWatch();
+  const int watches = it.source(0).watches + it.source(1).watches;
+  REQUIRE(WaitFor(
+      [&] { return it.source(0).watches + it.source(1).watches > watches; }));
+  const FakeSource& last = it.source(0).request.configuration_version() == 2
+                               ? it.source(0)
+                               : it.source(1);
+  CHECK(last.request.configuration_version() == 2);
+}
+
+// Guards against a watch that ends in a loop while a version stays unreadable.
+TEST_CASE("An unreadable configuration is asked for less and less often") {
+  Reader it(2);
+  it.source(0).update = WithVersion(2);
+  it.source(1).update = WithVersion(2);
+  it.client->Start();
+  REQUIRE(WaitFor([&] { return it.received == 3; }));
+  // The delays so far were 0.5 s and 1 s; the next is 2 s.
+  QElapsedTimer timer;
+  timer.start();
+  REQUIRE(WaitFor([&] { return it.received == 4; }));
+  CHECK(timer.elapsed() >= 1900);
+}
+
+}  // namespace
+}  // namespace hawthorn::cluster
--- a/tests/cluster/stale_source_test.cpp
+++ b/tests/cluster/stale_source_test.cpp
@@ -3,8 +3,8 @@
 #include <optional>
 #include <string>
 
-#include "cluster/errors.h"
 #include "deployment_fixture.h"
+#include "fake_source.h"
 
 namespace hawthorn::cluster {
 namespace {
@@ -88,55 +88,6 @@
   CHECK(watcher.version == 2);
 }
 
-/// A source of updates that the test writes.
-class FakeSource {
- public:
-  FakeSource(Deployment* it, const std::string& ip)
-      : peers_(it->NewTransport(ip, 0)),
-        address_(ip + ":" + std::to_string(peers_->port())) {
-    peers_->SetHandler([this](const schema::PeerMessage& message,
-                              const peer::Replier& replier) {
-      const auto unpacked = Unpack(message);
-      if (core::IsOk(unpacked) && core::Value(unpacked).has_watch()) {
-        request = core::Value(unpacked).watch();
-        ++watches;
-        replier_ = replier;
-        Send();
-      }
-    });
-  }
-
-  /// Sends `update` to the watcher.
-  void Send() {
-    schema::DeploymentMessage message;
-    *message.mutable_update() = update;
-    replier_.SendChunk(Pack(message));
-  }
-  void EndWatch() { replier_.Fail(Unavailable("the test ends the watch")); }
-  const std::string& address() const { return address_; }
-
-  schema::DeploymentUpdate update;
-  schema::WatchRequest request;
-  int watches = 0;
-
- private:
-  std::unique_ptr<peer::PeerTransport> peers_;
-  std::string address_;
-  peer::Replier replier_;
-};
-
-/// An update with the table of upstreams of a state, whose only upstream is
-/// named after the state.
-schema::DeploymentUpdate TableAt(uint64_t index) {
-  schema::DeploymentUpdate update;
-  update.set_whole_table(true);
-  update.set_leader("127.0.0.99");
-  update.mutable_position()->set_index(index);
-  update.mutable_position()->set_term(1);
-  update.add_upstreams()->set_upstream("at " + std::to_string(index));
-  return update;
-}
-
 /// A client that watches the first of two sources.
 struct TwoSources {
   TwoSources()
