relay: End every call with a response before the instance stops

In a planned stop, calls whose deadline lay beyond the end of the process stayed open and were cut off there: those that no upstream had been sent got no response, and those that may not be repeated got a closed connection.

The shutdown deadline was only compared when a request arrived; calls that were open at that moment kept their own deadline. Now the stop goes over the open calls. One that no upstream was sent, and that might end too late, is refused at once as not run, with Retry-After, and its connection closes. Any other call ends 200 ms before the process: 504 if it was sent, 503 if it certainly was not, a reset if its stream had begun. Its attempts get the shorter deadline. Late requests are compared with the same moment, so that a response that is due at the end still leaves the process.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -96,12 +96,14 @@
   /// and of those that are suspected, whose success is reported.
   void SetPoisonRequests(std::set<uint64_t> digests,
                          std::set<uint64_t> suspected);
-  /// Sets the time by which the process exits. From now on, calls whose
-  /// deadline is later are refused, and their callers retry at another
-  /// instance.
-  void SetShutdownDeadline(core::TimePoint deadline) {
-    shutdown_deadline_ = deadline;
-  }
+  /// Time before the process exits by which every call has ended, so that its
+  /// response is sent.
+  static constexpr std::chrono::milliseconds kFinalResponseTime{200};
+
+  /// Sets the time by which the process exits. From now on, calls that might
+  /// end too late are refused, and their callers retry at another instance. A
+  /// call that an upstream was sent is ended in time.
+  void SetShutdownDeadline(core::TimePoint deadline);
   /// Sets the number of instances that share the connection limits and request
   /// limits of the upstreams.
   void SetInstanceCount(size_t instances);
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kMaxClaimTimeout{1500};
 /// Ledger entry of a stream that belongs to no program or has no budget.
 constexpr const char* kStreamProgramPrefix = "stream ";
+constexpr const char* kStopReason =
+    "the instance stops before the call may be over";
 constexpr int64_t kNoBudget = std::numeric_limits<int64_t>::max();
 
 /// Formats a Retry-After value in seconds. Callers accept fractions.
@@ -66,8 +68,7 @@
   }
   if (const auto shutdown = parts_.host.shutdown_deadline();
       shutdown && deadline_ > *shutdown) {
-    Refuse(status::kServiceUnavailable,
-           "the instance stops before the call may be over",
+    Refuse(status::kServiceUnavailable, kStopReason,
            WithinPatience(kRetryAfter));
     return;
   }
@@ -279,23 +280,57 @@
   End();
 }
 
+void RelayCall::EndBy(core::TimePoint time) {
+  if (state_ == State::kEnded || deadline_ <= time) {
+    return;
+  }
+  const bool is_unsent =
+      state_ != State::kRunning && sent_exchanges_ == 0 && !response_started_;
+  if (is_unsent) {
+    if (state_ == State::kQueued) {
+      parts_.host.Dequeue(*this);
+    }
+    parts_.session.CloseAfterResponse();
+    Refuse(status::kServiceUnavailable, kStopReason,
+           WithinPatience(kRetryAfter));
+    return;
+  }
+  ends_with_instance_ = true;
+  deadline_ = time;
+  deadline_timer_.start(std::max(TimeLeft(), std::chrono::milliseconds(0)));
+}
+
+const char* RelayCall::AwaitedText() const {
+  switch (state_) {
+    case State::kAwaitingCredit:
+      return "before the request limit was known";
+    case State::kClaiming:
+      return "before the claim";
+    case State::kRunning:
+      return "at the upstream";
+    case State::kRecording:
+      return "before the turn was kept";
+    default:
+      return "in the queue";
+  }
+}
+
 void RelayCall::OnDeadline() {
+  const std::string reason =
+      std::string(ends_with_instance_ ? "the instance stops, the call ended "
+                                      : "the deadline passed ") +
+      AwaitedText();
   if (state_ == State::kQueued) {
     parts_.host.Dequeue(*this);
   }
   if (state_ == State::kRunning) {
     ReleaseUpstream(scheduling::CallOutcome::kCancelled);
-    Fail(status::kGatewayTimeout, "the deadline passed at the upstream");
+    Fail(status::kGatewayTimeout, reason);
     return;
   }
   Fail(summary_.may_have_run ? status::kGatewayTimeout
                              : status::kServiceUnavailable,
-       state_ == State::kAwaitingCredit
-           ? "the deadline passed before the request limit was known"
-       : state_ == State::kClaiming ? "the deadline passed before the claim"
-       : state_ == State::kRecording
-           ? "the deadline passed before the turn was kept"
-           : "the deadline passed in the queue");
+       reason);
 }
 
 void RelayCall::Refuse(int status, std::string reason,
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -49,7 +49,7 @@
  public:
   virtual ~CallHost() = default;
   virtual const core::Clock& clock() const = 0;
-  /// Time by which the process exits, if it is shutting down.
+  /// Time by which calls must have ended, if the instance is shutting down.
   virtual std::optional<core::TimePoint> shutdown_deadline() const = 0;
   virtual const CallCodec& codec() const = 0;
   virtual TokenLedger& ledger() = 0;
@@ -229,6 +229,9 @@
   void Dispatch(const std::string& upstream);
   /// Ends a call that the scheduler refused or gave up.
   void RefuseQueued(const core::Error& error);
+  /// Ends the call by `time`, since the instance stops then: at once if no
+  /// upstream was sent it and it might take longer.
+  void EndBy(core::TimePoint time);
 
   const CallHead& head() const { return parts_.head; }
   const std::vector<scheduling::PrefixSegment>& segments() const {
@@ -369,6 +372,8 @@
   bool Retry();
   void OnCallerDisconnected();
   void OnDeadline();
+  /// What the call waits for when its deadline passes.
+  const char* AwaitedText() const;
   /// Ends the call with a response that it was not run, or by Fail if it may
   /// have run.
   void Refuse(int status, std::string reason,
@@ -388,6 +393,8 @@
   QTimer idle_timer_;
   QTimer progress_timer_;
   State state_ = State::kAwaitingCredit;
+  /// The deadline is that of the instance and not of the call.
+  bool ends_with_instance_ = false;
   /// The organisation's credit was taken for this request.
   bool has_credit_ = false;
   /// Number of exchanges of which an upstream may have received a part.
