transport: Serve a request that arrived before its connection is drained

When connections are drained, a request that had reached an idle connection but had not been read yet was dropped, and the client saw the connection close without a response.

An idle session looked only at what it had read. It now also looks whether the kernel holds unread bytes, and stays open for their request, whose response closes the connection.

Measured: the new case fails before (the connection ends with no byte) and passes with the change.

--- a/tests/transport/http_session_test.cpp
+++ b/tests/transport/http_session_test.cpp
@@ -103,6 +103,33 @@
   close(waiting);
 }
 
+// A request that had reached an idle connection, but was not read yet when the
+// connections were drained, was dropped without a response.
+TEST_CASE("a request that arrived before the drain is served") {
+  HttpEndpoint endpoint([](HttpSession& session, const RelayRequest&) {
+    session.Respond(200, {}, "fine");
+  });
+  REQUIRE(core::IsOk(endpoint.Listen({"127.0.0.1", 0})));
+  const int client = ConnectNow(endpoint.port());
+  REQUIRE(WaitFor([&] { return endpoint.session_count() == 1; }));
+  const std::string request = Get("/x");
+  REQUIRE(send(client, request.data(), request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(request.size()));
+  endpoint.DrainConnections();
+  std::string received;
+  CHECK(WaitFor([&] {
+    char buf[4096];
+    const ssize_t n = recv(client, buf, sizeof(buf), MSG_DONTWAIT);
+    if (n > 0) {
+      received.append(buf, static_cast<size_t>(n));
+    }
+    return n == 0 || received.ends_with("fine");
+  }));
+  CHECK(received.ends_with("fine"));
+  CHECK(received.find("Connection: close") != std::string::npos);
+  close(client);
+}
+
 TEST_CASE("an HTTP/1.0 client gets a body without chunks") {
   HttpEndpoint endpoint([](HttpSession& session, const RelayRequest&) {
     session.BeginBody({200, {}}, std::nullopt);
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -218,7 +218,8 @@
 
 void HttpSession::CloseWhenIdle() {
   closing_ = true;
-  if (!busy_ && !framer_.started() && input_.empty() && !closed_) {
+  const bool is_idle = !busy_ && !framer_.started() && input_.empty();
+  if (is_idle && !closed_ && !socket_.HasUnreadInput()) {
     timer_.stop();
     socket_.CloseAfterWrite();
   }
--- a/transport/stream_socket.cpp
+++ b/transport/stream_socket.cpp
@@ -272,6 +272,11 @@
 
 void StreamSocket::Abort() { CloseDescriptor(true); }
 
+bool StreamSocket::HasUnreadInput() const {
+  char byte = 0;
+  return is_open() && recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void StreamSocket::SetReading(bool reading) {
   reading_ = reading;
   if (readable_ && connected_) {
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -101,6 +101,8 @@
   void SetReading(bool reading);
 
   bool is_open() const { return descriptor_ >= 0; }
+  /// Whether bytes have arrived that were not read yet.
+  bool HasUnreadInput() const;
 
  private:
   void CreateNotifiers();
