tests/soak: Publish changes of every kind and disturb the core

Changes before: the operator sent the same routes under a higher version, so that a configuration that is not in force could not be seen.

Probes at the entry instances check which configuration handles them; reads are compared with what was sent. Machines with a disk get stalled disks, links that are cut one way, successors at another address and a power loss of all.

--- a/tests/soak/faulty_upstream.cpp
+++ b/tests/soak/faulty_upstream.cpp
@@ -242,7 +242,9 @@
                       std::to_string(findings_.Now() - drain_acknowledged_) +
                       " ms after its drain was acknowledged");
   }
-  ++findings_.Request(id).runs;
+  RequestRecord& record = findings_.Request(id);
+  ++record.runs;
+  record.effects.push_back({service_, deadline});
   const std::string head =
       "HTTP/1.1 200 OK\r\n" + own + "X-Server-Signature: s." + id + "\r\n";
   if (request.target.starts_with("/turn/")) {
--- a/tests/soak/findings.h
+++ b/tests/soak/findings.h
@@ -10,10 +10,19 @@
 
 namespace hawthorn::soak {
 
+/// What was seen of a request: it was run by a service with that much time
+/// left, or, without a service, there was no route for it.
+struct RouteEffect {
+  std::string service;
+  int64_t time_left_ms = 0;
+};
+
 /// What the run has seen of one request.
 struct RequestRecord {
   std::string kind;
   int runs = 0;
+  /// One for each run.
+  std::vector<RouteEffect> effects;
   /// The caller was promised that the request has not run and never will.
   bool refused = false;
 };
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -5,18 +5,28 @@
 #include <QCoreApplication>
 #include <QDir>
 #include <QFile>
+#include <QHostAddress>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QProcessEnvironment>
 #include <QTcpServer>
+#include <algorithm>
 #include <utility>
 
+#include "process_fault.h"
+
 namespace hawthorn::soak {
 
 namespace {
 
 constexpr int kZones = 3;
+/// Third number of the addresses of each duty.
+constexpr int kControlNet = 1;
+constexpr int kLedgerNet = 2;
+constexpr int kEntryNet = 3;
+/// Time without faults of machines with a disk before one may lose its disk.
+constexpr int64_t kSyncMs = 6000;
 
 /// Asks the kernel for a port that is free on loopback.
 uint16_t FreePort() {
@@ -27,6 +37,15 @@
 
 QString Text(const std::string& text) { return QString::fromStdString(text); }
 
+/// Sends a signal of network_fault with its value to a process.
+void SendFault(const Instance& it, int number, int value) {
+  if (it.process && it.process->state() == QProcess::Running) {
+    sigval payload{};
+    payload.sival_int = value;
+    sigqueue(static_cast<pid_t>(it.process->processId()), number, payload);
+  }
+}
+
 }  // namespace
 
 std::string Fleet::ZoneOf(int number) {
@@ -41,9 +60,9 @@
       control_port_(FreePort()),
       caller_port_(FreePort()),
       readiness_port_(FreePort()) {
-  Add("control", Duty::kControl, 1, controls);
-  Add("ledger", Duty::kLedger, 2, ledgers);
-  Add("entry", Duty::kEntry, 3, entries);
+  Add("control", Duty::kControl, kControlNet, controls);
+  Add("ledger", Duty::kLedger, kLedgerNet, ledgers);
+  Add("entry", Duty::kEntry, kEntryNet, entries);
 }
 
 Fleet::~Fleet() {
@@ -59,12 +78,17 @@
 void Fleet::Add(const std::string& name, Duty duty, int net, int count) {
   // Parallel runs get different networks.
   const auto run = static_cast<int>(QCoreApplication::applicationPid() % 250);
-  for (int n = 0; n < count; ++n) {
+  const auto first = static_cast<int>(
+      std::count_if(instances_.begin(), instances_.end(),
+                    [duty](const auto& it) { return it->duty == duty; }));
+  for (int n = first; n < first + count; ++n) {
     auto it = std::make_unique<Instance>();
     it->name = name + "-" + std::to_string(n);
     it->duty = duty;
-    it->ip = "127." + std::to_string(run + 2) + "." + std::to_string(net) +
-             "." + std::to_string(n + 1);
+    // Large fleets take up further networks of the run.
+    it->ip = "127." + std::to_string(run + 2) + "." +
+             std::to_string(net + 10 * (n / 250)) + "." +
+             std::to_string(n % 250 + 1);
     it->zone = ZoneOf(n);
     instances_.push_back(std::move(it));
   }
@@ -73,13 +97,39 @@
 std::vector<Instance*> Fleet::Of(Duty duty) {
   std::vector<Instance*> found;
   for (const auto& it : instances_) {
-    if (it->duty == duty) {
+    if (it->duty == duty && !it->gone) {
       found.push_back(it.get());
     }
   }
   return found;
 }
 
+std::vector<Instance*> Fleet::WithDisk() {
+  std::vector<Instance*> found = Of(Duty::kControl);
+  const std::vector<Instance*> ledgers = Of(Duty::kLedger);
+  found.insert(found.end(), ledgers.begin(), ledgers.end());
+  return found;
+}
+
+bool Fleet::IsDisturbed(const Instance& it) const {
+  const int64_t last = std::max(it.last_unplanned, it.last_planned);
+  return it.paused || it.stalled || it.cut || findings_.Now() - last < kSyncMs;
+}
+
+bool Fleet::MayDisturbDisks() {
+  const std::vector<Instance*> disks = WithDisk();
+  const auto disturbed =
+      std::count_if(disks.begin(), disks.end(),
+                    [this](const Instance* it) { return IsDisturbed(*it); });
+  return static_cast<size_t>(disturbed) < (disks.size() - 1) / 2;
+}
+
+bool Fleet::AllDisksCalm() {
+  const std::vector<Instance*> disks = WithDisk();
+  return std::none_of(disks.begin(), disks.end(),
+                      [this](const Instance* it) { return IsDisturbed(*it); });
+}
+
 std::string Fleet::CallerAddress(const Instance& it) const {
   return it.ip + ":" + std::to_string(caller_port_);
 }
@@ -138,6 +188,10 @@
 }
 
 void Fleet::Start(Instance& it, bool first_start) {
+  if (it.gone || it.wanted) {
+    // It was started or removed since this start was planned.
+    return;
+  }
   it.process = std::make_unique<QProcess>();
   it.process->setStandardOutputFile(Text(logs_ + "/" + it.name + ".log"),
                                     QIODevice::Append);
@@ -145,14 +199,18 @@
                                    QIODevice::Append);
   QProcessEnvironment environment = QProcessEnvironment::systemEnvironment();
   environment.insert("LD_PRELOAD", NETWORK_FAULT);
+  environment.insert(kOwnAddressVariable, Text(it.ip));
   it.process->setProcessEnvironment(environment);
-  it.process->start(HAWTHORND,
+  it.process->start(qEnvironmentVariable("SOAK_HAWTHORND", HAWTHORND),
                     {"--platform", "--settings",
                      Text(WriteSettings(it, first_start)), "--metrics_port=0"});
   it.process->waitForStarted();
   it.paused = false;
   it.partition = Partition::kNone;
+  it.stalled = false;
   it.wanted = true;
+  ++it.starts;
+  Note(it);
 }
 
 void Fleet::Signal(Instance& it, int number) {
@@ -164,30 +222,47 @@
 void Fleet::Pause(Instance& it) {
   it.paused = true;
   it.last_unplanned = findings_.Now();
+  Note(it);
   Signal(it, SIGSTOP);
 }
 
 void Fleet::Resume(Instance& it) {
   if (std::exchange(it.paused, false)) {
     it.last_unplanned = findings_.Now();
+    Note(it);
     Signal(it, SIGCONT);
   }
 }
 
 void Fleet::SetPartition(Instance& it, Partition partition) {
   it.partition = partition;
-  if (it.process && it.process->state() == QProcess::Running) {
-    sigval value{};
-    value.sival_int = static_cast<int>(partition);
-    sigqueue(static_cast<pid_t>(it.process->processId()), PartitionSignal(),
-             value);
-  }
+  SendFault(it, PartitionSignal(), static_cast<int>(partition));
+}
+
+void Fleet::SetDiskStall(Instance& it, bool stalled) {
+  it.stalled = stalled;
+  it.last_unplanned = findings_.Now();
+  Note(it);
+  SendFault(it, DiskStallSignal(), stalled ? 1 : 0);
+}
+
+void Fleet::SetCut(Instance& from, Instance& to, bool cut) {
+  SendFault(from, CutSignal(),
+            PackCut(QHostAddress(Text(to.ip)).toIPv4Address(), cut));
+}
+
+void Fleet::MarkCut(Instance& it, bool cut) {
+  it.cut = cut;
+  it.last_unplanned = findings_.Now();
+  Note(it);
 }
 
 void Fleet::Kill(Instance& it) {
   it.last_unplanned = findings_.Now();
+  Note(it);
   it.wanted = false;
   it.paused = false;
+  it.stalled = false;
   if (it.process) {
     it.process->kill();
     it.process->waitForFinished();
@@ -198,6 +273,28 @@
   QDir(folder_.filePath(Text(it.name))).removeRecursively();
 }
 
+void Fleet::KillAll() {
+  for (const auto& it : instances_) {
+    Signal(*it, SIGKILL);
+  }
+  for (const auto& it : instances_) {
+    Kill(*it);
+  }
+}
+
+Instance& Fleet::Replace(Instance& it) {
+  Kill(it);
+  it.gone = true;
+  WipeDisk(it);
+  Add(it.duty == Duty::kControl ? "control" : "ledger", it.duty,
+      it.duty == Duty::kControl ? kControlNet : kLedgerNet, 1);
+  Instance& successor = *instances_.back();
+  successor.zone = it.zone;
+  successor.last_unplanned = findings_.Now();
+  Start(successor);
+  return successor;
+}
+
 void Fleet::CheckProcesses() {
   for (const auto& it : instances_) {
     const bool ended =
@@ -214,6 +311,7 @@
                         std::to_string(it->process->exitCode()));
       it->last_unplanned = findings_.Now();
     }
+    it->wanted = false;
     Start(*it);
   }
 }
--- a/tests/soak/network_fault.cpp
+++ b/tests/soak/network_fault.cpp
@@ -15,6 +15,8 @@
 #include <atomic>
 #include <cerrno>
 
+#include "process_fault.h"
+
 namespace {
 
 using hawthorn::soak::Partition;
@@ -131,6 +133,15 @@
 extern "C" int connect(int descriptor, const sockaddr* address,
                        socklen_t size) {
   if (!IsUpstream(address)) {
+    if (address->sa_family == AF_INET) {
+      const auto& peer = *reinterpret_cast<const sockaddr_in*>(address);
+      if (hawthorn::soak::detail::IsCut(peer)) {
+        Replace(descriptor, Substitute::kFull);
+        errno = EINPROGRESS;
+        return -1;
+      }
+      hawthorn::soak::detail::BindOwnAddress(descriptor, peer);
+    }
     return RealConnect()(descriptor, address, size);
   }
   switch (partition.load()) {
@@ -159,5 +170,6 @@
   if (descriptor >= 0 && static_cast<size_t>(descriptor) < kMaxDescriptors) {
     upstream_links[static_cast<size_t>(descriptor)] = false;
   }
+  hawthorn::soak::detail::ForgetDescriptor(descriptor);
   return RealClose()(descriptor);
 }
--- a/tests/soak/partition_test.cpp
+++ b/tests/soak/partition_test.cpp
@@ -13,6 +13,7 @@
 
 #include "faulty_upstream.h"
 #include "fleet.h"
+#include "operator.h"
 #include "tests/support/event_loop.h"
 #include "traffic.h"
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -14,13 +14,18 @@
 #include <random>
 #include <vector>
 
+#include "agenda.h"
+#include "core_faults.h"
 #include "faulty_upstream.h"
 #include "fleet.h"
+#include "operator.h"
+#include "route_probe.h"
 #include "tests/support/event_loop.h"
 #include "traffic.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "seed of the plan");
 ABSL_FLAG(int, seconds, 25, "time with faults");
+ABSL_FLAG(int, controls, 3, "control instances");
 ABSL_FLAG(int, entries, 4, "entry instances");
 ABSL_FLAG(int, ledgers, 2, "ledger instances");
 ABSL_FLAG(int, upstreams, 6, "upstreams of both services");
@@ -31,12 +36,14 @@
 
 namespace {
 
-constexpr int kControls = 3;
 constexpr int64_t kMsPerSecond = 1000;
-/// Time without faults of machines with a disk before one may lose its disk.
-constexpr int64_t kSyncMs = 6000;
-/// Machines with a disk that may be down or paused at once.
-constexpr size_t kMaxDisturbed = 2;
+/// Upstreams of the service that only some configurations know.
+constexpr int kMoreUpstreams = 2;
+/// Time without faults at the end, in which changes go on.
+constexpr int64_t kTailMs = 4500;
+/// The power is lost at the end, after an acknowledgement, in one of this many
+/// seeds.
+constexpr uint64_t kFinalFaultShare = 3;
 
 class Soak {
  public:
@@ -47,15 +54,24 @@
                   ? QDir::tempPath().toStdString() + "/hawthorn-soak-" +
                         std::to_string(QCoreApplication::applicationPid())
                   : absl::GetFlag(FLAGS_logs)),
-        fleet_(findings_, logs_, kControls, absl::GetFlag(FLAGS_ledgers),
-               absl::GetFlag(FLAGS_entries)),
-        operator_(findings_, fleet_, random_()) {
+        agenda_(findings_),
+        fleet_(findings_, logs_, absl::GetFlag(FLAGS_controls),
+               absl::GetFlag(FLAGS_ledgers), absl::GetFlag(FLAGS_entries)),
+        operator_(findings_, fleet_, random_()),
+        core_faults_(findings_, fleet_, agenda_, seed),
+        probe_(findings_, fleet_, operator_, seed),
+        final_fault_(seed % kFinalFaultShare == 0) {
     QDir().mkpath(QString::fromStdString(logs_));
     for (int n = 0; n < absl::GetFlag(FLAGS_upstreams); ++n) {
       upstreams_.push_back(std::make_unique<FaultyUpstream>(
           findings_, n % 2 == 0 ? "llm" : "app", Fleet::ZoneOf(n / 2), n,
           random_(), [this] { return fleet_.ControlAddresses(); }));
     }
+    for (int n = 0; n < kMoreUpstreams; ++n) {
+      more_upstreams_.push_back(std::make_unique<FaultyUpstream>(
+          findings_, "more", Fleet::ZoneOf(n), n, seed + 1,
+          [this] { return fleet_.ControlAddresses(); }));
+    }
     for (int n = 0; n < absl::GetFlag(FLAGS_callers); ++n) {
       callers_.push_back(
           std::make_unique<ProgramCaller>(findings_, fleet_, n, random_()));
@@ -71,6 +87,7 @@
     for (const auto& it : callers_) {
       it->Start();
     }
+    probe_.Start();
     const int64_t end =
         findings_.Now() + absl::GetFlag(FLAGS_seconds) * kMsPerSecond;
     int64_t next = 0;
@@ -83,45 +100,43 @@
       if (findings_.Now() >= next_partition) {
         next_partition = findings_.Now() + PartitionEntries();
       }
-      RunDue(findings_.Now());
-      fleet_.CheckProcesses();
-      QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+      core_faults_.Step();
+      Turn();
+    }
+    agenda_.RunDue(INT64_MAX);
+    if (final_fault_) {
+      const uint64_t before = operator_.acknowledged();
+      test::WaitFor([&] {
+        Turn();
+        return operator_.acknowledged() > before;
+      });
+      core_faults_.CutPower();
     }
-    RunDue(INT64_MAX);
     if (!WaitServed()) {
       findings_.Add("recovery", "not every instance serves after the faults");
     }
+    const int64_t tail = findings_.Now() + kTailMs;
+    while (findings_.Now() < tail) {
+      Turn();
+    }
     Finish();
     return findings_.broken().empty() ? 0 : 1;
   }
 
  private:
-  struct Due {
-    int64_t at;
-    std::function<void()> act;
-  };
+  /// One turn of the event loop.
+  void Turn() {
+    operator_.contact().Observe();
+    agenda_.RunDue(findings_.Now());
+    fleet_.CheckProcesses();
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  }
 
   int64_t Between(int64_t low, int64_t high) {
     return low +
            static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low));
   }
 
-  void After(int64_t delay, std::function<void()> act) {
-    due_.push_back({findings_.Now() + delay, std::move(act)});
-  }
-
-  void RunDue(int64_t now) {
-    std::vector<Due> rest;
-    std::vector<Due> due;
-    for (Due& it : std::exchange(due_, {})) {
-      (it.at <= now ? due : rest).push_back(std::move(it));
-    }
-    for (const Due& it : due) {
-      it.act();
-    }
-    due_.insert(due_.end(), rest.begin(), rest.end());
-  }
-
   void Disturb() {
     static constexpr std::array<LinkFault, 4> kLinkFaults{
         LinkFault::kDelayed, LinkFault::kReset, LinkFault::kSilent,
@@ -138,7 +153,8 @@
         Note("link fault " + std::to_string(static_cast<int>(fault)),
              upstream.id(), span);
         upstream.SetLinkFault(fault);
-        After(span, [&upstream] { upstream.SetLinkFault(LinkFault::kNone); });
+        agenda_.After(span,
+                      [&upstream] { upstream.SetLinkFault(LinkFault::kNone); });
         return;
       }
       case 1:
@@ -148,15 +164,15 @@
         Note("answer fault " + std::to_string(static_cast<int>(fault)),
              upstream.id(), span);
         upstream.SetAnswerFault(fault);
-        After(span,
-              [&upstream] { upstream.SetAnswerFault(AnswerFault::kNone); });
+        agenda_.After(
+            span, [&upstream] { upstream.SetAnswerFault(AnswerFault::kNone); });
         return;
       }
       case 3:
         if (!upstream.draining()) {
           Note("drain", upstream.id(), 0);
           upstream.Drain();
-          After(span + 5000, [&upstream] { upstream.Return(); });
+          agenda_.After(span + 5000, [&upstream] { upstream.Return(); });
         }
         return;
       default:
@@ -181,7 +197,8 @@
       Note("partition " + std::to_string(static_cast<int>(partition)), it->name,
            span);
       fleet_.SetPartition(*it, partition);
-      After(span, [this, it] { fleet_.SetPartition(*it, Partition::kNone); });
+      agenda_.After(span,
+                    [this, it] { fleet_.SetPartition(*it, Partition::kNone); });
     }
     return span + static_cast<int64_t>(partition_random_() % 4000);
   }
@@ -190,36 +207,11 @@
     findings_.Fired(fault, target, findings_.Now() + span);
   }
 
-  /// Whether one more machine with a disk may be disturbed.
-  bool MayDisturb(const Instance& it) {
-    if (it.duty == Duty::kEntry) {
-      return true;
-    }
-    size_t disturbed = 0;
-    for (const auto& other : fleet_.instances()) {
-      const bool recent = findings_.Now() - std::max(other->last_unplanned,
-                                                     other->last_planned) <
-                          kSyncMs;
-      disturbed += other->duty != Duty::kEntry && (other->paused || recent);
-    }
-    return disturbed < kMaxDisturbed;
-  }
-
-  bool AllDisksCalm() {
-    for (const auto& it : fleet_.instances()) {
-      if (it->duty != Duty::kEntry &&
-          (it->paused ||
-           findings_.Now() - std::max(it->last_unplanned, it->last_planned) <
-               kSyncMs)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   void DisturbProcess(int64_t span) {
     Instance& it = *fleet_.instances()[random_() % fleet_.instances().size()];
-    if (it.paused || !it.wanted || !MayDisturb(it)) {
+    const bool has_disk = it.duty != Duty::kEntry;
+    if (it.paused || it.stalled || !it.wanted ||
+        (has_disk && (core_faults_.IsCalm() || !fleet_.MayDisturbDisks()))) {
       return;
     }
     switch (random_() % 6) {
@@ -227,16 +219,16 @@
       case 1:
         Note("pause", it.name, span);
         fleet_.Pause(it);
-        After(span, [this, &it] { fleet_.Resume(it); });
+        agenda_.After(span, [this, &it] { fleet_.Resume(it); });
         return;
       case 2: {
-        const bool wipe = it.duty != Duty::kEntry && AllDisksCalm();
+        const bool wipe = has_disk && fleet_.AllDisksCalm();
         Note(wipe ? "kill and lose the disk" : "kill", it.name, span);
         fleet_.Kill(it);
         if (wipe) {
           fleet_.WipeDisk(it);
         }
-        After(span / 2, [this, &it] { fleet_.Start(it); });
+        agenda_.After(span / 2, [this, &it] { fleet_.Start(it); });
         return;
       }
       case 3:
@@ -255,39 +247,45 @@
     }
     Note("stop", it.name, 3000);
     it.last_planned = findings_.Now();
+    it.last_disruption = findings_.Now();
     fleet_.Signal(it, SIGTERM);
     if (random_() % 2 == 0) {
-      After(Between(10, 2000), [this, &it] { fleet_.Signal(it, SIGTERM); });
+      agenda_.After(Between(10, 2000),
+                    [this, &it] { fleet_.Signal(it, SIGTERM); });
     }
-    After(Fleet::kGraceSeconds * kMsPerSecond,
-          [this, &it, process = it.process.get()] {
-            const int64_t since = findings_.Now() - it.last_planned;
-            if (it.process.get() == process && !it.paused &&
-                since >= Fleet::kGraceSeconds * kMsPerSecond &&
-                findings_.Now() - it.last_unplanned >
-                    Fleet::kGraceSeconds * kMsPerSecond) {
-              findings_.Add("a stop ends in time", it.name);
-            }
-          });
+    agenda_.After(Fleet::kGraceSeconds * kMsPerSecond,
+                  [this, &it, process = it.process.get()] {
+                    const int64_t since = findings_.Now() - it.last_planned;
+                    if (it.process.get() == process && !it.paused &&
+                        since >= Fleet::kGraceSeconds * kMsPerSecond &&
+                        findings_.Now() - it.last_unplanned >
+                            Fleet::kGraceSeconds * kMsPerSecond) {
+                      findings_.Add("a stop ends in time", it.name);
+                    }
+                  });
   }
 
   /// Waits until each entry serves a request and each control instance reads
   /// the newest configuration.
   bool WaitServed() {
-    std::vector<bool> served(fleet_.instances().size());
+    // Reads may end after this function.
+    const auto shared =
+        std::make_shared<std::vector<bool>>(fleet_.instances().size());
+    const std::vector<bool>& served = *shared;
     std::vector<std::shared_ptr<Exchange>> exchanges;
     QElapsedTimer since;
     since.start();
     int64_t next = 0;
     return test::WaitFor([&] {
-      RunDue(findings_.Now());
+      operator_.contact().Observe();
+      agenda_.RunDue(findings_.Now());
       fleet_.CheckProcesses();
       if (since.elapsed() >= next) {
         next = since.elapsed() + 300;
         for (size_t n = 0; n < served.size(); ++n) {
           if (!served[n]) {
             Probe(*fleet_.instances()[n], &exchanges,
-                  [&served, n] { served[n] = true; });
+                  [shared, n] { (*shared)[n] = true; });
           }
         }
       }
@@ -298,7 +296,7 @@
   void Probe(const Instance& it,
              std::vector<std::shared_ptr<Exchange>>* exchanges,
              const std::function<void()>& on_served) {
-    if (it.duty == Duty::kLedger) {
+    if (it.duty == Duty::kLedger || it.gone) {
       on_served();
       return;
     }
@@ -330,10 +328,17 @@
       it->Stop();
     }
     operator_.Stop();
+    probe_.Stop();
     test::WaitFor([this] {
-      return std::all_of(callers_.begin(), callers_.end(),
+      return operator_.idle() &&
+             std::all_of(callers_.begin(), callers_.end(),
                          [](const auto& it) { return it->idle(); });
     });
+    // The newest configuration that was acknowledged is read back everywhere.
+    if (!WaitServed()) {
+      findings_.Add("the end", "not every instance shows configuration " +
+                                   std::to_string(operator_.acknowledged()));
+    }
     size_t runs = 0;
     for (const auto& [id, request] : findings_.requests()) {
       runs += static_cast<size_t>(request.runs);
@@ -348,6 +353,7 @@
     std::printf("%zu requests, %zu runs, configuration %llu\n",
                 findings_.requests().size(), runs,
                 static_cast<unsigned long long>(operator_.acknowledged()));
+    probe_.PrintCounts();
     std::printf("logs in %s\n", logs_.c_str());
   }
 
@@ -355,11 +361,15 @@
   std::mt19937_64 partition_random_;
   std::string logs_;
   Findings findings_;
+  Agenda agenda_;
   Fleet fleet_;
   Operator operator_;
+  CoreFaults core_faults_;
+  RouteProbe probe_;
+  bool final_fault_;
   std::vector<std::unique_ptr<FaultyUpstream>> upstreams_;
+  std::vector<std::unique_ptr<FaultyUpstream>> more_upstreams_;
   std::vector<std::unique_ptr<ProgramCaller>> callers_;
-  std::vector<Due> due_;
   int probes_ = 0;
 };
 
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -1,8 +1,5 @@
 #include "traffic.h"
 
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <QJsonObject>
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -14,72 +11,16 @@
 namespace {
 
 constexpr std::chrono::milliseconds kThinkTime{15};
-constexpr std::chrono::milliseconds kOperatorTimeout{1000};
-constexpr std::chrono::milliseconds kPublishInterval{700};
-constexpr std::chrono::milliseconds kReadInterval{300};
-/// Deadline of each request, and what an answer may take beyond it on a busy
-/// machine.
-constexpr int64_t kDeadlineMs = 3000;
+/// The deadline, and what an answer may take beyond it on a busy machine.
 constexpr std::chrono::milliseconds kAnswerTimeout{6000};
 /// A request whose connection ends earlier than this after it was sent may not
 /// have been read.
 constexpr int64_t kLossSlackMs = 200;
-/// A configuration is in force this long after its acknowledgement.
-constexpr int64_t kApplyMs = 2000;
 /// Time for which an unplanned fault of an instance excuses what callers see.
 constexpr int64_t kExcuseMs = 4000;
 constexpr int64_t kTurnTokens = kStreamEvents * kTokensPerEvent;
 constexpr int64_t kBudget = 3 * kTurnTokens;
 constexpr int kCallsOfProgram = 12;
-constexpr const char* kHost = "soak.example";
-
-QJsonObject RouteOf(const char* name, const char* kind, const char* service,
-                    int upstreams) {
-  const QString prefix = QString("/") + name + "/";
-  return {{"name", name},
-          {"host", kHost},
-          {"path_prefix", prefix},
-          {"kind", kind},
-          {"timeout_ms", static_cast<double>(kDeadlineMs)},
-          {"slo_ms", 250},
-          {"priority", 0},
-          {"service", service},
-          {"max_attempts", upstreams},
-          {"retain", false},
-          {"retention_s", 60.0},
-          {"sticky", true},
-          {"resumable", true},
-          {"gap_aim_ms", 150}};
-}
-
-std::string ConfigurationOf(uint64_t version) {
-  QJsonObject once = RouteOf("once", "non_idempotent", "app", 1);
-  QJsonObject read = RouteOf("read", "idempotent", "app", 2);
-  QJsonObject llm{
-      {"name", "llm"},
-      {"health_path", "/health"},
-      {"max_conns", 400},
-      {"protocol", "h1"},
-      {"tls", false},
-      {"engine", QJsonObject{{"capacity", 8},
-                             {"kv_capacity", 100000},
-                             {"tokens_per_event",
-                              static_cast<double>(kTokensPerEvent)}}}};
-  QJsonObject app{{"name", "app"},
-                  {"health_path", "/health"},
-                  {"max_conns", 400},
-                  {"protocol", "h1"},
-                  {"tls", false}};
-  const QJsonObject root{
-      {"version", static_cast<double>(version)},
-      {"routes", QJsonArray{RouteOf("turn", "stream", "llm", 1), once, read}},
-      {"services", QJsonArray{llm, app}},
-      {"limits", QJsonObject{{"max_header_bytes", 16384},
-                             {"max_body_bytes", 4194304},
-                             {"header_timeout_ms", 3000},
-                             {"idle_timeout_ms", 15000}}}};
-  return QJsonDocument(root).toJson(QJsonDocument::Compact).toStdString();
-}
 
 template <typename T>
 T& Pick(std::vector<T>& list, std::mt19937_64& random) {
@@ -226,6 +167,11 @@
   if (IsRefusal(result.status)) {
     findings_.Request(sent.id).refused = true;
   }
+  if (result.status == 401 || result.status == 403 || result.status == 404) {
+    findings_.Add("a route of every configuration is found",
+                  sent.id + " at " + sent.entry->name + " got " +
+                      std::to_string(result.status));
+  }
   if (sent.kind == "turn") {
     CountTokens(sent, result);
     if (result.status == 402) {
@@ -289,75 +235,4 @@
   }
 }
 
-Operator::Operator(Findings& findings, Fleet& fleet, uint64_t seed)
-    : findings_(findings), fleet_(fleet), random_(seed) {}
-
-void Operator::Start() {
-  Publish();
-  ReadBack();
-}
-
-void Operator::Publish() {
-  if (stopping_) {
-    return;
-  }
-  std::vector<Instance*> controls = fleet_.Of(Duty::kControl);
-  const std::string body = ConfigurationOf(version_);
-  auto exchange = std::make_shared<Exchange>(
-      fleet_.ControlAddress(*Pick(controls, random_)));
-  exchanges_.push_back(exchange);
-  exchange->Send(
-      "POST /Config.Put HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
-      "Content-Length: " +
-          std::to_string(body.size()) + "\r\n\r\n" + body,
-      kOperatorTimeout, [this](const Exchange::Result& result) {
-        if (result.status == 200) {
-          acknowledged_ = version_;
-          history_.emplace_back(version_, findings_.Now());
-          // Versions rise in uneven steps.
-          version_ += 1 + random_() % 3;
-        }
-        QTimer::singleShot(kPublishInterval, [this] { Publish(); });
-      });
-}
-
-void Operator::Read(const Instance& control,
-                    std::function<void(uint64_t)> on_version) {
-  auto exchange = std::make_shared<Exchange>(fleet_.ControlAddress(control));
-  exchanges_.push_back(exchange);
-  exchange->Send(
-      "GET /Config.Get HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n",
-      kOperatorTimeout,
-      [on_version = std::move(on_version)](const Exchange::Result& result) {
-        const QJsonObject read =
-            QJsonDocument::fromJson(QByteArray::fromStdString(result.body))
-                .object();
-        on_version(result.status == 200
-                       ? static_cast<uint64_t>(read["version"].toDouble())
-                       : 0);
-      });
-}
-
-void Operator::ReadBack() {
-  if (stopping_) {
-    return;
-  }
-  std::vector<Instance*> controls = fleet_.Of(Duty::kControl);
-  const Instance& control = *Pick(controls, random_);
-  uint64_t expected = 0;
-  for (const auto& [version, at] : history_) {
-    if (findings_.Now() - at > kApplyMs) {
-      expected = version;
-    }
-  }
-  Read(control, [this, expected, name = control.name](uint64_t version) {
-    if (version != 0 && version < expected) {
-      findings_.Add("an acknowledged configuration stays",
-                    name + " shows " + std::to_string(version) + " after " +
-                        std::to_string(expected));
-    }
-    QTimer::singleShot(kReadInterval, [this] { ReadBack(); });
-  });
-}
-
 }  // namespace hawthorn::soak
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -14,6 +14,10 @@
 
 namespace hawthorn::soak {
 
+inline constexpr const char* kHost = "soak.example";
+/// Deadline of each request.
+inline constexpr int64_t kDeadlineMs = 3000;
+
 /// Whether a status promises that the request has not run and never will.
 bool IsRefusal(int status);
 
@@ -37,6 +41,8 @@
 
   void Send(const std::string& request, std::chrono::milliseconds timeout,
             Done done);
+  /// Whether no result is awaited.
+  bool ended() const { return !done_; }
   bool reusable() const { return reusable_ && socket_.is_open(); }
 
  private:
@@ -94,31 +100,4 @@
   bool idle_ = false;
 };
 
-/// Operator that publishes configurations and reads them back.
-class Operator {
- public:
-  Operator(Findings& findings, Fleet& fleet, uint64_t seed);
-
-  void Start();
-  void Stop() { stopping_ = true; }
-  uint64_t acknowledged() const { return acknowledged_; }
-  /// Reads the configuration at `control`; calls back with its version, 0 if it
-  /// was refused.
-  void Read(const Instance& control, std::function<void(uint64_t)> on_version);
-
- private:
-  void Publish();
-  void ReadBack();
-
-  Findings& findings_;
-  Fleet& fleet_;
-  std::mt19937_64 random_;
-  uint64_t version_ = 1;
-  uint64_t acknowledged_ = 0;
-  /// Acknowledged versions and when they were.
-  std::vector<std::pair<uint64_t, int64_t>> history_;
-  std::vector<std::shared_ptr<Exchange>> exchanges_;
-  bool stopping_ = false;
-};
-
 }  // namespace hawthorn::soak
