--- a/tests/soak/core_faults.h
+++ b/tests/soak/core_faults.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <random>
+#include <string>
 
 #include "agenda.h"
 #include "fleet.h"
@@ -36,6 +37,7 @@
   void Stall(Instance& it);
   void CutOff(Instance& it);
   void Replace(Instance& it);
+  void Note(const std::string& fault, const std::string& target, int64_t span);
   int64_t Between(int64_t low, int64_t high);
 
   Findings& findings_;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -201,6 +201,13 @@
   environment.insert("LD_PRELOAD", NETWORK_FAULT);
   environment.insert(kOwnAddressVariable, Text(it.ip));
   it.process->setProcessEnvironment(environment);
+  // A fault may come before network_fault is loaded, and is lost then.
+  it.process->setChildProcessModifier([] {
+    for (const int number :
+         {PartitionSignal(), DiskStallSignal(), CutSignal()}) {
+      signal(number, SIG_IGN);
+    }
+  });
   it.process->start(qEnvironmentVariable("SOAK_HAWTHORND", HAWTHORND),
                     {"--platform", "--settings",
                      Text(WriteSettings(it, first_start)), "--metrics_port=0"});
@@ -273,6 +280,12 @@
   QDir(folder_.filePath(Text(it.name))).removeRecursively();
 }
 
+void Fleet::NoteSlowDisk() {
+  for (Instance* it : WithDisk()) {
+    Note(*it);
+  }
+}
+
 void Fleet::KillAll() {
   for (const auto& it : instances_) {
     Signal(*it, SIGKILL);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -68,6 +68,8 @@
   void SetCut(Instance& from, Instance& to, bool cut);
   /// Notes that the links of an instance are cut or whole again.
   void MarkCut(Instance& it, bool cut);
+  /// The disk of this machine, that all share, was slow now.
+  void NoteSlowDisk();
   /// Kills all processes at once.
   void KillAll();
   /// Removes an instance for good and starts an empty one at a new address.
@@ -76,6 +78,8 @@
   void CheckProcesses();
 
   std::vector<std::unique_ptr<Instance>>& instances() { return instances_; }
+  /// Folder of what the instances store.
+  std::string folder() const { return folder_.path().toStdString(); }
   /// Instances that were not removed.
   std::vector<Instance*> Of(Duty duty);
   std::vector<Instance*> WithDisk();
--- a/tests/soak/operator.h
+++ b/tests/soak/operator.h
@@ -14,7 +14,7 @@
 
 namespace hawthorn::soak {
 
-/// Two operators that race with configurations of every kind, and reads of the
+/// Operators that race with configurations of every kind, and reads of the
 /// configuration at any instance.
 class Operator {
  public:
