--- a/tests/soak/core_faults.cpp
+++ b/tests/soak/core_faults.cpp
@@ -1,5 +1,8 @@
 #include "core_faults.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace hawthorn::soak {
 
 namespace {
@@ -38,7 +41,11 @@
   next_ = now + Between(kShortMs / 2, kShortMs * 3);
   const uint64_t kind = random_() % 24;
   const std::vector<Instance*> disks = fleet_.WithDisk();
-  Instance& it = *disks[random_() % disks.size()];
+  // Most entry instances watch the seeds.
+  const size_t choices = random_() % 3 == 0
+                             ? disks.size()
+                             : std::min(disks.size(), Fleet::kMaxSeeds);
+  Instance& it = *disks[random_() % choices];
   if (IsCalm() || it.paused || it.stalled || it.cut || !it.wanted ||
       !fleet_.MayDisturbDisks()) {
     return;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -150,7 +150,7 @@
   QJsonObject listen;
   QJsonArray seeds;
   for (const Instance* seed : Of(Duty::kControl)) {
-    if (seeds.size() < 3) {
+    if (static_cast<size_t>(seeds.size()) < kMaxSeeds) {
       seeds.append(Text(ControlAddress(*seed)));
     }
   }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -46,6 +46,8 @@
 class Fleet {
  public:
   static constexpr qint64 kGraceSeconds = 8;
+  /// The first control instances are in the settings of all.
+  static constexpr size_t kMaxSeeds = 3;
 
   Fleet(Findings& findings, const std::string& logs, int controls, int ledgers,
         int entries);
