--- a/tests/soak/disk_meter.h
+++ b/tests/soak/disk_meter.h
@@ -11,8 +11,8 @@
 
 namespace hawthorn::soak {
 
-/// Measures how long the disk of this machine takes to sync, so that its own
-/// stalls are not mistaken for faults of the system.
+/// Measures how long this machine takes to sync a file, or to wake a thread, so
+/// that its own stalls are not mistaken for faults of the system.
 class DiskMeter {
  public:
   explicit DiskMeter(const std::string& folder)
@@ -45,13 +45,13 @@
 
   void Run() {
     while (!stopping_) {
-      const int64_t began = NowMs();
+      const int64_t began = NowMs() + kInterval.count();
+      std::this_thread::sleep_for(kInterval);
       began_ = began;
       [[maybe_unused]] const auto n = write(descriptor_, "x", 1);
       fdatasync(descriptor_);
       last_ = NowMs() - began;
       began_ = 0;
-      std::this_thread::sleep_for(kInterval);
     }
   }
 
