--- a/tests/consensus/current_state_test.cpp
+++ b/tests/consensus/current_state_test.cpp
@@ -37,6 +37,7 @@
   CountingMachine machine;
   std::unique_ptr<Group<CountingMachine>> group;
   bool disk_stalled = false;
+  bool is_down = false;
   /// Time that messages to this replica are on their way.
   milliseconds delay{0};
 };
@@ -65,6 +66,8 @@
     options.replica.id.instance = name;
     options.replica.seed = name.front();
     options.replica.lease_reads = false;
+    options.replica.election_timeout = milliseconds(350);
+    options.replica.heartbeat_interval = milliseconds(90);
     options.replica.max_appends_in_flight = 4;
     options.snapshot_entries = 50;
     options.replica.retained_entries = 10;
@@ -82,7 +85,9 @@
     for (milliseconds t{0}; t < length; t += milliseconds(5)) {
       now_ += milliseconds(5);
       for (auto& [name, node] : nodes_) {
-        node.group->Tick(now_);
+        if (!node.is_down) {
+          node.group->Tick(now_);
+        }
       }
       // Some rounds of messages, as many as fit into 5 ms.
       for (int i = 0; i < 4; ++i) {
@@ -107,7 +112,7 @@
 
   std::string Leader() const {
     for (const auto& [name, node] : nodes_) {
-      if (node.group && node.group->is_leader()) {
+      if (node.group && !node.is_down && node.group->is_leader()) {
         return name;
       }
     }
@@ -129,6 +134,9 @@
  private:
   void Exchange() {
     for (auto& [name, node] : nodes_) {
+      if (node.is_down) {
+        continue;
+      }
       if (!node.disk_stalled) {
         node.group->Persist(now_);
       }
@@ -143,7 +151,10 @@
     while (!network_.empty() && network_.begin()->first <= now_) {
       const schema::ConsensusMessage message =
           std::move(network_.extract(network_.begin()).mapped());
-      nodes_[message.to().instance()].group->Step(message, now_);
+      Node& to = nodes_[message.to().instance()];
+      if (!to.is_down) {
+        to.group->Step(message, now_);
+      }
     }
   }
 
@@ -240,6 +251,43 @@
   }
 }
 
+// Guards against a leader that forgets what it knew when it hears of a later
+// term, and then refuses what it could serve.
+TEST_CASE("a leader that hands over knows how old its state is") {
+  Fixture it;
+  it.Commit(3);
+  it.Run(milliseconds(2000));
+  const std::string old_leader = it.Leader();
+  REQUIRE(
+      core::IsOk(it.node(old_leader).group->TransferLeadership("", it.now())));
+  for (int i = 0; i < 100 && it.Leader() != it.Follower(); ++i) {
+    it.Run(milliseconds(5));
+    CHECK(it.StateAge(old_leader) < milliseconds(900));
+  }
+  CHECK(it.Leader() != old_leader);
+}
+
+// Guards against an election after a crash that ends the watches of all other
+// instances, which serve a state up to 1100 ms old.
+TEST_CASE("the state of the others outlasts the crash of their leader") {
+  Fixture it;
+  for (int round = 0; round < 20; ++round) {
+    const std::string crashed = it.Leader();
+    it.node(crashed).is_down = true;
+    for (int i = 0; i < 300; ++i) {
+      it.Run(milliseconds(5));
+      for (const std::string name : {"a", "b", "c"}) {
+        if (name != crashed) {
+          CAPTURE(round, i, name);
+          CHECK(it.StateAge(name) < milliseconds(1100));
+        }
+      }
+    }
+    it.node(crashed).is_down = false;
+    it.Run(milliseconds(2000 + 7 * round));
+  }
+}
+
 TEST_CASE("a replica that restarts is not current before it hears its leader") {
   Fixture it;
   it.Commit(5);
