cluster: Serve a state that an election alone has let grow old

After the crash of a leader the others' state was older than the 600 ms up to which it was served, so that one crash ended most watches.

Cause: what confirms the state of a follower is three heartbeat intervals old; the limit of the contact with a leader, one interval old, was used for it.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -329,7 +329,7 @@
     return false;
   }
   const auto known_at = group_->replica().CurrentAsOf();
-  return known_at && Now() - *known_at < kContactLimit;
+  return known_at && Now() - *known_at < kStateAgeLimit;
 }
 
 bool DeploymentHost::HasLeaderContact() const {
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -69,10 +69,13 @@
   /// Timeout of a command. Below one second, after which callers of control try
   /// another instance.
   static constexpr std::chrono::milliseconds kProposeTimeout{900};
-  /// Time without contact with a leader after which none is known, and greatest
-  /// age of a state that is served. Several heartbeat intervals and their
-  /// transit time.
+  /// Time without contact with a leader after which none is known. Several
+  /// heartbeat intervals and their transit time.
   static constexpr std::chrono::milliseconds kContactLimit{600};
+  /// Greatest age of a state that is served. Longer than kContactLimit, since
+  /// what confirms the state of a follower is three heartbeat intervals old,
+  /// and an election after a crash alone must not end watches.
+  static constexpr std::chrono::milliseconds kStateAgeLimit{1100};
   static constexpr std::chrono::milliseconds kTickInterval{30};
   /// Time without an announcement after which an instance is considered dead.
   static constexpr std::chrono::milliseconds kDeadAfter{2000};
@@ -109,7 +112,7 @@
   void OnUpstreamContact(const std::string& upstream);
 
   /// Returns whether the local state may be served: it includes everything that
-  /// the group had committed up to kContactLimit ago.
+  /// the group had committed up to kStateAgeLimit ago.
   bool IsCurrent() const;
   /// Returns whether there was contact with a leader within kContactLimit. The
   /// local state may still be behind.
