platform: Decide final answers from a state that is current

What callers saw: an instance acknowledged the departure of an upstream that it had not heard of yet, and the entry instances went on calling it. A retirement was refused for good from a state that was behind, and an accepted order to retire an instance was refused when it was sent again after another one.

Cause: the control API took a state that may be 600 ms old for the newest one, and counted the instances that remain without asking whether the order was known.

Change: StateBarrier lets a read wait until the local state is known to include all that was committed before it (CurrentAsOf); it needs no messages, and fails after 700 ms. Heartbeats keep their shortcut: an older state has nothing in it that a later one takes back and the next heartbeat does not repeat.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -203,6 +203,7 @@
   UpdateWatches();
   PassOnSpeeds();
   UpdateQuota();
+  barrier_.Update(group_->replica().CurrentAsOf(), Now());
 }
 
 void DeploymentHost::UpdateQuota() {
@@ -323,6 +324,10 @@
   return known_at && Now() - *known_at < kContactLimit;
 }
 
+void DeploymentHost::WaitUntilCurrent(StateBarrier::Callback callback) {
+  barrier_.Add(Now(), std::move(callback));
+}
+
 bool DeploymentHost::HasLeaderContact() const {
   if (!group_) {
     return false;
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -12,6 +12,7 @@
 
 #include "cluster/membership_planner.h"
 #include "cluster/quota_server.h"
+#include "cluster/state_barrier.h"
 #include "cluster/watch_registry.h"
 #include "consensus/group.h"
 #include "control/deployment_state.h"
@@ -111,6 +112,10 @@
   /// Returns whether the local state may be served: it includes everything that
   /// the group had committed up to kContactLimit ago.
   bool IsCurrent() const;
+  /// Calls back once the local state includes everything that the group had
+  /// committed before this call, or with an error if it does not in time. Needs
+  /// no messages of its own.
+  void WaitUntilCurrent(StateBarrier::Callback callback);
   /// Returns whether there was contact with a leader within kContactLimit. The
   /// local state may still be behind.
   bool HasLeaderContact() const;
@@ -236,6 +241,7 @@
   /// Instances that have watchers, as the leader said.
   std::set<std::string> watched_instances_;
   QuotaServer quota_;
+  StateBarrier barrier_;
   std::map<std::string, core::TimePoint> upstream_contacts_;
   core::TimePoint leader_since_;
   std::function<uint64_t()> unplaced_turns_;
