cluster: Keep members that are in contact, whatever announcements say

What callers saw: nothing yet; found by reading. An announcement carries no order. One of an earlier process that arrives late names another identity, so the leader removed the live voter of that instance; one that is missing for 2 s made a voter dead that acknowledged entries meanwhile.

Change: a member that replied to the leader within an election timeout is live. Its messages name its identity, and only the process with that store sends them.

Evidence: two new cases of membership_planner_test failed with the planner of before and pass with the change.

--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -202,6 +202,11 @@
   GroupView view;
   view.membership = replica.membership();
   view.self = replica.id();
+  for (const consensus::Member& member : view.membership.members()) {
+    if (replica.IsInContact(member.id)) {
+      view.in_contact.insert(member.id);
+    }
+  }
   for (const auto& [id, it] : announcements_) {
     InstanceView instance;
     instance.id = {id, it.announcement.incarnation()};
--- a/cluster/membership_planner.cpp
+++ b/cluster/membership_planner.cpp
@@ -68,7 +68,7 @@
   }
 
   bool IsLive(const Member& member) const {
-    if (member.id == view_.self) {
+    if (member.id == view_.self || view_.in_contact.contains(member.id)) {
       return true;
     }
     const InstanceView* it = ViewOf(member);
@@ -79,8 +79,8 @@
   PlannedStep RemoveLostIdentity() const {
     for (const Member& member : view_.membership.members()) {
       const InstanceView* it = ViewOf(member);
-      const bool lost = it != nullptr && it->alive && it->id != member.id;
-      if (lost && member.id != view_.self) {
+      const bool lost = it != nullptr && it->alive && !IsLive(member);
+      if (lost && it->id != member.id) {
         return Remove(member);
       }
     }
--- a/cluster/membership_planner.h
+++ b/cluster/membership_planner.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -34,6 +35,9 @@
   consensus::Membership membership;
   consensus::ReplicaId self;
   std::vector<InstanceView> instances;
+  /// Members that acknowledged messages of the group within an election
+  /// timeout. Announcements may arrive late and in any order; these cannot.
+  std::set<consensus::ReplicaId> in_contact;
 };
 
 /// Step that transfers leadership to another voter.
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -149,6 +149,9 @@
   bool storage_failed() const { return storage_failed_; }
   /// Returns whether the store was empty and this replica belongs to no group.
   bool fresh() const;
+  /// Returns whether this replica leads and `id` replied within an election
+  /// timeout.
+  bool IsInContact(const ReplicaId& id) const;
   /// Returns whether this replica leads and `id` is in contact and has synced
   /// all entries that were committed one to two heartbeat intervals ago.
   bool HasCaughtUp(const ReplicaId& id) const;
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -337,19 +337,21 @@
   return end && now < *end;
 }
 
-bool Replica::HasCaughtUp(const ReplicaId& id) const {
+bool Replica::IsInContact(const ReplicaId& id) const {
   if (role_ != Role::kLeader) {
     return false;
   }
   const auto it = leader_state_->others().find(id);
-  if (it == leader_state_->others().end() || !it->second.last_contact) {
+  return it != leader_state_->others().end() && it->second.last_contact &&
+         *it->second.last_contact + options_.election_timeout > now_;
+}
+
+bool Replica::HasCaughtUp(const ReplicaId& id) const {
+  if (!IsInContact(id) || !CommittedInTerm()) {
     return false;
   }
-  const bool recent =
-      *it->second.last_contact + options_.election_timeout > now_;
-  return recent && CommittedInTerm() &&
-         it->second.match >= commit_at_previous_heartbeat_ &&
-         it->second.match > 0;
+  const uint64_t match = leader_state_->others().at(id).match;
+  return match >= commit_at_previous_heartbeat_ && match > 0;
 }
 
 const ReplicaId* Replica::MostUpToDateVoter() const {
--- a/tests/cluster/membership_planner_test.cpp
+++ b/tests/cluster/membership_planner_test.cpp
@@ -93,6 +93,26 @@
   CHECK(change.id == Id("store-a"));
 }
 
+// Guards against the removal of a live voter: an announcement of the process
+// before, late on its way, names the identity that the instance had then.
+TEST_CASE("A late announcement of an earlier identity removes no live one") {
+  GroupView view = HealthyGroup();
+  view.in_contact = {Id("store-a")};
+  Find(&view, "store-a").id.incarnation = 77;
+  Find(&view, "store-a").caught_up = false;
+  CHECK(IsNoStep(PlanMembership(view)));
+  view.in_contact.clear();
+  CHECK(Change(PlanMembership(view)).id == Id("store-a"));
+}
+
+// Guards against the same removal as that of a dead voter.
+TEST_CASE("A voter in contact is not dead without announcements") {
+  GroupView view = HealthyGroup();
+  view.in_contact = {Id("core-c")};
+  Find(&view, "core-c").alive = false;
+  CHECK(IsNoStep(PlanMembership(view)));
+}
+
 TEST_CASE("A dead voter is removed if a learner can replace it") {
   GroupView view = HealthyGroup();
   Find(&view, "core-c").alive = false;
