storage: Open a folder in which a removed segment is there again

What callers saw: nothing yet; found by reading the disk rules. An instance whose store does not open ends, starts again and ends; its copy of the state is out of use.

Cause: obsolete segments are removed without a sync of the folder. After a loss of power one of several may be there again without its successor, and Recover took the gap for a lost segment.

In every other case a missing segment is corruption, as before.

--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -187,18 +187,31 @@
   if (!snapshot.empty()) {
     status = RecoverSnapshot(snapshot);
   }
-  for (size_t i = 0; i < numbers.size() && core::IsOk(status); ++i) {
-    if (i > 0 && numbers[i] != numbers[i - 1] + 1) {
-      return CorruptionError(
-          PathOf(NumberedName(kSegmentPrefix, numbers[i - 1] + 1)), 0,
-          "the segment is missing");
-    }
+  // Removals are not synced, so after a loss of power a removed segment may be
+  // there again without its successor.
+  size_t first = 0;
+  for (size_t i = 1; i < numbers.size(); ++i) {
+    first = numbers[i] == numbers[i - 1] + 1 ? first : i;
+  }
+  for (size_t i = first; i < numbers.size() && core::IsOk(status); ++i) {
     status = RecoverSegment(numbers[i], i + 1 == numbers.size());
   }
   if (core::IsOk(status) && numbers.empty()) {
     status = OpenSegment(1);
   }
-  return core::IsOk(status) ? AlignLogWithSnapshot() : status;
+  if (core::IsOk(status) && first > 0 &&
+      (!state_.snapshot || state_.entries.empty())) {
+    return CorruptionError(
+        PathOf(NumberedName(kSegmentPrefix, numbers[first] - 1)), 0,
+        "the segment is missing");
+  }
+  if (core::IsOk(status)) {
+    status = AlignLogWithSnapshot();
+  }
+  for (size_t i = 0; i < first && core::IsOk(status); ++i) {
+    files_->Remove(PathOf(NumberedName(kSegmentPrefix, numbers[i])));
+  }
+  return status;
 }
 
 core::Status SegmentStore::RecoverSnapshot(const std::string& name) {
--- a/tests/storage/disk_fault_test.cpp
+++ b/tests/storage/disk_fault_test.cpp
@@ -1,6 +1,7 @@
 // The store on a disk that refuses writes for some time.
 #include <catch2/catch.hpp>
 #include <filesystem>
+#include <memory>
 #include <string>
 
 #include "storage/segment_store.h"
@@ -69,5 +70,56 @@
   CHECK(core::Value(state).entries.size() == 8);
 }
 
+// Guards against a store that does not open after a loss of power: of two
+// segments that were removed, one is there again.
+TEST_CASE("a store opens when a removed segment is there again") {
+  const TemporaryFolder folder;
+  PosixFileSystem files;
+  const std::string first = folder.path() + "/segment-00000000000000000001";
+  {
+    SegmentStoreOptions options{folder.path()};
+    options.segment_bytes = 1;
+    auto opened = SegmentStore::Open(options, &files);
+    REQUIRE(core::IsOk(opened));
+    SegmentStore& store = *core::Value(opened);
+    for (uint64_t n = 1; n <= 4; ++n) {
+      REQUIRE(core::IsOk(store.Write(BatchOf(n, n, 2))));
+    }
+    REQUIRE(store.segment_count() == 4);
+    std::filesystem::copy_file(first, folder.path() + "/copy");
+    LogBatch batch = BatchOf(5, 5, 3);
+    batch.snapshot =
+        std::make_shared<Snapshot>(Snapshot{3, 2, "members", "machine"});
+    REQUIRE(core::IsOk(store.Write(batch)));
+    REQUIRE_FALSE(std::filesystem::exists(first));
+    REQUIRE(store.segment_count() == 2);
+  }
+  std::filesystem::rename(folder.path() + "/copy", first);
+  auto opened = SegmentStore::Open({folder.path()}, &files);
+  REQUIRE(core::IsOk(opened));
+  const auto state = core::Value(opened)->Load();
+  REQUIRE(core::IsOk(state));
+  CHECK(core::Value(state).snapshot->index == 3);
+  CHECK(core::Value(state).hard_state.term == 3);
+  CHECK(core::Value(state).entries.size() == 2);
+  CHECK_FALSE(std::filesystem::exists(first));
+}
+
+TEST_CASE("a store does not open without a segment that it needs") {
+  const TemporaryFolder folder;
+  PosixFileSystem files;
+  {
+    SegmentStoreOptions options{folder.path()};
+    options.segment_bytes = 1;
+    auto opened = SegmentStore::Open(options, &files);
+    REQUIRE(core::IsOk(opened));
+    for (uint64_t n = 1; n <= 4; ++n) {
+      REQUIRE(core::IsOk(core::Value(opened)->Write(BatchOf(n, n, 2))));
+    }
+  }
+  std::filesystem::remove(folder.path() + "/segment-00000000000000000002");
+  CHECK_FALSE(core::IsOk(SegmentStore::Open({folder.path()}, &files)));
+}
+
 }  // namespace
 }  // namespace hawthorn::storage
