cluster: Find a source soon when none tells its position

In a rolling upgrade an entry instance that knows a position left sources of the build before until as many of them had answered as it knows sources. Those that are gone count and never answer, so that it could be without a watch for seconds.

Change: counts watches instead of answers, four at most.

Evidence: the cases of stale_source_test, among them 'A client prefers sources that tell what their state contains', are the check; run on the final code.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -131,6 +131,7 @@
     return;
   }
   SelectSource();
+  ++watches_without_position_;
   schema::DeploymentMessage message;
   message.mutable_watch()->set_configuration_version(configuration_version_);
   *message.mutable_watch()->mutable_position() = position_;
@@ -233,22 +234,19 @@
 bool DeploymentClient::IsUpToDate(const schema::DeploymentUpdate& update) {
   const uint64_t index = update.position().index();
   if (update.has_position()) {
-    sources_without_position_ = 0;
     if (index < position_.index()) {
       return false;
     }
+    watches_without_position_ = 0;
     position_ = update.position();
     return true;
   }
   // A source of an earlier build may be behind without telling. It serves if no
   // other one does.
   const bool is_first = first_update_.isActive();
-  if (is_first && position_.index() > 0 &&
-      sources_without_position_ < sources_.size()) {
-    ++sources_without_position_;
-    return false;
-  }
-  return true;
+  return !is_first || position_.index() == 0 ||
+         watches_without_position_ >
+             std::min(sources_.size(), kPositionAttempts);
 }
 
 void DeploymentClient::OnFirstUpdateTimeout() {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -41,6 +41,9 @@
   /// Instances that are gone take no longer than this many quick attempts, so
   /// that a source is found within the time that a configuration may take.
   static constexpr int kQuickAttempts = 4;
+  /// Watches in a row after which a source that does not tell its position
+  /// serves; bounded, since many of the others may be gone.
+  static constexpr size_t kPositionAttempts = 4;
   /// Delay between two attempts to watch.
   static constexpr std::chrono::milliseconds kWatchRetryDelay{80};
   /// Suggested retry delay while no leader is reachable: about the duration of
@@ -215,8 +218,8 @@
   QTimer unreadable_retry_;
   /// The newest state that an update was made from. Older ones are not taken.
   schema::StatePosition position_;
-  /// Sources left in a row because they do not tell their position.
-  size_t sources_without_position_ = 0;
+  /// Watches in a row since one of a source that tells its position.
+  size_t watches_without_position_ = 0;
   core::TimePoint last_update_;
   peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
