cluster: Ask sources that did not answer last

What callers saw: an entry instance whose watch ended could be without one for longer than a configuration may take (2 s), as each instance that is gone and still listed was asked in turn, and with a longer timeout each time; it went on with the table that it had, and asked the same ones again at the next change of source.

Cause: the next source was the next in the list, whatever its last watch had brought, and the timeout of the first update doubled with the first source that exceeded it: 330, 580 and twice 780 ms for four instances that are gone.

Change: the client prefers other sources whose last watch brought an update or that it has not watched; if there is none, it goes on in turn, so that none is left out for good. The timeout doubles from the fourth source in a row. The gauge watch_sources_failed counts the sources that are asked last.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -1,6 +1,8 @@
 #include "cluster/deployment_client.h"
 
 #include <QPointer>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "cluster/command_log.h"
@@ -71,7 +73,7 @@
     peers_.SetPeer(core::InstanceId(instance), address);
   }
   if (serves_control) {
-    sources_[instance] = address;
+    sources_.try_emplace(instance);
   }
 }
 
@@ -94,6 +96,10 @@
   metrics_.SetGauge("update_age_ms",
                     has_update ? static_cast<double>(age.count()) : -1);
   metrics_.SetGauge("watch_sources", static_cast<double>(sources_.size()));
+  metrics_.SetGauge("watch_sources_failed",
+                    static_cast<double>(std::count_if(
+                        sources_.begin(), sources_.end(),
+                        [](const auto& it) { return it.second.failed; })));
   metrics_.SetGauge("configuration_version_unreadable",
                     static_cast<double>(unreadable_version_));
   metrics_.SetGauge("open_claims", static_cast<double>(claims_.size()));
@@ -101,14 +107,30 @@
                     static_cast<double>(settlements_.size()));
 }
 
+void DeploymentClient::SelectSource() {
+  const auto at = [this](size_t n) {
+    return std::next(sources_.begin(),
+                     static_cast<ptrdiff_t>(n % sources_.size()));
+  };
+  size_t selected = source_cursor_;
+  for (size_t n = 0; n < sources_.size(); ++n) {
+    const auto it = at(source_cursor_ + n);
+    if (!it->second.failed && it->first != source_) {
+      selected = source_cursor_ + n;
+      break;
+    }
+  }
+  source_ = at(selected)->first;
+  source_cursor_ = selected % sources_.size() + 1;
+  source_serves_ = false;
+}
+
 void DeploymentClient::Watch() {
   if (sources_.empty()) {
     retry_.start(kWatchRetryDelay);
     return;
   }
-  auto it = sources_.begin();
-  std::advance(it, static_cast<ptrdiff_t>(source_cursor_++ % sources_.size()));
-  source_ = it->first;
+  SelectSource();
   schema::DeploymentMessage message;
   message.mutable_watch()->set_configuration_version(configuration_version_);
   *message.mutable_watch()->mutable_position() = position_;
@@ -144,6 +166,8 @@
   last_update_ = clock_.Now();
   first_update_.stop();
   first_update_timeout_ = kFirstUpdateTimeout;
+  first_update_timeouts_ = 0;
+  source_serves_ = true;
   if (update.leader() != leader_) {
     leader_ = update.leader();
     Log(LogLevel::kInfo, "leader changed",
@@ -228,7 +252,9 @@
 }
 
 void DeploymentClient::OnFirstUpdateTimeout() {
-  first_update_timeout_ = std::min(first_update_timeout_ * 2, kUpdateTimeout);
+  if (++first_update_timeouts_ >= kQuickAttempts) {
+    first_update_timeout_ = std::min(first_update_timeout_ * 2, kUpdateTimeout);
+  }
   LeaveSource(core::ErrorCode::kDeadlineExceeded, "no first update in time");
 }
 
@@ -240,6 +266,7 @@
 
 void DeploymentClient::OnWatchEnd(const core::Status& status) {
   first_update_.stop();
+  sources_[source_].failed = !source_serves_;
   metrics_.Count("watch_ended");
   Log(LogLevel::kWarn, "watch ended",
       {{"source", source_},
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -34,10 +34,13 @@
   /// Time without an update after which the client watches another instance.
   /// Updates arrive at least every WatchRegistry::kKeepAliveInterval.
   static constexpr std::chrono::milliseconds kUpdateTimeout{700};
-  /// Timeout of the first update of a watch: several round trips. It doubles
-  /// with each source that exceeds it, up to kUpdateTimeout, so that slow
-  /// sources work too.
+  /// Timeout of the first update of a watch: several round trips. From the
+  /// kQuickAttempts-th source in a row that exceeds it, it doubles with each
+  /// one, up to kUpdateTimeout, so that slow sources work too.
   static constexpr std::chrono::milliseconds kFirstUpdateTimeout{250};
+  /// Instances that are gone take no longer than this many quick attempts, so
+  /// that a source is found within the time that a configuration may take.
+  static constexpr int kQuickAttempts = 4;
   /// Delay between two attempts to watch.
   static constexpr std::chrono::milliseconds kWatchRetryDelay{80};
   /// Suggested retry delay while no leader is reachable: about the duration of
@@ -143,6 +146,10 @@
                      const std::string& reason);
   void SendReport(const schema::DeploymentCommand& command);
   void Watch();
+  /// Selects the source of the next watch: the next other one in turn whose
+  /// last watch brought updates or that was not watched yet. If there is none,
+  /// the next one in turn.
+  void SelectSource();
   void OnWatchEvent(const schema::PeerMessage& event);
   /// Ends the watch and begins another one later.
   void LeaveSource(core::ErrorCode code, const std::string& reason);
@@ -184,12 +191,20 @@
   core::Metrics& metrics_;
   peer::PeerTransport& peers_;
   UpdateHandler on_update_;
-  /// Peer addresses of the instances that can be watched, by instance.
-  std::map<std::string, std::string> sources_;
+  struct Source {
+    /// The last watch ended before its first update.
+    bool failed = false;
+  };
+  /// Instances that can be watched.
+  std::map<std::string, Source> sources_;
   std::map<std::string, std::string> peer_addresses_;
   std::optional<schema::Forwarder> forwarder_;
   std::string source_;
   size_t source_cursor_ = 0;
+  /// Whether the current watch has brought an update.
+  bool source_serves_ = false;
+  /// Sources in a row without a first update in time.
+  int first_update_timeouts_ = 0;
   std::string leader_;
   std::function<uint64_t()> version_in_force_;
   /// Highest version that is in force here; sources send later ones.
--- a/tests/cluster/held_version_test.cpp
+++ b/tests/cluster/held_version_test.cpp
@@ -95,5 +95,49 @@
   CHECK(timer.elapsed() >= 1900);
 }
 
+// Guards against an instance that goes without a watch for longer than a
+// configuration may take, because instances that are gone are asked first.
+TEST_CASE("A watch is found among four sources that do not answer") {
+  Reader it(6);
+  for (size_t n = 1; n < 5; ++n) {
+    it.source(n).is_silent = true;
+  }
+  it.readable = 9;
+  it.source(0).update = WithVersion(1);
+  it.source(5).update = WithVersion(2);
+  it.client->Start();
+  REQUIRE(WaitFor([&] { return it.in_force == 1; }));
+  constexpr qint64 kApplyMs = 2000;
+  QElapsedTimer timer;
+  timer.start();
+  it.source(0).EndWatch();
+  REQUIRE(WaitFor([&] { return it.in_force == 2; }));
+  CHECK(timer.elapsed() < kApplyMs);
+}
+
+// Guards against instances that are gone and that delay each new watch.
+TEST_CASE("Sources that did not answer are asked last") {
+  Reader it(4);
+  it.source(1).is_silent = true;
+  it.source(2).is_silent = true;
+  it.readable = 9;
+  it.source(0).update = WithVersion(1);
+  it.source(3).update = WithVersion(2);
+  it.client->Start();
+  REQUIRE(WaitFor([&] { return it.in_force == 1; }));
+  it.source(0).EndWatch();
+  REQUIRE(WaitFor([&] { return it.in_force == 2; }));
+  REQUIRE(it.source(1).watches == 1);
+  REQUIRE(it.source(2).watches == 1);
+  it.source(0).update = WithVersion(3);
+  it.source(3).EndWatch();
+  REQUIRE(WaitFor([&] { return it.in_force == 3; }));
+  it.source(3).update = WithVersion(4);
+  it.source(0).EndWatch();
+  REQUIRE(WaitFor([&] { return it.in_force == 4; }));
+  CHECK(it.source(1).watches == 1);
+  CHECK(it.source(2).watches == 1);
+}
+
 }  // namespace
 }  // namespace hawthorn::cluster
