transport: Bound what the lines between the chunks of a request take

A caller could send a chunked body whose size lines and extensions were kept without counting against any limit: with the default limit of 8 MiB, up to 260 bytes were held for each byte of data. Where the buffers of an endpoint have no budget, as on control instances, one request could fill the memory.

The limit of a body counted the data of its chunks only, while the framer keeps the message as it came. A message may now take the limit of the head and twice that of the body, so that the lines have as much room as the data; a larger one is refused with 413, before a chunk that would not fit is received.

--- a/tests/transport/request_framer_test.cpp
+++ b/tests/transport/request_framer_test.cpp
@@ -126,5 +126,36 @@
   });
 }
 
+// The limit of a body counted the data of its chunks and not their size lines,
+// so that extensions or single bytes could fill the memory.
+TEST_CASE("what a request holds is bounded whatever its chunks look like") {
+  const std::string line = GENERATE(as<std::string>(), "1\r\na\r\n",
+                                    "1;" + std::string(200, 'x') + "\r\na\r\n");
+  RequestFramer framer(kLimits);
+  framer.Feed(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  size_t n = 0;
+  while (framer.state() == State::kBody && n < kLimits.max_body_bytes) {
+    framer.Feed(line);
+    ++n;
+  }
+  CHECK(framer.state() == State::kRefused);
+  CHECK(framer.error().status == 413);
+  CHECK(framer.message().size() <=
+        kLimits.max_head_bytes + 2 * kLimits.max_body_bytes);
+}
+
+// An honest body in small chunks must not be refused for its framing.
+TEST_CASE("a body in small chunks is taken") {
+  RequestFramer framer(kLimits);
+  framer.Feed(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (size_t n = 0; n < kLimits.max_body_bytes / 8; ++n) {
+    framer.Feed("1\r\na\r\n");
+  }
+  framer.Feed("0\r\n\r\n");
+  CHECK(framer.state() == State::kComplete);
+}
+
 }  // namespace
 }  // namespace hawthorn::transport
--- a/transport/request_framer.cpp
+++ b/transport/request_framer.cpp
@@ -14,6 +14,13 @@
 
 constexpr size_t kMaxChunkLineBytes = 256;
 constexpr size_t kMaxTrailerBytes = 1024;
+constexpr const char* kTooManyLines =
+    "the lines between the chunks of the body take too much";
+
+/// The lines between the chunks of a body may take as much as its data.
+size_t MaxMessageBytes(const FramingLimits& limits) {
+  return limits.max_head_bytes + 2 * limits.max_body_bytes;
+}
 
 bool IsTokenChar(char c) {
   constexpr std::string_view kExtra = "!#$%&'*+-.^_`|~";
@@ -251,6 +258,10 @@
       Refuse(status::kBadRequest, "malformed line in a chunked body");
       return used;
     }
+    if (message_.size() >= MaxMessageBytes(limits_)) {
+      Refuse(status::kContentTooLarge, kTooManyLines);
+      return used;
+    }
     message_ += c;
     chunk_line_ += c;
     if (c == '\n') {
@@ -272,6 +283,10 @@
       if (!AddBodyBytes(remaining_)) {
         return;
       }
+      if (message_.size() + remaining_ > MaxMessageBytes(limits_)) {
+        Refuse(status::kContentTooLarge, kTooManyLines);
+        return;
+      }
       chunk_state_ = remaining_ == 0 ? ChunkState::kTrailer : ChunkState::kData;
       return;
     case ChunkState::kDataEnd:
