relay: Search each byte of an event for its end once

An upstream that sent a large event in many small chunks held up all calls of the instance: each piece made the framer search the whole incomplete event again, up to 1 MiB, in the thread that serves all callers.

The bytes that were buffered before contain no end of an event, so the search now starts three bytes before the new ones.

Measured: an event of 1 MiB fed byte by byte takes more than the 5 s of processor time that the new case allows on the code before, where it fails; it passes with the change.

--- a/relay/event_framer.cpp
+++ b/relay/event_framer.cpp
@@ -9,12 +9,14 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kCrlfBlank = "\r\n\r\n";
 
 /// Returns the offset after the first event in `text` and its blank line, or
-/// npos.
-size_t EventEnd(std::string_view text) {
-  const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\r\n\r\n");
+/// npos. The first `searched` bytes are known to end no event.
+size_t EventEnd(std::string_view text, size_t searched) {
+  const size_t from = searched - std::min(searched, kCrlfBlank.size() - 1);
+  const size_t lf = text.find("\n\n", from);
+  const size_t crlf = text.find(kCrlfBlank, from);
   const size_t lf_end = lf == std::string_view::npos ? lf : lf + 2;
   const size_t crlf_end = crlf == std::string_view::npos ? crlf : crlf + 4;
   return std::min(lf_end, crlf_end);
@@ -46,13 +48,14 @@
 }  // namespace
 
 std::vector<StreamEvent> EventFramer::Feed(std::string_view bytes) {
+  size_t searched = buffer_.size();
   buffer_.append(bytes);
   std::vector<StreamEvent> events;
   size_t start = 0;
   while (true) {
     const std::string_view whole(buffer_);
     const std::string_view rest = whole.substr(start);
-    const size_t end = EventEnd(rest);
+    const size_t end = EventEnd(rest, std::exchange(searched, 0));
     if (end == std::string_view::npos) {
       break;
     }
--- a/tests/relay/event_framer_test.cpp
+++ b/tests/relay/event_framer_test.cpp
@@ -1,6 +1,7 @@
 #include "relay/event_framer.h"
 
 #include <catch2/catch.hpp>
+#include <ctime>
 
 namespace hawthorn::relay {
 namespace {
@@ -29,5 +30,18 @@
   CHECK_FALSE(events[0].id.has_value());
 }
 
+// Each piece made the framer search the whole event again. An upstream that
+// sent a large event byte by byte held up all calls of the instance.
+TEST_CASE("The cost of an event does not grow with the number of its pieces") {
+  EventFramer framer;
+  const std::clock_t start = std::clock();
+  framer.Feed("id: 1\ndata: ");
+  while (!framer.overflowed()) {
+    REQUIRE(framer.Feed("a").empty());
+  }
+  // Searching the whole event takes minutes.
+  CHECK((std::clock() - start) / CLOCKS_PER_SEC < 5);
+}
+
 }  // namespace
 }  // namespace hawthorn::relay
