relay: Continue a stream only with the rest of the same stream

A stream had begun and broke off. If the next upstream answered with a success that was no continuation, callers found its text in the middle of their stream (a success of another media type or status, events without an id), or the stream ended as if it were complete (204, a success without a body). A stream whose events have no ids was joined to the start of another run.

Any success on a stream route was taken for the rest of the stream. A response now continues one only with the status and the media type with which it began. Its first event with content needs an id, it must bring an event if the stream broke off within one, and a stream that sent content after its last id is not resumed. Otherwise the attempt is rejected as malformed, and the call is retried within its limits or its connection is reset.

--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -320,6 +320,9 @@
   void BeginExchange(bool must_be_fresh);
   ResponseMatch OnHead(const transport::ResponseHead& head,
                        std::optional<uint64_t> length);
+  /// Whether a response may continue the one that the caller has begun to
+  /// receive.
+  bool MayContinue(const transport::ResponseHead& head) const;
   /// Ends the attempt because the upstream's response cannot be used.
   void RejectResponse();
   void OnBody(std::string_view bytes);
@@ -422,6 +425,14 @@
   ResponseInfo response_info_;
   bool streaming_ = false;
   bool response_started_ = false;
+  /// Media type of the response that was begun.
+  std::string media_type_;
+  /// Whether the current exchange has brought an event with an id.
+  bool has_identified_event_ = false;
+  /// The stream broke off within an event, so that another one is to come.
+  bool lacks_event_ = false;
+  /// The caller has events after the last id, so that no other run can go on.
+  bool has_unidentified_events_ = false;
   bool ignore_body_ = false;
   std::string buffered_body_;
   transport::BufferCharge buffer_charge_;
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -20,7 +20,9 @@
   streaming_ = false;
   ignore_body_ = false;
   buffered_body_.clear();
+  lacks_event_ = lacks_event_ || (last_event_ && !framer_.rest().empty());
   framer_.Reset();
+  has_identified_event_ = false;
   response_info_ = {};
   upstream_started_at_ms_ = parts_.host.StartTimeOf(upstream_);
   upstream_version_ = parts_.host.VersionOf(upstream_);
@@ -248,6 +250,11 @@
   ran_at_.erase(upstream_);
   parts_.host.OnDecision(*this, "call moved",
                          "the link to the upstream is cut");
+  if (has_unidentified_events_) {
+    ReleaseUpstream(scheduling::CallOutcome::kUnreachable);
+    Fail(status::kBadGateway, "the link to a stream without ids was cut");
+    return;
+  }
   if (!TryAnotherUpstream(scheduling::CallOutcome::kUnreachable)) {
     Fail(status::kBadGateway, "the link to the upstream was cut");
   }
@@ -268,7 +275,8 @@
   const bool plain_body_started =
       response_started_ && !streaming_ && !last_event_;
   if (!parts_.route.IsRetryable() || plain_body_started ||
-      summary_.attempts >= kMaxAttempts || TimeLeft() < kMinTimeLeft) {
+      has_unidentified_events_ || summary_.attempts >= kMaxAttempts ||
+      TimeLeft() < kMinTimeLeft) {
     return false;
   }
   if (ran_at_.size() < parts_.route.max_upstreams) {
--- a/relay/relay_call_response.cpp
+++ b/relay/relay_call_response.cpp
@@ -1,5 +1,6 @@
 #include <QPointer>
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 #include "relay/event_data.h"
@@ -15,6 +16,34 @@
 
 constexpr std::string_view kHeadMethod = "HEAD";
 
+/// Returns the type of a body in lower case and without parameters.
+std::string MediaTypeOf(const transport::ResponseHead& head) {
+  const std::string* value = transport::FindField(head.fields, "Content-Type");
+  if (value == nullptr) {
+    return {};
+  }
+  std::string type = value->substr(0, value->find_first_of("; \t"));
+  std::transform(type.begin(), type.end(), type.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return type;
+}
+
+/// Whether an event has lines that neither are comments nor set the time of a
+/// reconnection.
+bool HasContent(std::string_view event) {
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_blank && line.front() != ':' && !line.starts_with("retry:")) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 ResponseMatch RelayCall::OnHead(const transport::ResponseHead& head,
@@ -50,7 +79,9 @@
     return ResponseMatch::kOwn;
   }
   streaming_ = success && parts_.route.kind == CallKind::kStream;
-  if (response_started_ && !streaming_) {
+  if (response_started_ && !MayContinue(head)) {
+    parts_.host.OnDecision(*this, "response not joined",
+                           "it does not continue the stream that has begun");
     RejectResponse();
     return ResponseMatch::kOwn;
   }
@@ -71,6 +102,11 @@
   return ResponseMatch::kOwn;
 }
 
+bool RelayCall::MayContinue(const transport::ResponseHead& head) const {
+  return streaming_ && head.status == summary_.status &&
+         MediaTypeOf(head) == media_type_;
+}
+
 void RelayCall::RejectResponse() {
   link_->Abandon();
   OnFailed(LinkFailure::kMalformed);
@@ -150,6 +186,7 @@
     return;
   }
   summary_.status = response_.status;
+  media_type_ = MediaTypeOf(response_);
   // A stream may go on at another upstream, so that its length is not known.
   parts_.session.BeginBody(
       {response_.status, parts_.host.codec().ReturnedFields(response_)},
@@ -165,6 +202,18 @@
     }
     if (event.id) {
       last_event_ = event.id;
+      has_identified_event_ = true;
+      lacks_event_ = false;
+      has_unidentified_events_ = false;
+    } else if (HasContent(event.bytes)) {
+      if (response_started_ && !has_identified_event_ && last_event_) {
+        parts_.host.OnDecision(*this, "response not joined",
+                               "its first event has no id");
+        framer_.Reset();
+        RejectResponse();
+        return;
+      }
+      has_unidentified_events_ = true;
     }
     if (summary_.events++ == 0) {
       summary_.stream_version = upstream_version_;
@@ -216,7 +265,7 @@
     return;
   }
   if (streaming_) {
-    if (!framer_.rest().empty()) {
+    if (!framer_.rest().empty() || lacks_event_) {
       // Every event ends with a blank line, so the stream was truncated.
       OnFailed(LinkFailure::kClosed);
       return;
