tests/soak: End the timers of an operator with it

Of the four cases of partition_test two failed, as orders of the operator of an earlier case reached the next case through timers without a context object.

--- a/tests/soak/operator.h
+++ b/tests/soak/operator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QObject>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -64,6 +65,8 @@
   std::vector<std::shared_ptr<Exchange>> exchanges_;
   int busy_ = 0;
   bool stopping_ = false;
+  /// Ends the timers with this object.
+  QObject timers_;
 };
 
 }  // namespace hawthorn::soak
--- a/tests/soak/route_probe.h
+++ b/tests/soak/route_probe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QObject>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -59,6 +60,8 @@
   std::map<std::pair<std::string, int>, std::vector<Known>> known_;
   uint64_t next_ = 0;
   bool stopping_ = false;
+  /// Ends the timers with this object.
+  QObject timers_;
   /// Probes with a clear outcome, and those that a bound held for.
   int clear_ = 0;
   int bound_calm_ = 0;
