consensus: Keep how current the state was when a leader is replaced

What callers saw: nothing yet; a fault of CurrentAsOf, which is new. After a planned change of leader the old leader ended all its watches and refused the control API until the new leader told it of its state.

Cause: BecomeFollower asked CurrentAsOf after it had set the new term, in which nothing is committed, and got the time before the leadership.

Change: it asks before the term changes.

Evidence: consensus_test 'a leader that is replaced knows how old its state is' failed before (no age at all) and passes in 3 of 3 runs; the whole test passed once with the change (29 cases).

--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -269,11 +269,12 @@
 }
 
 void Replica::BecomeFollower(uint64_t new_term, const ReplicaId& leader) {
+  // Before the term changes, since a leader has committed in its own.
+  current_as_of_ = CurrentAsOf();
   if (new_term > term()) {
     hard_state_ = storage::HardState{new_term, {}};
     queue_.MarkHardState();
   }
-  current_as_of_ = CurrentAsOf();
   role_ = Role::kFollower;
   leader_ = leader;
   verified_index_ = 0;
--- a/tests/consensus/current_state_test.cpp
+++ b/tests/consensus/current_state_test.cpp
@@ -238,6 +238,21 @@
   }
 }
 
+// Guards against a planned change of leader after which the old leader ends all
+// its watches, because it forgot how current its state is.
+TEST_CASE("a leader that is replaced knows how old its state is") {
+  Fixture it;
+  it.Commit(5);
+  const std::string old_leader = it.Leader();
+  REQUIRE(
+      core::IsOk(it.node(old_leader).group->TransferLeadership("", it.now())));
+  for (int n = 0; n < 100 && it.node(old_leader).group->is_leader(); ++n) {
+    it.Run(milliseconds(5));
+  }
+  REQUIRE_FALSE(it.node(old_leader).group->is_leader());
+  CHECK(it.StateAge(old_leader) < kSteadyAge);
+}
+
 TEST_CASE("a replica that restarts is not current before it hears its leader") {
   Fixture it;
   it.Commit(5);
