tests/cluster: Wait for contact where the state cannot become current

'An instance asks the seeds for a leader that it cannot address' waited for IsCurrent() in the sense of contact with a leader. It now waits for the same contact as before. No check changes.

--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -149,7 +149,7 @@
   it.Start(wiped);
   it.Cut(wiped, {it.initial_member(1), it.initial_member(2)});
   test::ProcessEvents();
-  WaitFor([&] { return it.host(wiped).IsCurrent(); });
+  WaitFor([&] { return it.host(wiped).HasLeaderContact(); });
   it.SetIsolated(wiped, false);
   CHECK(WaitFor([&] { return ReadsVersion(&it, wiped, 1); }));
 }
