tests/soak: Lose all that follows lost bytes of a connection

By reading, not proven: the link to the upstream was silent in between, and the proxy passed on what came after the bytes that it had dropped, so that the chunked body looked whole. No TCP connection does that.

A connection that lost bytes in one direction now carries nothing more in it and ends with a reset.

--- a/tests/soak/faulty_upstream.cpp
+++ b/tests/soak/faulty_upstream.cpp
@@ -97,7 +97,8 @@
         return;
       }
       transport::StreamSocket& other = to_far ? it->far : it->near;
-      if (how == transport::SocketEnd::kReset) {
+      const bool lossy = to_far ? it->lost_to_far : it->lost_to_near;
+      if (how == transport::SocketEnd::kReset || lossy) {
         other.Abort();
       } else {
         other.CloseAfterWrite();
@@ -113,8 +114,11 @@
 
 void Proxy::Forward(const std::shared_ptr<Link>& link, bool to_far,
                     std::string_view bytes) {
-  if (fault_ == LinkFault::kSilent ||
-      (fault_ == LinkFault::kSilentBack && !to_far)) {
+  // What follows lost bytes never arrives, as on a real connection.
+  bool& lost = to_far ? link->lost_to_far : link->lost_to_near;
+  lost = lost || fault_ == LinkFault::kSilent ||
+         (fault_ == LinkFault::kSilentBack && !to_far);
+  if (lost) {
     return;
   }
   std::deque<std::string>& queue = to_far ? link->to_far : link->to_near;
--- a/tests/soak/faulty_upstream.h
+++ b/tests/soak/faulty_upstream.h
@@ -54,6 +54,9 @@
     /// Delayed bytes in both directions; bytes never overtake others.
     std::deque<std::string> to_near;
     std::deque<std::string> to_far;
+    /// Whether bytes of a direction were lost.
+    bool lost_to_near = false;
+    bool lost_to_far = false;
   };
 
   void Accept(int descriptor);
