--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -23,6 +23,9 @@
 /// keep-alive interval of watches of 250 ms, so that updates are not late.
 constexpr std::chrono::milliseconds kLazyInterval{30};
 constexpr uint64_t kSnapshotEntries = 4000;
+/// Delay of the event loop that is reported: half of the time after which
+/// followers elect another leader.
+constexpr std::chrono::milliseconds kLoopDelayLimit = kElectionTimeout / 2;
 constexpr std::chrono::milliseconds kContactReportInterval{5000};
 /// Time after a failed write before the journal tries again.
 constexpr std::chrono::milliseconds kJournalRetryDelay{100};
@@ -163,7 +166,14 @@
   set("upstream_revision", machine_.upstream_revision());
   set("instances_known", machine_.instances().size());
   set("programs_known", machine_.program_count());
+  set("snapshots_taken", group_->snapshot_count());
+  set("snapshot_bytes", group_->snapshot_bytes());
+  set("log_entries", group_->replica().log_entries());
+  set("log_bytes", group_->bytes_since_snapshot());
   set("watchers", watches_.size());
+  set("watches_added", watches_.added_count());
+  set("watch_tables_sent", watches_.table_count());
+  set("watch_bytes_sent", watches_.sent_bytes());
   quota_.UpdateGauges();
   set("upstream_contacts", upstream_contacts_.size());
 }
@@ -189,6 +199,7 @@
 
 void DeploymentHost::Tick() {
   const core::TimePoint now = Now();
+  CheckLoopDelay(now);
   group_->Tick(now);
   if (now >= next_announce_) {
     next_announce_ = now + kAnnounceInterval;
@@ -208,6 +219,21 @@
   barrier_.Update(group_->replica().CurrentAsOf(), Now());
 }
 
+void DeploymentHost::CheckLoopDelay(core::TimePoint now) {
+  const auto previous = std::exchange(last_tick_, now);
+  if (previous == core::TimePoint() ||
+      now - previous < kTickInterval + kLoopDelayLimit) {
+    return;
+  }
+  metrics_.Count("event_loop_delays");
+  const auto delay = core::MillisecondsBetween(previous, now) - kTickInterval;
+  Log(LogLevel::kWarn, "event loop delayed",
+      {{"delay_ms", std::to_string(delay.count())},
+       {"leads", is_leader() ? "true" : "false"},
+       {"snapshots", std::to_string(group_->snapshot_count())},
+       {"watchers", std::to_string(watches_.size())}});
+}
+
 void DeploymentHost::UpdateQuota() {
   const consensus::Replica& replica = group_->replica();
   // The limits of a leader that has not committed in its term may be those of
@@ -314,6 +340,13 @@
     return;
   }
   last_applied_index_ = group_->applied_index();
+  if (group_->snapshot_count() != last_snapshot_count_) {
+    last_snapshot_count_ = group_->snapshot_count();
+    Log(LogLevel::kInfo, "snapshot taken",
+        {{"index", std::to_string(last_applied_index_)},
+         {"programs", std::to_string(machine_.program_count())},
+         {"bytes", std::to_string(group_->snapshot_bytes())}});
+  }
   if (group_->install_count() != last_install_count_) {
     // What the snapshot leaves out was removed, which no later change tells.
     last_install_count_ = group_->install_count();
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -161,6 +161,8 @@
   };
 
   void Tick();
+  /// Reports an event loop that was held up since the previous tick.
+  void CheckLoopDelay(core::TimePoint now);
   void Flush();
   void OnWritten(const storage::JournalWritten& written);
   void AfterApply();
@@ -233,6 +235,8 @@
   core::TimePoint next_write_;
   uint64_t last_applied_index_ = 0;
   uint64_t last_install_count_ = 0;
+  uint64_t last_snapshot_count_ = 0;
+  core::TimePoint last_tick_;
   bool was_leader_ = false;
   std::string known_leader_;
   core::TimePoint last_command_;
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -32,6 +32,7 @@
     watcher.forwarder->set_instance(instance);
   }
   watchers_.push_back(std::move(watcher));
+  ++added_count_;
   Send(&watchers_.back(), source);
 }
 
@@ -154,9 +155,12 @@
   if (!speeds.speeds().empty()) {
     *update->mutable_speeds() = std::move(speeds);
   }
-  if (!core::IsOk(watcher->replier.SendChunk(Pack(message)))) {
+  const schema::PeerMessage packed = Pack(message);
+  if (!core::IsOk(watcher->replier.SendChunk(packed))) {
     return;
   }
+  table_count_ += watcher->sent_table ? 0 : 1;
+  sent_bytes_ += packed.deployment().size();
   watcher->seen_forwarders = forwarders_.digest();
   watcher->last_forwarders = std::move(forwarders);
   watcher->speed_cursor = speeds_.cursor();
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -61,6 +61,11 @@
   bool Contains(const std::string& instance) const;
   bool empty() const { return watchers_.empty(); }
   size_t size() const { return watchers_.size(); }
+  /// Number of watches since the start.
+  uint64_t added_count() const { return added_count_; }
+  /// Number of whole tables and of bytes sent since the start.
+  uint64_t table_count() const { return table_count_; }
+  uint64_t sent_bytes() const { return sent_bytes_; }
 
  private:
   struct Watcher {
@@ -94,6 +99,9 @@
   const core::Clock& clock_;
   std::list<Watcher> watchers_;
   size_t total_ = 0;
+  uint64_t added_count_ = 0;
+  uint64_t table_count_ = 0;
+  uint64_t sent_bytes_ = 0;
   ForwarderList forwarders_;
   SpeedBoard speeds_;
 };
--- a/consensus/group.h
+++ b/consensus/group.h
@@ -175,6 +175,10 @@
   /// Number of snapshots of the leader that replaced the state.
   uint64_t install_count() const { return install_count_; }
   uint64_t snapshot_count() const { return snapshot_count_; }
+  /// Size of the snapshot that this replica took last, in bytes; 0 if none.
+  uint64_t snapshot_bytes() const { return snapshot_bytes_; }
+  /// Bytes of the commands that were applied since then.
+  uint64_t bytes_since_snapshot() const { return bytes_since_snapshot_; }
   /// Error of the last write; empty if it succeeded.
   std::optional<core::Error> storage_error() const {
     return replica_.storage_failed() ? last_storage_error_ : std::nullopt;
@@ -307,9 +311,12 @@
     if (!due || replica_.persisted_index() < applied_.index) {
       return;
     }
-    if (!core::IsOk(replica_.Compact(applied_.index, machine_->Snapshot()))) {
+    std::string snapshot = machine_->Snapshot();
+    const uint64_t snapshot_bytes = snapshot.size();
+    if (!core::IsOk(replica_.Compact(applied_.index, std::move(snapshot)))) {
       return;
     }
+    snapshot_bytes_ = snapshot_bytes;
     applied_since_snapshot_ = 0;
     bytes_since_snapshot_ = 0;
     ++snapshot_count_;
@@ -328,6 +335,7 @@
   uint64_t applied_since_snapshot_ = 0;
   uint64_t bytes_since_snapshot_ = 0;
   uint64_t snapshot_count_ = 0;
+  uint64_t snapshot_bytes_ = 0;
   uint64_t install_count_ = 0;
   std::optional<core::Error> failure_;
   std::optional<core::Error> last_storage_error_;
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -112,6 +112,8 @@
   const ReplicaId& leader() const { return leader_; }
   uint64_t commit_index() const { return commit_index_; }
   uint64_t last_index() const { return log_.last_index(); }
+  /// Number of entries in memory.
+  uint64_t log_entries() const { return log_.last_index() - log_.base_index(); }
   /// Highest commit index that the leader of this term has told; on the leader,
   /// its own.
   uint64_t leader_commit_index() const {
--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -110,9 +110,15 @@
 
 void EntryRole::TakeConfiguration(
     const schema::PublishedConfiguration& committed) {
+  const core::TimePoint started = clock_.Now();
   auto [table, findings] = platform::DecodeCommittedConfiguration(
       committed.content(), committed.version());
+  const auto decode_time = core::MillisecondsBetween(started, clock_.Now());
   const std::string version = std::to_string(committed.version());
+  Log(LogLevel::kInfo, "configuration decoded",
+      {{"version", version},
+       {"bytes", std::to_string(committed.content().size())},
+       {"decode_ms", std::to_string(decode_time.count())}});
   if (table == nullptr) {
     Log(LogLevel::kError, "committed configuration is unreadable",
         {{"version", version}, {"findings", findings.Report()}});
