control: Keep programs as records, and no longer than they may return

A control instance took 121 MB at its peak, a ledger instance 95.7 MB.

"A budget holds for as long as the routes of its turns ask" guards the budget, "A program is kept for the longest retention that was named" the builds side by side.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -481,6 +481,7 @@
   settlement.set_program(claim.program);
   settlement.set_request(claim.request_id);
   settlement.set_tokens(used);
+  settlement.set_retention_ms(claim.retention.count());
   settlements_[claim.request_id] = std::move(settlement);
   if (!settling_ && !settle_timer_.isActive()) {
     settle_timer_.start(kSettleDelay);
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -1,5 +1,8 @@
 #include "control/deployment_state.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -7,9 +10,11 @@
 
 namespace {
 
-/// Interval between sweeps for idle programs and crashed requests, in ms on the
+/// Interval between sweeps for crashed requests and versions, in ms on the
 /// group's clock.
 constexpr int64_t kSweepIntervalMs = 30'000;
+/// The same for idle programs.
+constexpr int64_t kProgramSweepIntervalMs = 5'000;
 
 /// Whether the announced `entry` is newer than the stored one.
 bool IsNewer(const schema::UpstreamEntry& stored,
@@ -37,6 +42,84 @@
          a.started_at_ms() == b.started_at_ms();
 }
 
+/// Spent tokens and open reservations.
+int64_t CommittedTokens(const schema::ProgramSpending& spending) {
+  int64_t total = spending.spent();
+  for (const schema::OpenReservation& it : spending.open()) {
+    total += it.tokens();
+  }
+  return total;
+}
+
+/// Removes the open reservation of a request. Returns whether there was one.
+bool RemoveOpen(const std::string& request, schema::ProgramSpending* spending) {
+  auto* open = spending->mutable_open();
+  const auto it = std::find_if(
+      open->begin(), open->end(),
+      [&request](const auto& other) { return other.request() == request; });
+  if (it == open->end()) {
+    return false;
+  }
+  open->erase(it);
+  return true;
+}
+
+/// Stream of a request, or null.
+const schema::BoundStream* FindStream(const schema::ProgramSpending& spending,
+                                      const std::string& request) {
+  const auto it = std::find_if(
+      spending.streams().begin(), spending.streams().end(),
+      [&request](const auto& other) { return other.request() == request; });
+  return it == spending.streams().end() ? nullptr : &*it;
+}
+
+void AddStream(const schema::BoundStream& stream,
+               schema::ProgramSpending* spending) {
+  *spending->add_streams() = stream;
+  if (static_cast<size_t>(spending->streams_size()) >
+      DeploymentState::kBoundStreams) {
+    spending->mutable_streams()->DeleteSubrange(0, 1);
+    spending->set_dropped_streams(true);
+  }
+}
+
+/// Passes the serialized record of each program in a snapshot to `on_program`
+/// and returns the other fields; std::nullopt if the snapshot is unreadable.
+/// The messages of all programs together would take ten times the memory.
+template <typename Handler>
+std::optional<std::string> SplitSnapshot(std::string_view snapshot,
+                                         Handler&& on_program) {
+  using google::protobuf::internal::WireFormatLite;
+  constexpr uint32_t kProgramsTag =
+      WireFormatLite::MakeTag(schema::DeploymentSnapshot::kProgramsFieldNumber,
+                              WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+  google::protobuf::io::CodedInputStream in(
+      reinterpret_cast<const uint8_t*>(snapshot.data()),
+      static_cast<int>(snapshot.size()));
+  std::string rest;
+  auto begin = static_cast<size_t>(in.CurrentPosition());
+  while (const uint32_t tag = in.ReadTag()) {
+    if (tag == kProgramsTag) {
+      uint32_t size = 0;
+      std::string record;
+      if (!in.ReadVarint32(&size) ||
+          !in.ReadString(&record, static_cast<int>(size)) ||
+          !on_program(std::move(record))) {
+        return std::nullopt;
+      }
+    } else if (!WireFormatLite::SkipField(&in, tag)) {
+      return std::nullopt;
+    }
+    const auto end = static_cast<size_t>(in.CurrentPosition());
+    if (tag != kProgramsTag) {
+      rest.append(snapshot.substr(begin, end - begin));
+    }
+    begin = end;
+  }
+  return begin == snapshot.size() ? std::optional(std::move(rest))
+                                  : std::nullopt;
+}
+
 /// Entry of the ledger that keeps the version of the reservation's stream.
 const std::string& StreamOwner(const schema::TokenReservation& reservation) {
   return reservation.stream_owner().empty() ? reservation.program()
@@ -45,14 +128,6 @@
 
 }  // namespace
 
-int64_t DeploymentState::Spending::Committed() const {
-  int64_t total = spent;
-  for (const auto& [request, tokens] : open) {
-    total += tokens;
-  }
-  return total;
-}
-
 std::string DeploymentState::Apply(uint64_t /*index*/,
                                    std::string_view command) {
   schema::DeploymentReply reply;
@@ -68,6 +143,10 @@
   if (before_ms / kSweepIntervalMs != clock_ms_ / kSweepIntervalMs) {
     Sweep();
   }
+  if (before_ms / kProgramSweepIntervalMs !=
+      clock_ms_ / kProgramSweepIntervalMs) {
+    programs_.Expire(clock_ms_);
+  }
   crashes_.EndRefusals(clock_ms_);
   reply.set_known(true);
   switch (parsed.body_case()) {
@@ -117,67 +196,49 @@
 }
 
 std::string DeploymentState::Snapshot() const {
-  schema::DeploymentSnapshot snapshot;
-  *snapshot.mutable_configuration() = configuration_;
+  schema::DeploymentSnapshot head;
+  *head.mutable_configuration() = configuration_;
   for (const auto& [id, entry] : upstreams_) {
-    *snapshot.add_upstreams() = entry;
-  }
-  snapshot.set_upstream_revision(upstream_revision_);
-  for (const auto& [id, spending] : programs_) {
-    schema::ProgramSpending* out = snapshot.add_programs();
-    out->set_program(id);
-    out->set_spent(spending.spent);
-    out->set_last_used_ms(spending.last_used_ms);
-    for (const auto& [request, tokens] : spending.open) {
-      schema::OpenReservation* open = out->add_open();
-      open->set_request(request);
-      open->set_tokens(tokens);
-    }
-    for (const std::string& request : spending.settled) {
-      out->add_settled(request);
-    }
-    for (const std::string& request : spending.stream_order) {
-      *out->add_streams() = spending.streams.at(request);
-    }
-    out->set_dropped_streams(spending.dropped_streams);
+    *head.add_upstreams() = entry;
   }
+  head.set_upstream_revision(upstream_revision_);
+  schema::DeploymentSnapshot tail;
   for (const auto& [id, record] : instances_) {
-    *snapshot.add_instances() = record;
-  }
-  crashes_.Save(&snapshot);
-  versions_.Save(&snapshot);
-  snapshot.set_clock_ms(clock_ms_);
-  return snapshot.SerializeAsString();
+    *tail.add_instances() = record;
+  }
+  crashes_.Save(&tail);
+  versions_.Save(&tail);
+  tail.set_clock_ms(clock_ms_);
+  // Fields in the order of their numbers, as in a message that is serialized
+  // as a whole.
+  std::string out;
+  out.reserve(head.ByteSizeLong() + programs_.snapshot_bytes() +
+              tail.ByteSizeLong());
+  head.AppendToString(&out);
+  programs_.AppendTo(&out);
+  tail.AppendToString(&out);
+  return out;
 }
 
 core::Status DeploymentState::Restore(std::string_view snapshot) {
+  SpendingTable programs;
+  const auto rest = SplitSnapshot(snapshot, [&programs](std::string record) {
+    return programs.SetSerialized(std::move(record));
+  });
   schema::DeploymentSnapshot parsed;
-  if (!parsed.ParseFromArray(snapshot.data(),
-                             static_cast<int>(snapshot.size()))) {
+  if (!rest || !parsed.ParseFromString(*rest)) {
     return core::Error{core::ErrorCode::kStorage,
                        "the snapshot of the deployment is unreadable",
                        core::Execution::kNotRun,
                        {}};
   }
   *this = DeploymentState();
+  programs_ = std::move(programs);
   configuration_ = parsed.configuration();
   for (const schema::UpstreamEntry& entry : parsed.upstreams()) {
     upstreams_[entry.upstream()] = entry;
   }
   upstream_revision_ = parsed.upstream_revision();
-  for (const schema::ProgramSpending& it : parsed.programs()) {
-    Spending& spending = programs_[it.program()];
-    spending.spent = it.spent();
-    spending.last_used_ms = it.last_used_ms();
-    for (const schema::OpenReservation& open : it.open()) {
-      spending.open[open.request()] = open.tokens();
-    }
-    spending.settled.assign(it.settled().begin(), it.settled().end());
-    for (const schema::BoundStream& bound : it.streams()) {
-      AddStream(bound, &spending);
-    }
-    spending.dropped_streams = it.dropped_streams();
-  }
   for (const schema::InstanceRecord& record : parsed.instances()) {
     instances_[record.instance()] = record;
   }
@@ -300,26 +361,43 @@
   entry.set_revision(++upstream_revision_);
 }
 
+schema::ProgramSpending DeploymentState::Use(const std::string& program,
+                                             int64_t retention_ms) const {
+  schema::ProgramSpending spending = programs_.Get(program);
+  spending.set_retention_ms(programs_.Contains(program)
+                                ? SpendingTable::LongerRetention(
+                                      spending.retention_ms(), retention_ms)
+                                : retention_ms);
+  spending.set_last_used_ms(clock_ms_);
+  return spending;
+}
+
 void DeploymentState::Reserve(const schema::TokenReservation& reservation,
                               schema::DeploymentReply* reply) {
   for (const schema::TokenSettlement& it : reservation.settlements()) {
     Settle(it);
   }
-  Spending& spending = programs_[reservation.program()];
-  spending.last_used_ms = clock_ms_;
+  schema::ProgramSpending spending =
+      Use(reservation.program(), reservation.retention_ms());
+  const std::string& request = reservation.request();
   const bool settled =
-      std::find(spending.settled.begin(), spending.settled.end(),
-                reservation.request()) != spending.settled.end();
-  const bool open = spending.open.contains(reservation.request());
-  const int64_t committed = spending.Committed();
+      std::find(spending.settled().begin(), spending.settled().end(),
+                request) != spending.settled().end();
+  const bool open = std::any_of(
+      spending.open().begin(), spending.open().end(),
+      [&request](const auto& it) { return it.request() == request; });
+  const int64_t committed = CommittedTokens(spending);
   if (!settled && !open &&
       committed + reservation.tokens() <= reservation.budget()) {
-    spending.open[reservation.request()] = reservation.tokens();
+    schema::OpenReservation* added = spending.add_open();
+    added->set_request(request);
+    added->set_tokens(reservation.tokens());
     reply->set_granted(true);
   } else {
     reply->set_granted(open);
   }
-  reply->set_remaining(reservation.budget() - spending.Committed());
+  reply->set_remaining(reservation.budget() - CommittedTokens(spending));
+  programs_.Set(spending);
   if (reply->granted()) {
     BindStream(reservation, reply);
   }
@@ -344,43 +422,44 @@
   } else {
     *stream.mutable_stream() = reservation.stream();
   }
-  Spending& owner = programs_[StreamOwner(reservation)];
-  owner.last_used_ms = clock_ms_;
-  const auto bound = owner.streams.find(reservation.request());
-  if (bound == owner.streams.end()) {
+  schema::ProgramSpending owner =
+      Use(StreamOwner(reservation), reservation.retention_ms());
+  const auto bound = std::find_if(
+      owner.mutable_streams()->begin(), owner.mutable_streams()->end(),
+      [&stream](const auto& it) { return it.request() == stream.request(); });
+  if (bound == owner.mutable_streams()->end()) {
     AddStream(stream, &owner);
-  } else if (!resumes &&
-             reservation.stream().round() > bound->second.stream().round()) {
-    *bound->second.mutable_stream() = reservation.stream();
+    *reply->mutable_stream() = stream.stream();
+  } else {
+    if (!resumes && reservation.stream().round() > bound->stream().round()) {
+      *bound->mutable_stream() = reservation.stream();
+    }
+    *reply->mutable_stream() = bound->stream();
   }
-  *reply->mutable_stream() = owner.streams.at(reservation.request()).stream();
+  programs_.Set(owner);
 }
 
 std::optional<schema::StreamVersion> DeploymentState::FindResumed(
     const schema::TokenReservation& reservation) const {
   const std::string& resumed = reservation.resumed_request();
-  const auto own = programs_.find(StreamOwner(reservation));
-  if (own != programs_.end()) {
-    // A claim that is sent again finds what its first send found.
-    const auto bound = own->second.streams.find(reservation.request());
-    if (bound != own->second.streams.end()) {
-      return bound->second.stream();
-    }
+  const schema::ProgramSpending own = programs_.Get(StreamOwner(reservation));
+  // A claim that is sent again finds what its first send found.
+  if (const auto* bound = FindStream(own, reservation.request())) {
+    return bound->stream();
   }
   for (const std::string* id :
        {&StreamOwner(reservation), &reservation.resumed_owner(),
         &reservation.program()}) {
-    const auto owner = programs_.find(*id);
-    if (resumed.empty() || owner == programs_.end()) {
+    if (resumed.empty() || !programs_.Contains(*id)) {
       continue;
     }
-    const auto bound = owner->second.streams.find(resumed);
-    if (bound != owner->second.streams.end()) {
-      return bound->second.stream();
+    const schema::ProgramSpending owner = programs_.Get(*id);
+    if (const auto* bound = FindStream(owner, resumed)) {
+      return bound->stream();
     }
   }
-  if (resumed.empty() && own != programs_.end()) {
-    if (auto found = FindByContent(own->second, reservation.content())) {
+  if (resumed.empty()) {
+    if (auto found = FindByContent(own, reservation.content())) {
       return found;
     }
   }
@@ -395,49 +474,40 @@
 }
 
 std::optional<schema::StreamVersion> DeploymentState::FindByContent(
-    const Spending& spending, uint64_t content) {
-  if (content == 0 || spending.dropped_streams) {
+    const schema::ProgramSpending& spending, uint64_t content) {
+  if (content == 0 || spending.dropped_streams()) {
     return std::nullopt;
   }
-  const schema::StreamVersion* found = nullptr;
+  const schema::BoundStream* found = nullptr;
   bool is_known = false;
-  for (const auto& [request, it] : spending.streams) {
+  for (const schema::BoundStream& it : spending.streams()) {
     if (it.content() != content && it.content() != 0) {
       continue;
     }
-    if (found != nullptr && found->version() != it.stream().version()) {
+    if (found != nullptr &&
+        found->stream().version() != it.stream().version()) {
       return std::nullopt;
     }
-    found = &it.stream();
+    // Replicas of an earlier build go through them in the order of requests.
+    if (found == nullptr || it.request() > found->request()) {
+      found = &it;
+    }
     is_known = is_known || it.content() == content;
   }
-  return is_known ? std::optional(*found) : std::nullopt;
-}
-
-void DeploymentState::AddStream(const schema::BoundStream& stream,
-                                Spending* spending) {
-  const std::string& request = stream.request();
-  if (!spending->streams.try_emplace(request, stream).second) {
-    return;
-  }
-  spending->stream_order.push_back(request);
-  if (spending->stream_order.size() > kBoundStreams) {
-    spending->streams.erase(spending->stream_order.front());
-    spending->stream_order.pop_front();
-    spending->dropped_streams = true;
-  }
+  return is_known ? std::optional(found->stream()) : std::nullopt;
 }
 
 void DeploymentState::Settle(const schema::TokenSettlement& settlement) {
-  Spending& spending = programs_[settlement.program()];
-  spending.last_used_ms = clock_ms_;
-  if (spending.open.erase(settlement.request()) > 0) {
-    spending.spent += settlement.tokens();
+  schema::ProgramSpending spending =
+      Use(settlement.program(), settlement.retention_ms());
+  if (RemoveOpen(settlement.request(), &spending)) {
+    spending.set_spent(spending.spent() + settlement.tokens());
   }
-  spending.settled.push_back(settlement.request());
-  if (spending.settled.size() > kSettledRequests) {
-    spending.settled.pop_front();
+  spending.add_settled(settlement.request());
+  if (static_cast<size_t>(spending.settled_size()) > kSettledRequests) {
+    spending.mutable_settled()->DeleteSubrange(0, 1);
   }
+  programs_.Set(spending);
 }
 
 void DeploymentState::ApplyInstance(schema::InstanceRecord record) {
@@ -478,9 +548,6 @@
     }
   }
   versions_.Expire(clock_ms_);
-  std::erase_if(programs_, [this](const auto& it) {
-    return it.second.last_used_ms + kProgramRetentionMs < clock_ms_;
-  });
 }
 
 }  // namespace hawthorn::control
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -9,6 +8,7 @@
 #include <vector>
 
 #include "control/crash_table.h"
+#include "control/spending_table.h"
 #include "control/version_table.h"
 #include "core/error.h"
 #include "schema/generated/deployment.pb.h"
@@ -22,9 +22,11 @@
 /// state.
 class DeploymentState {
  public:
-  /// How long the spending of an unused program is kept, in ms on the group's
-  /// clock: ten times the longest retention of programs (60 s).
-  static constexpr int64_t kProgramRetentionMs = 600'000;
+  /// How long the spending of an unused program is kept if its turns name no
+  /// retention, in ms on the group's clock. Also how long a version of
+  /// upstreams that are gone counts.
+  static constexpr int64_t kProgramRetentionMs =
+      SpendingTable::kDefaultRetentionMs;
   /// Number of settled requests kept for each program, so that a late
   /// reservation of one of them is refused.
   static constexpr size_t kSettledRequests = 64;
@@ -57,25 +59,14 @@
   bool WouldChange(const schema::UpstreamEntry& entry) const;
   const CrashTable& crashes() const { return crashes_; }
   size_t program_count() const { return programs_.size(); }
+  /// Whether the spending of `program` is known.
+  bool KnowsProgram(const std::string& program) const {
+    return programs_.Contains(program);
+  }
+  /// Memory that the spending of programs takes, in bytes.
+  size_t program_bytes() const { return programs_.memory_bytes(); }
 
  private:
-  struct Spending {
-    int64_t spent = 0;
-    std::map<std::string, int64_t> open;
-    std::deque<std::string> settled;
-    /// Software versions of streams, by each request that began one or took it
-    /// up.
-    std::map<std::string, schema::BoundStream> streams;
-    /// These requests, the oldest first.
-    std::deque<std::string> stream_order;
-    /// Older streams are no longer kept.
-    bool dropped_streams = false;
-    int64_t last_used_ms = 0;
-
-    // Spent tokens and open reservations.
-    int64_t Committed() const;
-  };
-
   void Publish(const schema::PublishedConfiguration& published);
   void ApplyAnnouncement(schema::UpstreamEntry entry);
   void MarkDraining(const schema::UpstreamIncarnation& draining);
@@ -92,8 +83,11 @@
   /// Version of the streams of a program that have this content, if all have
   /// the same one and every stream that may have it is kept.
   static std::optional<schema::StreamVersion> FindByContent(
-      const Spending& spending, uint64_t content);
-  static void AddStream(const schema::BoundStream& stream, Spending* spending);
+      const schema::ProgramSpending& spending, uint64_t content);
+  /// Record of a program that is used now, with a retention of at least
+  /// `retention_ms`.
+  schema::ProgramSpending Use(const std::string& program,
+                              int64_t retention_ms) const;
   void Settle(const schema::TokenSettlement& settlement);
   void ApplyInstance(schema::InstanceRecord record);
   void Retire(const std::string& name, schema::DeploymentReply* reply);
@@ -103,7 +97,7 @@
   schema::PublishedConfiguration configuration_;
   std::map<std::string, schema::UpstreamEntry> upstreams_;
   uint64_t upstream_revision_ = 0;
-  std::map<std::string, Spending> programs_;
+  SpendingTable programs_;
   std::map<std::string, schema::InstanceRecord> instances_;
   CrashTable crashes_;
   VersionTable versions_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -139,6 +139,7 @@
       has_budget ? head.program : kStreamProgramPrefix + first_request;
   claim.budget = has_budget ? *head.token_budget : kNoBudget;
   claim.tokens = has_budget ? head.max_output_tokens : 0;
+  claim.retention = parts_.route.retention;
   if (!IsBindable()) {
     return claim;
   }
--- a/relay/token_ledger.cpp
+++ b/relay/token_ledger.cpp
@@ -17,6 +17,7 @@
   reserve.set_stream_owner(claim.stream_owner);
   reserve.set_resumed_owner(claim.resumed_owner);
   reserve.set_content(claim.content);
+  reserve.set_retention_ms(claim.retention.count());
   for (const std::string& it : claim.services) {
     reserve.add_services(it);
   }
--- a/relay/token_ledger.h
+++ b/relay/token_ledger.h
@@ -44,6 +44,9 @@
   uint64_t content = 0;
   /// Services whose upstreams may have begun the stream.
   std::vector<std::string> services = {};
+  /// How long the program may pause between two turns; the ledger keeps it for
+  /// at least as long.
+  std::chrono::milliseconds retention{0};
 
   bool operator==(const TokenClaim&) const = default;
 };
