--- a/consensus/group.h
+++ b/consensus/group.h
@@ -17,9 +17,11 @@
 /// Options of a group: its replica and when it takes snapshots.
 struct GroupOptions {
   ReplicaOptions replica;
-  /// Applied entries after which a snapshot is taken and the log compacted.
+  /// Applied entries after which a snapshot is taken and the log compacted, if
+  /// their commands have at least a part of the size of the previous snapshot:
+  /// what a snapshot costs for each command does not grow with the state.
   uint64_t snapshot_entries = 10000;
-  /// Bytes of applied commands after which a snapshot is taken.
+  /// Bytes of applied commands after which a snapshot is taken in any case.
   uint64_t snapshot_bytes = uint64_t{64} * 1024 * 1024;
 };
 
@@ -175,7 +177,8 @@
   /// Number of snapshots of the leader that replaced the state.
   uint64_t install_count() const { return install_count_; }
   uint64_t snapshot_count() const { return snapshot_count_; }
-  /// Size of the snapshot that this replica took last, in bytes; 0 if none.
+  /// Size of the snapshot that this replica took or installed last, in bytes; 0
+  /// if none.
   uint64_t snapshot_bytes() const { return snapshot_bytes_; }
   /// Bytes of the commands that were applied since then.
   uint64_t bytes_since_snapshot() const { return bytes_since_snapshot_; }
@@ -185,6 +188,10 @@
   }
 
  private:
+  /// Part of the previous snapshot's size that the commands since then must
+  /// have, as a divisor.
+  static constexpr uint64_t kSnapshotSizeDivisor = 2;
+
   struct Proposal {
     uint64_t term = 0;
     ReplyCallback callback;
@@ -232,6 +239,7 @@
       return;
     }
     applied_ = LogPosition{snapshot.index, snapshot.term};
+    snapshot_bytes_ = snapshot.data.size();
     ++install_count_;
     applied_since_snapshot_ = 0;
     bytes_since_snapshot_ = 0;
@@ -306,8 +314,10 @@
   }
 
   void MaybeCompact() {
-    const bool due = applied_since_snapshot_ >= options_.snapshot_entries ||
-                     bytes_since_snapshot_ >= options_.snapshot_bytes;
+    const bool due =
+        (applied_since_snapshot_ >= options_.snapshot_entries &&
+         bytes_since_snapshot_ >= snapshot_bytes_ / kSnapshotSizeDivisor) ||
+        bytes_since_snapshot_ >= options_.snapshot_bytes;
     if (!due || replica_.persisted_index() < applied_.index) {
       return;
     }
--- a/tests/consensus/group_test.cpp
+++ b/tests/consensus/group_test.cpp
@@ -113,6 +113,33 @@
   core::TimePoint now_ = core::TimePoint() + milliseconds(1000);
 };
 
+// Guards against a leader that is held up longer and longer: the whole state
+// was saved each time that the same number of entries was applied.
+TEST_CASE("what snapshots cost for each command does not grow") {
+  GroupOptions options;
+  options.snapshot_entries = 10;
+  TestGroup group({"a"}, false, options);
+  group.Deliver();
+  Node* leader = group.Leader();
+  REQUIRE(leader != nullptr);
+  uint64_t command_bytes = 0;
+  uint64_t saved_bytes = 0;
+  uint64_t snapshots = 0;
+  for (int n = 0; n < 3000; ++n) {
+    const std::string command = "command " + std::to_string(n);
+    command_bytes += command.size();
+    leader->group->Propose(
+        command, [](const auto&) {}, group.now());
+    group.Deliver();
+    if (leader->group->snapshot_count() != snapshots) {
+      snapshots = leader->group->snapshot_count();
+      saved_bytes += leader->group->snapshot_bytes();
+    }
+  }
+  CHECK(snapshots > 5);
+  CHECK(saved_bytes < 4 * command_bytes);
+}
+
 TEST_CASE("a group of one voter elects itself and commits at once") {
   TestGroup group({"a"});
   group.Deliver();
