--- a/storage/log_store.h
+++ b/storage/log_store.h
@@ -67,7 +67,9 @@
   HardState hard_state;
   /// These replace all stored entries from the index of the first one on.
   std::vector<LogEntry> entries;
-  /// Saved before the entries; older snapshots may then be removed.
+  /// Saved with this batch and the next ones; the previous snapshot and the
+  /// entries after it are kept until it is complete. With `reset_log` it is
+  /// saved before this batch.
   std::shared_ptr<const Snapshot> snapshot;
   /// Discards the stored log, because the snapshot was received from a leader.
   bool reset_log = false;
--- a/storage/record.cpp
+++ b/storage/record.cpp
@@ -1,9 +1,11 @@
 #include "storage/record.h"
 
+#include <google/protobuf/io/coded_stream.h>
 #include <xxhash.h>
 
 #include <array>
 #include <cstring>
+#include <memory>
 #include <utility>
 
 namespace hawthorn::storage {
@@ -12,6 +14,11 @@
 
 constexpr uint32_t kRecordMagic = 0x48574c31;
 constexpr size_t kChecksummedHeaderBytes = 16;
+/// Tag of the field `data` in a serialized StoredSnapshot.
+constexpr uint32_t kSnapshotDataTag =
+    (schema::StoredSnapshot::kDataFieldNumber << 3U) | 2U;
+/// Greatest size of a length of 32 bits in a serialized message.
+constexpr size_t kMaxLengthBytes = 5;
 
 template <typename T>
 void AppendLittleEndian(std::string* out, T value) {
@@ -30,6 +37,14 @@
   return value;
 }
 
+void AppendHeader(size_t payload_size, uint64_t checksum, std::string* out) {
+  AppendLittleEndian<uint32_t>(out, kRecordMagic);
+  AppendLittleEndian<uint32_t>(out, static_cast<uint32_t>(payload_size));
+  AppendLittleEndian<uint64_t>(out, checksum);
+  AppendLittleEndian<uint64_t>(out,
+                               XXH64(out->data(), kChecksummedHeaderBytes, 0));
+}
+
 schema::LogEntryKind ToProto(EntryKind kind) {
   switch (kind) {
     case EntryKind::kEmpty:
@@ -58,15 +73,36 @@
 std::string EncodeRecord(std::string_view payload) {
   std::string out;
   out.reserve(kRecordHeaderBytes + payload.size());
-  AppendLittleEndian<uint32_t>(&out, kRecordMagic);
-  AppendLittleEndian<uint32_t>(&out, static_cast<uint32_t>(payload.size()));
-  AppendLittleEndian<uint64_t>(&out, XXH64(payload.data(), payload.size(), 0));
-  AppendLittleEndian<uint64_t>(&out,
-                               XXH64(out.data(), kChecksummedHeaderBytes, 0));
+  AppendHeader(payload.size(), XXH64(payload.data(), payload.size(), 0), &out);
   out.append(payload);
   return out;
 }
 
+std::string EncodeSnapshotHead(const Snapshot& snapshot) {
+  // The data is the last field of the message and may be large, so it is not
+  // copied into one.
+  schema::StoredSnapshot fields;
+  fields.set_index(snapshot.index);
+  fields.set_term(snapshot.term);
+  fields.set_membership(snapshot.membership);
+  std::string head = fields.SerializeAsString();
+  head.push_back(static_cast<char>(kSnapshotDataTag));
+  std::array<uint8_t, kMaxLengthBytes> length{};
+  const uint8_t* end =
+      google::protobuf::io::CodedOutputStream::WriteVarint32ToArray(
+          static_cast<uint32_t>(snapshot.data.size()), length.data());
+  head.append(length.begin(), length.begin() + (end - length.data()));
+  const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> checksum(
+      XXH64_createState(), &XXH64_freeState);
+  XXH64_reset(checksum.get(), 0);
+  XXH64_update(checksum.get(), head.data(), head.size());
+  XXH64_update(checksum.get(), snapshot.data.data(), snapshot.data.size());
+  std::string out;
+  AppendHeader(head.size() + snapshot.data.size(), XXH64_digest(checksum.get()),
+               &out);
+  return out + head;
+}
+
 std::optional<std::string_view> DecodeRecord(std::string_view file,
                                              uint64_t offset) {
   if (offset + kRecordHeaderBytes > file.size() ||
@@ -121,15 +157,6 @@
   return EncodeRecord(out.SerializeAsString());
 }
 
-schema::StoredSnapshot ToProto(const Snapshot& snapshot) {
-  schema::StoredSnapshot out;
-  out.set_index(snapshot.index);
-  out.set_term(snapshot.term);
-  out.set_membership(snapshot.membership);
-  out.set_data(snapshot.data);
-  return out;
-}
-
 LogEntry FromProto(schema::LogRecord&& record) {
   return LogEntry{record.index(), record.term(), FromProto(record.kind()),
                   std::move(*record.mutable_data())};
--- a/storage/record.h
+++ b/storage/record.h
@@ -18,6 +18,9 @@
 
 /// Returns a record with this payload.
 std::string EncodeRecord(std::string_view payload);
+/// Returns the beginning of a record that contains `snapshot`: all but its
+/// data, which follows as it is.
+std::string EncodeSnapshotHead(const Snapshot& snapshot);
 
 /// Payload of the record at `offset`; std::nullopt unless a complete record
 /// with valid checksums starts there.
@@ -27,9 +30,8 @@
 /// Whether a complete record with valid checksums starts after `offset`.
 bool HasRecordAfter(std::string_view file, uint64_t offset);
 
-/// Conversions between batches, snapshots, log entries and their stored form.
+/// Conversions between batches, log entries and their stored form.
 std::string EncodeBatch(const LogBatch& batch);
-schema::StoredSnapshot ToProto(const Snapshot& snapshot);
 LogEntry FromProto(schema::LogRecord&& record);
 
 }  // namespace hawthorn::storage
--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -19,6 +19,10 @@
 constexpr std::string_view kSegmentPrefix = "segment-";
 constexpr std::string_view kSnapshotPrefix = "snapshot-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
+/// Size of the pieces in which a snapshot is saved beside the batches of the
+/// log; a larger snapshot takes kMaxSnapshotPieces larger ones.
+constexpr size_t kSnapshotPieceBytes = size_t{256} * 1024;
+constexpr size_t kMaxSnapshotPieces = 32;
 
 std::string NumberedName(std::string_view prefix, uint64_t number) {
   std::string digits(20, '0');
@@ -88,11 +92,16 @@
 }
 
 core::Status SegmentStore::Write(const LogBatch& batch) {
+  core::Status saved;
   if (batch.snapshot) {
-    core::Status saved = SaveSnapshot(*batch.snapshot);
-    if (!core::IsOk(saved)) {
-      return saved;
-    }
+    saved = BeginSnapshot(batch.snapshot);
+  }
+  if (core::IsOk(saved)) {
+    saved = ContinueSnapshot(batch.reset_log);
+  }
+  if (!core::IsOk(saved)) {
+    AbandonSnapshot();
+    return saved;
   }
   core::Status appended = AppendRecord(batch);
   if (core::IsOk(appended)) {
@@ -355,20 +364,72 @@
   return status;
 }
 
-core::Status SegmentStore::SaveSnapshot(const Snapshot& snapshot) {
-  const std::string name = NumberedName(kSnapshotPrefix, snapshot.index);
-  core::Status status = WriteAtomically(
-      name, EncodeRecord(ToProto(snapshot).SerializeAsString()));
-  if (!core::IsOk(status) || snapshot.index <= snapshot_index_) {
+core::Status SegmentStore::BeginSnapshot(
+    std::shared_ptr<const Snapshot> snapshot) {
+  AbandonSnapshot();
+  const std::string name = NumberedName(kSnapshotPrefix, snapshot->index);
+  const std::string temporary = PathOf(name + std::string(kTemporarySuffix));
+  auto opened = files_->OpenForAppend(temporary);
+  if (!core::IsOk(opened)) {
+    return core::ErrorOf(opened);
+  }
+  PendingSnapshot& pending = pending_snapshot_.emplace();
+  pending.name = name;
+  pending.temporary = temporary;
+  pending.file = core::TakeValue(std::move(opened));
+  core::Status status = pending.file->Truncate(0);
+  if (core::IsOk(status)) {
+    status = pending.file->Append(EncodeSnapshotHead(*snapshot));
+  }
+  pending.snapshot = std::move(snapshot);
+  return status;
+}
+
+core::Status SegmentStore::ContinueSnapshot(bool to_end) {
+  if (!pending_snapshot_) {
+    return std::monostate{};
+  }
+  PendingSnapshot& pending = *pending_snapshot_;
+  const std::string_view data = pending.snapshot->data;
+  const size_t most =
+      to_end ? data.size()
+             : std::max(kSnapshotPieceBytes, data.size() / kMaxSnapshotPieces);
+  const std::string_view piece = data.substr(pending.written, most);
+  core::Status status = pending.file->Append(piece);
+  if (core::IsOk(status)) {
+    // Each piece by itself, so that the last sync is not a long one.
+    status = pending.file->Sync();
+  }
+  pending.written += piece.size();
+  if (!core::IsOk(status) || pending.written < data.size()) {
     return status;
   }
-  if (snapshot_index_ != 0) {
-    old_snapshots_.push_back(NumberedName(kSnapshotPrefix, snapshot_index_));
+  status = files_->Rename(pending.temporary, PathOf(pending.name));
+  if (core::IsOk(status)) {
+    status = files_->SyncFolder(options_.folder);
+  }
+  if (!core::IsOk(status)) {
+    return status;
+  }
+  const uint64_t index = pending.snapshot->index;
+  pending_snapshot_.reset();
+  if (index > snapshot_index_) {
+    if (snapshot_index_ != 0) {
+      old_snapshots_.push_back(NumberedName(kSnapshotPrefix, snapshot_index_));
+    }
+    snapshot_index_ = index;
   }
-  snapshot_index_ = snapshot.index;
   return status;
 }
 
+void SegmentStore::AbandonSnapshot() {
+  if (pending_snapshot_) {
+    pending_snapshot_->file.reset();
+    files_->Remove(pending_snapshot_->temporary);
+    pending_snapshot_.reset();
+  }
+}
+
 core::Status SegmentStore::AppendRecord(const LogBatch& batch) {
   if (has_unsynced_tail_) {
     // A later sync may report success although pages of the failed one are
--- a/storage/segment_store.h
+++ b/storage/segment_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,9 @@
 
 /// Store in a folder with segment files and a snapshot. Segments contain
 /// records with checksums. Each batch is one record, so it is stored completely
-/// or not at all. A lock prevents a second store from using the folder.
+/// or not at all. A snapshot is saved in pieces, one with each batch, so that
+/// no batch waits for a large one. A lock prevents a second store from using
+/// the folder.
 class SegmentStore final : public LogStore {
  public:
   /// Version of the folder's format.
@@ -53,6 +56,16 @@
     uint64_t last_index = 0;
   };
 
+  /// A snapshot of which only a part is saved.
+  struct PendingSnapshot {
+    std::shared_ptr<const Snapshot> snapshot;
+    std::string name;
+    std::string temporary;
+    std::unique_ptr<WritableFile> file;
+    /// Bytes of the data that are saved.
+    size_t written = 0;
+  };
+
   SegmentStore(SegmentStoreOptions options, FileSystem* files)
       : options_(std::move(options)), files_(files) {}
 
@@ -67,7 +80,11 @@
   core::Status AlignLogWithSnapshot();
   core::Status WriteAtomically(const std::string& name,
                                const std::string& content);
-  core::Status SaveSnapshot(const Snapshot& snapshot);
+  core::Status BeginSnapshot(std::shared_ptr<const Snapshot> snapshot);
+  /// Saves the next piece of the pending snapshot, or all of it. Once it is
+  /// complete, it takes the place of the previous one.
+  core::Status ContinueSnapshot(bool to_end);
+  void AbandonSnapshot();
   core::Status AppendRecord(const LogBatch& batch);
   core::Status OpenSegment(uint64_t number);
   void RemoveObsolete();
@@ -82,6 +99,7 @@
   std::unique_ptr<WritableFile> file_;
   uint64_t file_size_ = 0;
   uint64_t snapshot_index_ = 0;
+  std::optional<PendingSnapshot> pending_snapshot_;
   std::vector<std::string> old_snapshots_;
   uint64_t truncated_bytes_ = 0;
   /// A failed write left unknown content after file_size_.
--- a/tests/support/refusing_files.h
+++ b/tests/support/refusing_files.h
@@ -28,6 +28,8 @@
   }
   /// Number of operations that were refused.
   int refused() const { return refused_; }
+  /// Bytes that were appended to any file.
+  uint64_t appended_bytes() const { return appended_bytes_; }
 
   core::Result<std::unique_ptr<storage::WritableFile>> OpenForAppend(
       const std::string& path) override {
@@ -75,6 +77,7 @@
         file_->Append(bytes.substr(0, bytes.size() / 2));
         return Error();
       }
+      owner_->appended_bytes_ += bytes.size();
       return file_->Append(bytes);
     }
     core::Status Sync() override {
@@ -104,6 +107,7 @@
   std::mutex mutex_;
   Refusals refusals_;
   std::atomic<int> refused_ = 0;
+  std::atomic<uint64_t> appended_bytes_ = 0;
 };
 
 }  // namespace hawthorn::test
