transport: Take no interim response for the response

Cause: the client had a parser of its own, to which 1xx is a response without a body. It now uses the reader of the relay, which skips interim responses and bounds heads and bodies.

--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -102,6 +102,36 @@
   REQUIRE(response.error.execution == core::Execution::kUnknown);
 }
 
+// Guards against an answer with an empty or short body that looks whole: the
+// upstream stopped in the middle of the head, also after an interim response.
+TEST_CASE("a response whose head is cut is not complete") {
+  const std::string interim =
+      GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+  const std::string framing =
+      GENERATE("Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "");
+  const std::string head =
+      interim + "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
+  for (size_t kept = 0; kept < head.size(); ++kept) {
+    CAPTURE(interim, framing, kept);
+    FakeUpstream upstream(head.substr(0, kept));
+    ClientFixture fixture;
+    const ClientResponse response = fixture.Call(upstream.address());
+    CHECK_FALSE(response.complete);
+    CHECK(response.error.execution == core::Execution::kUnknown);
+  }
+}
+
+TEST_CASE("an interim response is not the response") {
+  FakeUpstream upstream(
+      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  ClientFixture fixture;
+  const ClientResponse response = fixture.Call(upstream.address());
+  CHECK(response.complete);
+  CHECK(response.status == 200);
+  CHECK(fixture.body == "hello");
+}
+
 TEST_CASE("a call whose connection is refused is reported as not run") {
   QTcpServer closed;
   closed.listen(QHostAddress::LocalHost);
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -5,17 +5,15 @@
 #include <QHostAddress>
 #include <QTcpSocket>
 #include <QTimer>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <limits>
+#include <optional>
+#include <string_view>
+
+#include "transport/response_reader.h"
 
 namespace hawthorn::transport {
 
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr char kExecutionField[] = "hawthorn-execution";
 
 std::string Serialize(const ClientRequest& request) {
@@ -36,10 +34,13 @@
 class HttpClient::Call {
  public:
   Call(HttpClient& client, const ClientRequest& request)
-      : client_(client), request_(request) {
-    parser_.body_limit(std::numeric_limits<uint64_t>::max());
-    parser_.eager(true);
-  }
+      : client_(client),
+        request_(request),
+        reader_(
+            {.on_head = [this](
+                            const ResponseHead& head,
+                            const std::optional<uint64_t>&) { OnHead(head); },
+             .on_body = [this](std::string_view body) { chunk_ += body; }}) {}
 
   ~Call() { socket_.disconnect(); }
 
@@ -92,42 +93,30 @@
 
   void Receive() {
     idle_timer_.start(request_.idle_timeout);
-    pending_ += socket_.readAll().toStdString();
-    Parse();
+    const QByteArray bytes = socket_.readAll();
+    Parse({bytes.constData(), static_cast<size_t>(bytes.size())});
   }
 
   /// Parses the received bytes and passes on the decoded body.
-  void Parse() {
-    while (!ended_ && !pending_.empty() && !parser_.is_done()) {
-      boost::system::error_code ec;
-      const size_t used = parser_.put(
-          boost::asio::buffer(pending_.data(), pending_.size()), ec);
-      pending_.erase(0, used);
-      if (ec == http::error::need_more) {
-        break;
-      }
-      if (ec) {
-        Fail("malformed answer: " + ec.message());
-        return;
-      }
-      if (used == 0) {
-        break;
-      }
+  void Parse(std::string_view bytes) {
+    if (ended_ || reader_.complete()) {
+      return;
+    }
+    const core::Result<size_t> used = reader_.Feed(bytes);
+    if (!chunk_.empty()) {
+      client_.on_chunk_(request_.id, std::exchange(chunk_, {}));
     }
-    EmitBody();
-    if (!ended_ && parser_.is_done()) {
+    if (!core::IsOk(used)) {
+      Fail("malformed answer: " + core::ErrorOf(used).message);
+    } else if (!ended_ && reader_.complete()) {
       Finish();
     }
   }
 
-  void EmitBody() {
-    std::string& body = parser_.get().body();
-    if (ended_ || body.empty()) {
-      return;
-    }
-    std::string chunk;
-    chunk.swap(body);
-    client_.on_chunk_(request_.id, std::move(chunk));
+  void OnHead(const ResponseHead& head) {
+    response_.status = head.status;
+    const std::string* execution = FindField(head.fields, kExecutionField);
+    response_.execution = execution == nullptr ? std::string() : *execution;
   }
 
   void OnError() {
@@ -141,11 +130,7 @@
     if (ended_) {
       return;
     }
-    boost::system::error_code ec;
-    if (parser_.is_header_done()) {
-      parser_.put_eof(ec);
-    }
-    if (parser_.is_header_done() && !ec && parser_.is_done()) {
+    if (core::IsOk(reader_.FeedEnd())) {
       Finish();
       return;
     }
@@ -153,11 +138,8 @@
   }
 
   void Finish() {
-    ClientResponse response;
-    response.status = static_cast<int>(parser_.get().result_int());
-    response.execution = std::string(parser_.get()[kExecutionField]);
-    response.complete = true;
-    End(std::move(response));
+    response_.complete = true;
+    End(response_);
   }
 
   void Fail(std::string message) {
@@ -169,16 +151,12 @@
   }
 
   void Fail(core::ErrorCode code, std::string message) {
-    ClientResponse response;
-    if (parser_.is_header_done()) {
-      response.status = static_cast<int>(parser_.get().result_int());
-    }
-    response.error = core::Error{
+    response_.error = core::Error{
         code,
         std::move(message),
         sent_ ? core::Execution::kUnknown : core::Execution::kNotRun,
         {}};
-    End(std::move(response));
+    End(response_);
   }
 
   void End(ClientResponse response) {
@@ -203,8 +181,10 @@
   QTcpSocket socket_;
   QTimer deadline_timer_;
   QTimer idle_timer_;
-  http::response_parser<http::string_body> parser_;
-  std::string pending_;
+  ClientResponse response_;
+  ResponseReader reader_;
+  /// Bytes of the body that were not passed on yet.
+  std::string chunk_;
   bool sent_ = false;
   bool ended_ = false;
 };
