main/ctl: Do not take a part of an answer for the whole

The client now uses HttpClient, which also does not send a change twice. Host names are resolved as before.

--- a/main/ctl/operator_client.cpp
+++ b/main/ctl/operator_client.cpp
@@ -1,12 +1,13 @@
 #include "main/ctl/operator_client.h"
 
 #include <QEventLoop>
-#include <QNetworkReply>
-#include <QNetworkRequest>
-#include <QUrl>
-#include <memory>
+#include <QHostInfo>
+#include <chrono>
+#include <optional>
+#include <utility>
 
 #include "main/http/json.h"
+#include "transport/http_client.h"
 
 namespace hawthorn::ctl {
 
@@ -15,6 +16,18 @@
 constexpr std::chrono::milliseconds kTimeout{15'000};
 constexpr int kFirstFailureStatus = 400;
 
+/// Replaces the name of a host in "HOST:port" by its address.
+std::string Resolve(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  const QHostInfo host =
+      QHostInfo::fromName(QString::fromStdString(address.substr(0, colon)));
+  if (colon == std::string::npos || host.addresses().isEmpty()) {
+    return address;
+  }
+  return host.addresses().front().toString().toStdString() +
+         address.substr(colon);
+}
+
 core::Error ErrorFrom(const std::string& text) {
   const auto parsed = main::ParseObject(text);
   core::Error error{
@@ -35,31 +48,38 @@
 
 core::Result<std::string> OperatorClient::Run(const std::string& path,
                                               const QJsonObject* body) {
-  QNetworkRequest request(
-      QUrl(QString::fromStdString("http://" + address_ + path)));
-  request.setTransferTimeout(static_cast<int>(kTimeout.count()));
-  request.setRawHeader("Authorization",
-                       QByteArray::fromStdString("Bearer " + key_));
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-  std::unique_ptr<QNetworkReply> reply(
-      body == nullptr ? manager_.get(request)
-                      : manager_.post(request, QByteArray::fromStdString(
-                                                   main::ToJson(*body))));
+  transport::ClientRequest request;
+  request.address = Resolve(address_);
+  request.method = body == nullptr ? "GET" : "POST";
+  request.target = path;
+  request.headers = {{"Authorization", "Bearer " + key_},
+                     {"Content-Type", "application/json"}};
+  request.body = body == nullptr ? std::string() : main::ToJson(*body);
+  request.timeout = kTimeout;
+  request.idle_timeout = kTimeout;
   QEventLoop loop;
-  QObject::connect(reply.get(), &QNetworkReply::finished, &loop,
-                   &QEventLoop::quit);
+  std::string text;
+  transport::ClientResponse response;
+  transport::HttpClient client(
+      [&text](transport::ClientCallId, const std::string& chunk) {
+        text += chunk;
+      },
+      [&response, &loop](transport::ClientCallId,
+                         transport::ClientResponse ended) {
+        response = std::move(ended);
+        loop.quit();
+      });
+  client.Start(request);
   loop.exec();
-  const int status =
-      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  std::string text = reply->readAll().toStdString();
-  if (status == 0) {
-    return core::Error{
-        core::ErrorCode::kUnavailable,
-        "cannot reach " + address_ + ": " + reply->errorString().toStdString(),
-        core::Execution::kUnknown,
-        {}};
+  if (!response.complete) {
+    const bool is_sent = response.error.execution != core::Execution::kNotRun;
+    return core::Error{core::ErrorCode::kUnavailable,
+                       (is_sent ? "no whole answer from " : "cannot reach ") +
+                           address_ + ": " + response.error.message,
+                       response.error.execution,
+                       {}};
   }
-  if (status >= kFirstFailureStatus) {
+  if (response.status >= kFirstFailureStatus) {
     return ErrorFrom(text);
   }
   return text;
--- a/main/ctl/operator_client.h
+++ b/main/ctl/operator_client.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <QJsonObject>
-#include <QNetworkAccessManager>
 #include <string>
 
 #include "core/error.h"
 
 namespace hawthorn::ctl {
 
-/// Blocking client of the operator API of one instance.
+/// Blocking client of the operator API of one instance. An answer that breaks
+/// off is an error, however much of it arrived.
 class OperatorClient {
  public:
   /// `address` is "IP:port"; `key` the operators' key.
@@ -18,8 +18,7 @@
   /// Reads the JSON object at `path`. An error response of the instance is
   /// returned with its code, message and execution.
   core::Result<QJsonObject> Get(const std::string& path);
-  /// Sends `body` to `path`. Qt may resend it when the connection is lost, so a
-  /// change must carry an operation id.
+  /// Sends `body` to `path`, once.
   core::Result<QJsonObject> Post(const std::string& path,
                                  const QJsonObject& body);
   /// Reads the text at `path`.
@@ -31,7 +30,6 @@
 
   std::string address_;
   std::string key_;
-  QNetworkAccessManager manager_;
 };
 
 }  // namespace hawthorn::ctl
