cluster: Find a source in time, and one that counts positions of another log

A source ends its watches when its state is 1.1 s old; then came 80 ms, and 250 ms and 80 ms for each source that did not answer: 2.5 s with four of them, where the shortest deployments allow 2 s. Now the next source is asked at once, and another one beside it each 100 ms until one answers, at most five.

The delay doubles each time that all of them have refused, up to 320 ms. The digest of the instances is computed once for all watchers.

A position was compared by its index alone: who held a higher one of another log refused every source. The term comes first now, and a client that four current sources are behind, 3 s after its last update, drops its position.

Tests: 'A watch is found among four sources that do not answer' has 900 ms now, what the age of the state leaves of 2 s, and took 1,330 ms by the sum of the former timers; 'A client takes the state of a later term at a lower index', 'A client that is ahead of all current sources follows them again', 'A client asks sources that refuse it less and less often'.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -8,6 +8,7 @@
 #include "cluster/command_log.h"
 #include "cluster/deployment_host.h"
 #include "cluster/errors.h"
+#include "cluster/state_position.h"
 #include "logging/log.h"
 
 namespace hawthorn::cluster {
@@ -53,7 +54,11 @@
           &DeploymentClient::SendSettlements);
 }
 
-DeploymentClient::~DeploymentClient() { peers_.CancelStream(watch_); }
+DeploymentClient::~DeploymentClient() {
+  for (const auto& [number, it] : watches_) {
+    peers_.CancelStream(it.stream);
+  }
+}
 
 void DeploymentClient::AddSeeds(const std::vector<std::string>& seeds) {
   for (const std::string& address : seeds) {
@@ -107,22 +112,33 @@
                     static_cast<double>(settlements_.size()));
 }
 
-void DeploymentClient::SelectSource() {
+std::string DeploymentClient::SelectSource() {
   const auto at = [this](size_t n) {
     return std::next(sources_.begin(),
                      static_cast<ptrdiff_t>(n % sources_.size()));
   };
-  size_t selected = source_cursor_;
-  for (size_t n = 0; n < sources_.size(); ++n) {
-    const auto it = at(source_cursor_ + n);
+  const auto is_open = [this](const std::string& source) {
+    return std::any_of(
+        watches_.begin(), watches_.end(),
+        [&source](const auto& it) { return it.second.source == source; });
+  };
+  std::optional<size_t> selected;
+  for (size_t n = source_cursor_; n < source_cursor_ + sources_.size(); ++n) {
+    const auto it = at(n);
+    if (is_open(it->first)) {
+      continue;
+    }
     if (!it->second.failed && it->first != source_) {
-      selected = source_cursor_ + n;
+      selected = n;
       break;
     }
+    selected = selected ? selected : n;
   }
-  source_ = at(selected)->first;
-  source_cursor_ = selected % sources_.size() + 1;
-  source_serves_ = false;
+  if (!selected) {
+    return {};
+  }
+  source_cursor_ = *selected % sources_.size() + 1;
+  return at(*selected)->first;
 }
 
 void DeploymentClient::Watch() {
@@ -130,45 +146,71 @@
     retry_.start(kWatchRetryDelay);
     return;
   }
-  SelectSource();
-  ++watches_without_position_;
+  // The end of an open watch begins the next one.
+  const std::string source =
+      watches_.size() < kMaxOpenWatches ? SelectSource() : std::string();
+  if (source.empty()) {
+    return;
+  }
   schema::DeploymentMessage message;
   message.mutable_watch()->set_configuration_version(configuration_version_);
   *message.mutable_watch()->mutable_position() = position_;
   if (forwarder_) {
     *message.mutable_watch()->mutable_forwarder() = *forwarder_;
   }
+  const uint64_t number = ++last_watch_;
   peer::StreamCallbacks callbacks;
-  callbacks.on_chunk = [this](const schema::PeerMessage& event) {
-    OnWatchEvent(event);
+  callbacks.on_chunk = [this, number](const schema::PeerMessage& event) {
+    OnWatchEvent(number, event);
   };
-  callbacks.on_end = [this](const core::Status& status) { OnWatchEnd(status); };
-  Log(LogLevel::kInfo, "watch started", {{"source", source_}});
-  watch_ = peers_.OpenStream(core::InstanceId(source_), Pack(message),
-                             kUpdateTimeout, std::move(callbacks));
-  first_update_.start(first_update_timeout_);
+  callbacks.on_end = [this, number](const core::Status& status) {
+    OnWatchEnd(number, status);
+  };
+  Log(LogLevel::kInfo, "watch started", {{"source", source}});
+  watches_[number] = {source,
+                      peers_.OpenStream(core::InstanceId(source), Pack(message),
+                                        kUpdateTimeout, std::move(callbacks))};
+  first_update_.start(kFirstUpdateTimeout);
 }
 
-void DeploymentClient::OnWatchEvent(const schema::PeerMessage& event) {
+void DeploymentClient::Serve(uint64_t number) {
+  first_update_.stop();
+  retry_.stop();
+  for (const auto& [other, it] : watches_) {
+    if (other != number) {
+      peers_.CancelStream(it.stream);
+    }
+  }
+  std::erase_if(watches_,
+                [number](const auto& it) { return it.first != number; });
+  serving_ = number;
+  serving_since_ = clock_.Now();
+  failed_watches_ = 0;
+  sources_behind_ = 0;
+  source_ = watches_.at(number).source;
+  sources_[source_].failed = false;
+}
+
+void DeploymentClient::OnWatchEvent(uint64_t number,
+                                    const schema::PeerMessage& event) {
   const auto message = Unpack(event);
   if (!core::IsOk(message) || !core::Value(message).has_update()) {
     // What changed would be missing for as long as this watch lasts, and a new
     // one begins with the whole state.
     metrics_.Count("unreadable_updates");
-    LeaveSource(core::ErrorCode::kInvalidArgument, "unreadable update");
+    LeaveSource(number, core::ErrorCode::kInvalidArgument, "unreadable update");
     return;
   }
   const schema::DeploymentUpdate& update = core::Value(message).update();
-  if (!IsUpToDate(update)) {
+  if (!IsUpToDate(number, update)) {
     metrics_.Count("updates_behind");
-    LeaveSource(core::ErrorCode::kUnavailable, "the source is behind");
+    LeaveSource(number, core::ErrorCode::kConflict, "the source is behind");
     return;
   }
   last_update_ = clock_.Now();
-  first_update_.stop();
-  first_update_timeout_ = kFirstUpdateTimeout;
-  first_update_timeouts_ = 0;
-  source_serves_ = true;
+  if (number != serving_) {
+    Serve(number);
+  }
   if (update.leader() != leader_) {
     leader_ = update.leader();
     Log(LogLevel::kInfo, "leader changed",
@@ -210,8 +252,8 @@
 
 void DeploymentClient::OnUnreadableRetry() {
   // Without a watch, the next one asks for the version anyway.
-  if (!retry_.isActive()) {
-    LeaveSource(core::ErrorCode::kUnavailable,
+  if (serving_ != 0) {
+    LeaveSource(serving_, core::ErrorCode::kUnavailable,
                 "a configuration is not in force");
   }
 }
@@ -231,10 +273,10 @@
   }
 }
 
-bool DeploymentClient::IsUpToDate(const schema::DeploymentUpdate& update) {
-  const uint64_t index = update.position().index();
+bool DeploymentClient::IsUpToDate(uint64_t number,
+                                  const schema::DeploymentUpdate& update) {
   if (update.has_position()) {
-    if (index < position_.index()) {
+    if (Precedes(update.position(), position_)) {
       return false;
     }
     watches_without_position_ = 0;
@@ -243,34 +285,83 @@
   }
   // A source of an earlier build may be behind without telling. It serves if no
   // other one does.
-  const bool is_first = first_update_.isActive();
-  return !is_first || position_.index() == 0 ||
+  return number == serving_ || position_.index() == 0 ||
          watches_without_position_ >
              std::min(sources_.size(), kPositionAttempts);
 }
 
 void DeploymentClient::OnFirstUpdateTimeout() {
-  if (++first_update_timeouts_ >= kQuickAttempts) {
-    first_update_timeout_ = std::min(first_update_timeout_ * 2, kUpdateTimeout);
+  if (serving_ != 0 || watches_.empty()) {
+    return;
   }
-  LeaveSource(core::ErrorCode::kDeadlineExceeded, "no first update in time");
+  sources_[watches_.rbegin()->second.source].failed = true;
+  Watch();
 }
 
-void DeploymentClient::LeaveSource(core::ErrorCode code,
+void DeploymentClient::LeaveSource(uint64_t number, core::ErrorCode code,
                                    const std::string& reason) {
-  peers_.CancelStream(watch_);
-  OnWatchEnd(core::Error{code, reason, core::Execution::kUnknown, {}});
+  peers_.CancelStream(watches_.at(number).stream);
+  OnWatchEnd(number, core::Error{code, reason, core::Execution::kUnknown, {}});
 }
 
-void DeploymentClient::OnWatchEnd(const core::Status& status) {
-  first_update_.stop();
-  sources_[source_].failed = !source_serves_;
+void DeploymentClient::OnWatchEnd(uint64_t number, const core::Status& status) {
+  const auto ended = watches_.find(number);
+  if (ended == watches_.end()) {
+    return;
+  }
+  const std::string source = ended->second.source;
+  watches_.erase(ended);
+  const bool served = number == serving_;
+  sources_[source].failed = !served;
   metrics_.Count("watch_ended");
   Log(LogLevel::kWarn, "watch ended",
-      {{"source", source_},
+      {{"source", source},
        {"reason",
         core::IsOk(status) ? "finished" : core::ErrorOf(status).message}});
-  retry_.start(kWatchRetryDelay);
+  if (served) {
+    serving_ = 0;
+    // At once, unless sources end their watches as soon as they begin.
+    const auto lasted = clock_.Now() - serving_since_;
+    retry_.start(lasted < kWatchRetryDelay ? kWatchRetryDelay
+                                           : std::chrono::milliseconds(0));
+    return;
+  }
+  ++failed_watches_;
+  ++watches_without_position_;
+  if (!core::IsOk(status) &&
+      core::ErrorOf(status).code == core::ErrorCode::kConflict) {
+    OnSourceBehind();
+  }
+  if (!retry_.isActive()) {
+    retry_.start(RetryDelay());
+  }
+}
+
+std::chrono::milliseconds DeploymentClient::RetryDelay() const {
+  auto delay = kWatchRetryDelay;
+  for (size_t n = sources_.size();
+       n <= failed_watches_ && delay < kMaxWatchRetryDelay;
+       n += sources_.size()) {
+    delay = std::min(delay * 2, kMaxWatchRetryDelay);
+  }
+  return delay;
+}
+
+void DeploymentClient::OnSourceBehind() {
+  // The state of a source that is current holds all that this client was told
+  // longer ago.
+  ++sources_behind_;
+  if (sources_behind_ < std::min(sources_.size(), kPositionAttempts) ||
+      HadContactWithin(kPositionDoubtAfter)) {
+    return;
+  }
+  metrics_.Count("positions_dropped");
+  Log(LogLevel::kError, "position of another log dropped",
+      {{"index", std::to_string(position_.index())},
+       {"term", std::to_string(position_.term())},
+       {"sources", std::to_string(sources_behind_)}});
+  position_.Clear();
+  sources_behind_ = 0;
 }
 
 void DeploymentClient::Claim(const relay::TokenClaim& claim,
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -34,18 +34,26 @@
   /// Time without an update after which the client watches another instance.
   /// Updates arrive at least every WatchRegistry::kKeepAliveInterval.
   static constexpr std::chrono::milliseconds kUpdateTimeout{700};
-  /// Timeout of the first update of a watch: several round trips. From the
-  /// kQuickAttempts-th source in a row that exceeds it, it doubles with each
-  /// one, up to kUpdateTimeout, so that slow sources work too.
-  static constexpr std::chrono::milliseconds kFirstUpdateTimeout{250};
-  /// Instances that are gone take no longer than this many quick attempts, so
-  /// that a source is found within the time that a configuration may take.
-  static constexpr int kQuickAttempts = 4;
+  /// Time without a first update after which another source is asked beside
+  /// the first one: several round trips. The one that answers first serves, so
+  /// that instances that are gone cost little and slow ones work too.
+  static constexpr std::chrono::milliseconds kFirstUpdateTimeout{100};
+  /// Maximum number of watches that wait for their first update. The last one
+  /// begins kFirstUpdateTimeout times as many later as there are others, which
+  /// with the age of the state before is below the time that a configuration
+  /// may take.
+  static constexpr size_t kMaxOpenWatches = 5;
   /// Watches in a row after which a source that does not tell its position
   /// serves; bounded, since many of the others may be gone.
   static constexpr size_t kPositionAttempts = 4;
-  /// Delay between two attempts to watch.
+  /// Delay after a source that refused a watch. It doubles each time that all
+  /// sources have refused, up to kMaxWatchRetryDelay, so that instances without
+  /// a source do not keep the sources busy.
   static constexpr std::chrono::milliseconds kWatchRetryDelay{80};
+  static constexpr std::chrono::milliseconds kMaxWatchRetryDelay{320};
+  /// Time without an update after which sources that are current and behind
+  /// this client show that its position is of another log.
+  static constexpr std::chrono::milliseconds kPositionDoubtAfter{3000};
   /// Suggested retry delay while no leader is reachable: about the duration of
   /// an election.
   static constexpr std::chrono::milliseconds kNoLeaderRetryAfter{600};
@@ -126,6 +134,8 @@
   /// kUpdateTimeout.
   bool IsCurrent() const { return HadContactWithin(kUpdateTimeout); }
   bool HadContactWithin(std::chrono::milliseconds time) const;
+  /// Number of watches that have not ended.
+  size_t open_watches() const { return watches_.size(); }
   /// Number of settlements that are not durable yet.
   size_t open_settlements() const { return settlements_.size(); }
   /// Number of reports that the group has not confirmed yet.
@@ -151,15 +161,21 @@
   void Watch();
   /// Selects the source of the next watch: the next other one in turn whose
   /// last watch brought updates or that was not watched yet. If there is none,
-  /// the next one in turn.
-  void SelectSource();
-  void OnWatchEvent(const schema::PeerMessage& event);
-  /// Ends the watch and begins another one later.
-  void LeaveSource(core::ErrorCode code, const std::string& reason);
+  /// the next one in turn. Returns an empty id if all are being asked.
+  std::string SelectSource();
+  void OnWatchEvent(uint64_t number, const schema::PeerMessage& event);
+  /// Makes the watch the one that serves, and cancels the others.
+  void Serve(uint64_t number);
+  /// Ends a watch; another one begins.
+  void LeaveSource(uint64_t number, core::ErrorCode code,
+                   const std::string& reason);
   /// Returns whether the update was made from a state at or beyond the one that
   /// this client has.
-  bool IsUpToDate(const schema::DeploymentUpdate& update);
-  void OnWatchEnd(const core::Status& status);
+  bool IsUpToDate(uint64_t number, const schema::DeploymentUpdate& update);
+  void OnWatchEnd(uint64_t number, const core::Status& status);
+  /// Notes that a source that is current is behind this client.
+  void OnSourceBehind();
+  std::chrono::milliseconds RetryDelay() const;
   /// Notes which version is held once an update was handled.
   void UpdateHeldVersion(const schema::DeploymentUpdate& update);
   /// Asks another source for the version that is not in force.
@@ -202,12 +218,24 @@
   std::map<std::string, Source> sources_;
   std::map<std::string, std::string> peer_addresses_;
   std::optional<schema::Forwarder> forwarder_;
+  /// Source of the watch that serves, or that served last.
   std::string source_;
   size_t source_cursor_ = 0;
-  /// Whether the current watch has brought an update.
-  bool source_serves_ = false;
-  /// Sources in a row without a first update in time.
-  int first_update_timeouts_ = 0;
+  /// A watch that has not ended.
+  struct OpenWatch {
+    std::string source;
+    peer::StreamHandle stream;
+  };
+  /// Watches by their number, in the order in which they began.
+  std::map<uint64_t, OpenWatch> watches_;
+  uint64_t last_watch_ = 0;
+  /// Number of the watch that serves; 0 if none does.
+  uint64_t serving_ = 0;
+  core::TimePoint serving_since_;
+  /// Watches in a row that ended without an update.
+  size_t failed_watches_ = 0;
+  /// Sources in a row that were current and behind this client.
+  size_t sources_behind_ = 0;
   std::string leader_;
   std::function<uint64_t()> version_in_force_;
   /// Highest version that is in force here; sources send later ones.
@@ -221,10 +249,8 @@
   /// Watches in a row since one of a source that tells its position.
   size_t watches_without_position_ = 0;
   core::TimePoint last_update_;
-  peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
   QTimer first_update_;
-  std::chrono::milliseconds first_update_timeout_{kFirstUpdateTimeout};
   QTimer retry_;
   QTimer settle_timer_;
   std::map<std::string, schema::TokenSettlement> settlements_;
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -6,6 +6,7 @@
 
 #include "cluster/command_log.h"
 #include "cluster/errors.h"
+#include "cluster/state_position.h"
 #include "logging/log.h"
 
 namespace hawthorn::cluster {
@@ -277,11 +278,13 @@
                                                 : "no contact to a leader"));
     return;
   }
-  if (request.position().index() > group_->applied_index()) {
-    replier.Fail(Unavailable("behind the watcher"));
+  const WatchSource source = MakeWatchSource();
+  if (Precedes(source.position, request.position())) {
+    replier.Fail({core::ErrorCode::kConflict, "behind the watcher",
+                  core::Execution::kNotRun, std::nullopt});
     return;
   }
-  watches_.Add(request, from, replier, MakeWatchSource());
+  watches_.Add(request, from, replier, source);
 }
 
 void DeploymentHost::Flush() {
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -33,7 +33,7 @@
   }
   watchers_.push_back(std::move(watcher));
   ++added_count_;
-  Send(&watchers_.back(), source);
+  Send(&watchers_.back(), source, InstancesDigest());
 }
 
 void WatchRegistry::ResendTables() {
@@ -56,20 +56,20 @@
 void WatchRegistry::Update(const WatchSource& source) {
   watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
   const core::TimePoint now = clock_.Now();
+  const uint64_t instances = InstancesDigest();
   for (Watcher& it : watchers_) {
     const bool due =
         !it.sent_table ||
         it.configuration_version < state_.configuration().version() ||
         it.upstream_revision < state_.upstream_revision() ||
         it.crash_revision != state_.crashes().revision() ||
-        it.last_leader != source.leader ||
-        it.last_instances != InstancesDigest() ||
+        it.last_leader != source.leader || it.last_instances != instances ||
         it.seen_forwarders != forwarders_.digest() ||
         it.last_sent + kKeepAliveInterval <= now ||
         (it.last_sent + SpeedBoard::kInterval <= now &&
          speeds_.HasNews(it.speed_cursor, it.instance, now));
     if (due) {
-      Send(&it, source);
+      Send(&it, source, instances);
     }
   }
 }
@@ -113,7 +113,8 @@
   return serialized;
 }
 
-void WatchRegistry::Send(Watcher* watcher, const WatchSource& source) {
+void WatchRegistry::Send(Watcher* watcher, const WatchSource& source,
+                         uint64_t instances) {
   schema::DeploymentMessage message;
   schema::DeploymentUpdate* update = message.mutable_update();
   if (state_.configuration().version() > watcher->configuration_version) {
@@ -144,7 +145,7 @@
   }
   update->set_leader(source.leader);
   *update->mutable_position() = source.position;
-  if (watcher->last_instances != InstancesDigest() || !watcher->sent_table) {
+  if (watcher->last_instances != instances || !watcher->sent_table) {
     AppendInstances(state_, update->mutable_instances());
   }
   update->set_watchers(
@@ -170,7 +171,7 @@
   watcher->upstream_revision = state_.upstream_revision();
   watcher->crash_revision = state_.crashes().revision();
   watcher->last_leader = source.leader;
-  watcher->last_instances = InstancesDigest();
+  watcher->last_instances = instances;
   watcher->last_sent = clock_.Now();
 }
 
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -89,7 +89,8 @@
 
   /// Digest of what watchers need to know of the instances with a disk.
   uint64_t InstancesDigest() const;
-  void Send(Watcher* watcher, const WatchSource& source);
+  /// Sends an update; `instances` is the current InstancesDigest.
+  void Send(Watcher* watcher, const WatchSource& source, uint64_t instances);
   /// Adds the forwarders for the watcher to an update if they have changed;
   /// returns them serialized.
   std::string AddForwarders(const Watcher& watcher,
--- a/tests/cluster/fake_source.h
+++ b/tests/cluster/fake_source.h
@@ -23,7 +23,9 @@
         request = core::Value(unpacked).watch();
         ++watches;
         replier_ = replier;
-        if (!is_silent) {
+        if (refuses) {
+          EndWatch();
+        } else if (!is_silent) {
           Send();
         }
       }
@@ -57,6 +59,8 @@
   int watches = 0;
   /// Whether it leaves watches without an update.
   bool is_silent = false;
+  /// Whether it ends watches at once.
+  bool refuses = false;
 
  private:
   std::unique_ptr<peer::PeerTransport> peers_;
--- a/tests/cluster/held_version_test.cpp
+++ b/tests/cluster/held_version_test.cpp
@@ -108,11 +108,15 @@
   it.client->Start();
   REQUIRE(WaitFor([&] { return it.in_force == 1; }));
   constexpr qint64 kApplyMs = 2000;
+  // The source that ends its watch may have been behind for so long.
+  constexpr qint64 kStateAgeMs = DeploymentHost::kStateAgeLimit.count();
   QElapsedTimer timer;
   timer.start();
   it.source(0).EndWatch();
   REQUIRE(WaitFor([&] { return it.in_force == 2; }));
-  CHECK(timer.elapsed() < kApplyMs);
+  CHECK(timer.elapsed() < kApplyMs - kStateAgeMs);
+  // None of them keeps a watch that is not used.
+  CHECK(it.client->open_watches() == 1);
 }
 
 // Guards against instances that are gone and that delay each new watch.
--- a/tests/cluster/stale_source_test.cpp
+++ b/tests/cluster/stale_source_test.cpp
@@ -129,6 +129,49 @@
   CHECK(WaitFor([&] { return it.known == "at 21"; }));
 }
 
+// Guards against an instance that refuses every source until it starts again,
+// because it holds a position of another log, with a higher index.
+TEST_CASE("A client takes the state of a later term at a lower index") {
+  TwoSources it;
+  it.first.update = TableAt(20);
+  it.second.update = TableAt(10);
+  it.second.update.mutable_position()->set_term(2);
+  it.client.Start();
+  REQUIRE(WaitFor([&] { return it.known == "at 20"; }));
+  it.first.EndWatch();
+  CHECK(WaitFor([&] { return it.known == "at 10"; }));
+}
+
+TEST_CASE("A client that is ahead of all current sources follows them again") {
+  TwoSources it;
+  it.first.update = TableAt(20);
+  it.second.update = TableAt(11);
+  it.client.Start();
+  REQUIRE(WaitFor([&] { return it.known == "at 20"; }));
+  it.first.update = TableAt(10);
+  it.first.EndWatch();
+  QElapsedTimer timer;
+  timer.start();
+  REQUIRE(WaitFor([&] { return it.known != "at 20"; }));
+  CHECK(timer.elapsed() >= DeploymentClient::kPositionDoubtAfter.count() / 2);
+  CHECK(it.it.metrics().CounterValue("positions_dropped") == 1);
+}
+
+// Guards against sources that are kept busy by instances that have none.
+TEST_CASE("A client asks sources that refuse it less and less often") {
+  TwoSources it;
+  it.first.refuses = true;
+  it.second.refuses = true;
+  it.client.Start();
+  QElapsedTimer timer;
+  timer.start();
+  constexpr qint64 kWaitedMs = 2000;
+  REQUIRE(WaitFor([&] { return timer.elapsed() >= kWaitedMs; }));
+  const int asked = it.first.watches + it.second.watches;
+  CHECK(asked >= 4);
+  CHECK(asked <= 4 + kWaitedMs / DeploymentClient::kMaxWatchRetryDelay.count());
+}
+
 TEST_CASE("A client leaves a source whose state falls back") {
   TwoSources it;
   it.first.update = TableAt(20);
