platform, relay: Refuse calls that a committed configuration does not let this build place

An unreadable version takes the table out of force: the instance answers 503 and is not ready until it gets that version or a later one that it can read. It asks other sources for it as before.

Tests: 'A committed route that cannot be used covers its prefix' and 'Calls are refused where the configuration cannot be used' (both need what is new here; on the former code the first finds the shorter prefix, by reading).

--- a/main/roles/entry_role.cpp
+++ b/main/roles/entry_role.cpp
@@ -122,6 +122,7 @@
   if (table == nullptr) {
     Log(LogLevel::kError, "committed configuration is unreadable",
         {{"version", version}, {"findings", findings.Report()}});
+    relay_.ClearTable(committed.version());
     return;
   }
   if (!findings.empty()) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -124,11 +124,18 @@
                  {{"request", head.request_id},
                   {"host", request.host},
                   {"target", request.target},
-                  {"configuration", std::to_string(table_->version())}});
+                  {"configuration", std::to_string(table_version_)}});
     session.Respond(status::kNotFound, {},
                     "no route matches the host and path");
     return;
   }
+  if (route->services.empty()) {
+    parts_.metrics.Count("relay_refused_unusable_route");
+    session.Respond(status::kServiceUnavailable,
+                    {{"Retry-After", kUnconfiguredRetryAfter}},
+                    "this instance cannot use the route");
+    return;
+  }
   std::optional<CallOrganisation> organisation =
       Authenticate(session, *route, &head);
   if (!organisation) {
@@ -231,10 +238,11 @@
 }
 
 void Relay::SetTable(std::shared_ptr<const RouteTable> table) {
-  if (table_ && table->version() <= table_->version()) {
+  if (table->version() <= table_version_) {
     return;
   }
   table_ = std::move(table);
+  table_version_ = table_->version();
   organisation_stats_.SetOrganisations(table_->organisations());
   for (const auto& [id, upstream] : upstreams_) {
     UpdateScheduler(upstream);
@@ -245,6 +253,13 @@
   SchedulePump();
 }
 
+void Relay::ClearTable(uint64_t unusable_version) {
+  if (unusable_version > table_version_) {
+    table_.reset();
+    table_version_ = unusable_version - 1;
+  }
+}
+
 void Relay::UpdateGauges() {
   admission_log_.Update(scheduler_.Admissions(parts_.clock.Now()),
                         &parts_.metrics);
@@ -692,7 +707,7 @@
        {"first_event_ms", std::to_string(it.time_to_first_event.count())},
        {"longest_pause_ms", std::to_string(it.longest_pause.count())},
        {"total_ms", std::to_string(it.total.count())},
-       {"configuration", std::to_string(table_->version())}});
+       {"configuration", std::to_string(table_version_)}});
 }
 
 }  // namespace hawthorn::relay
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -85,6 +85,11 @@
 
   /// Replaces the routing table if the version of `table` is higher.
   void SetTable(std::shared_ptr<const RouteTable> table);
+  /// Refuses calls until there is a table of at least `unusable_version`, which
+  /// was committed and cannot be used here: the table before may allow what it
+  /// does not.
+  void ClearTable(uint64_t unusable_version);
+  /// The table in force; null if there is none.
   const std::shared_ptr<const RouteTable>& table() const { return table_; }
 
   /// Adds or updates an upstream from its entry in the deployment state;
@@ -347,6 +352,8 @@
 
   Parts parts_;
   std::shared_ptr<const RouteTable> table_;
+  /// Tables of this version and lower ones are not taken any more.
+  uint64_t table_version_ = 0;
   scheduling::SharedScheduler scheduler_;
   UpstreamLinkPool links_;
   std::map<std::string, Upstream> upstreams_;
--- a/relay/route_table.h
+++ b/relay/route_table.h
@@ -42,6 +42,7 @@
   std::chrono::milliseconds latency_objective{0};
   /// 0 is the highest priority.
   uint32_t priority = 0;
+  /// Empty if this build cannot use the route; its calls are refused.
   std::vector<WeightedService> services;
   /// Maximum number of upstreams that may run one request of a caller.
   uint32_t max_upstreams = 1;
--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -203,6 +203,28 @@
   CHECK(DecodeCommittedConfiguration(Valid(), 7).findings.empty());
 }
 
+// Guards against running requests by an older or a wider rule: a route that
+// this build cannot use was left out, and its requests fell to a shorter
+// prefix.
+TEST_CASE("A committed route that cannot be used covers its prefix") {
+  const std::string unusable = GENERATE(
+      R"("timeout_ms":0,"service":"shop")", R"("timeout_ms":5,"service":"no")",
+      R"("timeout_ms":5,"backends":[{"service":"shop","weight":0}])");
+  const CommittedConfiguration it = DecodeCommittedConfiguration(
+      Replaced(R"("routes":[)",
+               R"("routes":[{"name":"s","host":"h.example",)"
+               R"("path_prefix":"/a/b/","kind":"idempotent",)" +
+                   unusable + "},"),
+      9);
+  REQUIRE(it.table);
+  CHECK_FALSE(it.findings.empty());
+  const relay::Route* route = it.table->Find("h.example", "/a/b/c");
+  REQUIRE(route != nullptr);
+  CHECK(route->name == "s");
+  CHECK(route->services.empty());
+  CHECK_FALSE(it.table->Find("h.example", "/a/c")->services.empty());
+}
+
 // Guards against opening every route to callers without a key, or dropping all
 // routes, because a list cannot be read.
 TEST_CASE("A committed configuration without a readable list is unreadable") {
--- a/tests/relay/out_of_step_test.cpp
+++ b/tests/relay/out_of_step_test.cpp
@@ -18,6 +18,47 @@
 
 constexpr const char* kProgram = "X-Program-Id: p\r\n";
 
+// Guards against requests that run by an older rule, or are denied, because
+// this build cannot use a part or all of a committed configuration.
+TEST_CASE("Calls are refused where the configuration cannot be used") {
+  ScriptedUpstream upstream([](const std::string& request) {
+    return ScriptedUpstream::Step{SignedResponse(request, "done")};
+  });
+  RelayFixture it;
+  it.AddUpstream("u", upstream.address());
+  const auto answer = [&it](const std::string& path) {
+    Caller caller(it.port());
+    caller.Send(RelayFixture::Request(path, "r1"));
+    REQUIRE(WaitFor([&] {
+      return caller.received().find("\r\n\r\n") != std::string::npos;
+    }));
+    return caller.received().substr(9, 3);
+  };
+  REQUIRE(answer("/once/x") == "200");
+  const std::shared_ptr<const RouteTable> first = it.relay().table();
+  const Route* usable = first->Find("h.example", "/once/x");
+  REQUIRE(usable != nullptr);
+  Route unusable = *usable;
+  unusable.path_prefix = "/once/new/";
+  unusable.services.clear();
+  const auto table_of = [&](uint64_t version) {
+    RouteTable::Builder builder;
+    builder.SetVersion(version).AddRoute(*usable).AddRoute(unusable);
+    return builder.Build();
+  };
+  it.relay().SetTable(table_of(100));
+  CHECK(answer("/once/new/x") == "503");
+  CHECK(answer("/once/x") == "200");
+  it.relay().ClearTable(102);
+  CHECK(answer("/once/x") == "503");
+  // An older one than the one that cannot be used does not come back.
+  it.relay().SetTable(table_of(101));
+  CHECK(answer("/once/x") == "503");
+  it.relay().SetTable(table_of(102));
+  CHECK(answer("/once/x") == "200");
+  CHECK(upstream.requests().size() == 3);
+}
+
 }  // namespace
 
 // Guards against a stream that goes on at a version that did not begin it, at
