cluster: Refuse the first claim of a program without room

Change: instances announce their memory. Programs may take a sixth of that of the smallest member, since each member may have to lead; 64 MiB are assumed for one that does not tell. Programs that run go on.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -402,6 +402,7 @@
     });
     return;
   }
+  ++claim->sends;
   schema::DeploymentCommand command;
   schema::TokenReservation* reserve = command.mutable_reserve();
   *reserve = relay::ReservationOf(claim->claim);
@@ -450,6 +451,15 @@
     FinishClaim(claim, core::ErrorOf(reply));
     return;
   }
+  if (!core::IsOk(reply) &&
+      core::ErrorOf(reply).code == core::ErrorCode::kOverloaded) {
+    core::Error error = core::ErrorOf(reply);
+    if (claim->sends > 1) {
+      error.execution = core::Execution::kUnknown;
+    }
+    FinishClaim(claim, error);
+    return;
+  }
   // Retries are safe: a claim is granted once, however often it is sent.
   QTimer::singleShot(kClaimRetryDelay, this,
                      [this, claim] { TryClaim(claim); });
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -149,6 +149,8 @@
     core::TimePoint deadline;
     /// Leader to which the claim was last sent.
     std::string sent_to;
+    /// How often it was sent; an earlier one may still be granted.
+    int sends = 0;
     bool done = false;
   };
   using ClaimPtr = std::shared_ptr<PendingClaim>;
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -167,6 +167,8 @@
   set("upstream_revision", machine_.upstream_revision());
   set("instances_known", machine_.instances().size());
   set("programs_known", machine_.program_count());
+  set("program_bytes", machine_.program_bytes());
+  set("program_bytes_limit", ProgramLimit());
   set("snapshots_taken", group_->snapshot_count());
   set("snapshot_bytes", group_->snapshot_bytes());
   set("log_entries", group_->replica().log_entries());
@@ -483,8 +485,25 @@
   }
 }
 
+core::Status DeploymentHost::CheckRoom(
+    const schema::DeploymentCommand& command) {
+  if (!is_leader() || !command.has_reserve() ||
+      machine_.KnowsProgram(command.reserve().program()) ||
+      machine_.program_bytes() < ProgramLimit()) {
+    return std::monostate{};
+  }
+  metrics_.Count("claims_without_room");
+  return core::Error{core::ErrorCode::kOverloaded,
+                     "too many programs are running", core::Execution::kNotRun,
+                     kNoRoomRetryAfter};
+}
+
 void DeploymentHost::ProposeLocally(schema::DeploymentCommand command,
                                     ProposeCallback callback) {
+  if (const core::Status room = CheckRoom(command); !core::IsOk(room)) {
+    callback(core::ErrorOf(room));
+    return;
+  }
   const core::TimePoint now = Now();
   const auto elapsed = core::MillisecondsBetween(last_command_, now);
   if (is_leader()) {
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -84,6 +84,16 @@
   /// Time after which the turns of an instance that is gone have new copies:
   /// the others notice within 3 s and copy for some seconds.
   static constexpr std::chrono::milliseconds kTurnsCopiedAfter{30000};
+  /// Part of a machine's memory that programs may take, as a divisor. As much
+  /// again is taken by each of two snapshots and by the log.
+  static constexpr uint64_t kProgramMemoryDivisor = 6;
+  /// Memory of a machine that does not tell it.
+  static constexpr uint64_t kAssumedMachineBytes = uint64_t{64} * 1024 * 1024;
+  /// Memory that is used of a machine that has more.
+  static constexpr uint64_t kMaxMachineBytes = uint64_t{4096} * 1024 * 1024;
+  /// Suggested retry delay of a program without room: some others end
+  /// meanwhile.
+  static constexpr std::chrono::milliseconds kNoRoomRetryAfter{1000};
   /// Time without contact after which an upstream is removed. Long, because an
   /// upstream that cannot reach this instance may still serve others.
   static constexpr std::chrono::milliseconds kUpstreamTimeout{45000};
@@ -193,6 +203,11 @@
   /// that have watchers.
   void PassOnSpeeds();
   void UpdateQuota();
+  /// Memory that programs may take, in bytes: a part of that of the smallest
+  /// member, since each of them may have to lead.
+  size_t ProgramLimit() const;
+  /// Refuses the first claim of a program for which there is no memory.
+  core::Status CheckRoom(const schema::DeploymentCommand& command);
   void PlanStep();
   GroupView MakeGroupView() const;
   void RecordInstances();
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -222,6 +222,23 @@
   return view;
 }
 
+size_t DeploymentHost::ProgramLimit() const {
+  uint64_t smallest = kMaxMachineBytes;
+  bool is_known = true;
+  for (const consensus::Member& member :
+       group_->replica().membership().members()) {
+    const auto it = machine_.instances().find(member.id.instance);
+    const uint64_t bytes =
+        it == machine_.instances().end() ? 0 : it->second.memory_bytes();
+    is_known = is_known && bytes > 0;
+    smallest = bytes > 0 ? std::min(smallest, bytes) : smallest;
+  }
+  if (!is_known) {
+    smallest = std::min<uint64_t>(smallest, kAssumedMachineBytes);
+  }
+  return smallest / kProgramMemoryDivisor;
+}
+
 void DeploymentHost::PlanStep() {
   const consensus::Replica& replica = group_->replica();
   const core::TimePoint now = Now();
@@ -259,7 +276,8 @@
         stored != machine_.instances().end() &&
         stored->second.name() == announced.name() &&
         stored->second.peer_address() == announced.peer_address() &&
-        stored->second.control_address() == announced.control_address();
+        stored->second.control_address() == announced.control_address() &&
+        stored->second.memory_bytes() == announced.memory_bytes();
     if (same || it.at + kDeadAfter <= Now() ||
         it.recorded_at + kAnnounceInterval > Now()) {
       continue;
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -55,6 +55,7 @@
   options.self.set_serves_control(!settings.control_address.empty());
   options.self.set_peer_address(settings.PeerAddress());
   options.self.set_control_address(settings.control_address);
+  options.self.set_memory_bytes(settings.memory_bytes);
   if (settings.bootstrap) {
     for (const std::string& seed : settings.seeds) {
       options.initial_members.push_back(cluster::HostOf(seed));
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -183,6 +183,11 @@
   claim_pending_ = false;
   if (!core::IsOk(reply)) {
     const core::Error& error = core::ErrorOf(reply);
+    if (error.code == core::ErrorCode::kOverloaded &&
+        error.execution == core::Execution::kNotRun) {
+      // A settlement would take the memory that was refused.
+      claim_.reset();
+    }
     Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
            WithinPatience(error.retry_after.value_or(kRetryAfter)));
     return;
--- a/tests/cluster/deployment_fixture.cpp
+++ b/tests/cluster/deployment_fixture.cpp
@@ -92,6 +92,7 @@
   options.self.set_zone(node.zone);
   options.self.set_serves_control(node.serves_control);
   options.self.set_peer_address(AddressOf(id));
+  options.self.set_memory_bytes(memory_bytes);
   if (node.is_initial_member && !node.started_before) {
     options.initial_members = initial_members_;
   }
--- a/tests/cluster/deployment_fixture.h
+++ b/tests/cluster/deployment_fixture.h
@@ -61,6 +61,8 @@
   bool Publish(uint64_t version);
   core::Result<uint64_t> Read(const std::string& id);
 
+  /// Memory that instances announce, in bytes; to be set before they start.
+  uint64_t memory_bytes = 0;
   /// Request limits in every configuration that is published.
   scheduling::QuotaLimits limits;
 
--- a/tests/cluster/deployment_test.cpp
+++ b/tests/cluster/deployment_test.cpp
@@ -610,5 +610,55 @@
   CHECK_FALSE(unresponsive.watcher->IsOpen());
 }
 
+// Guards against a leader that ends because more programs run than its machine,
+// or that of an instance which may lead next, has memory for.
+TEST_CASE("A program without room is refused and the others go on") {
+  constexpr uint64_t kMemory = uint64_t{1024} * 1024;
+  Deployment it(3);
+  it.memory_bytes = kMemory;
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  const auto peers = it.NewTransport("127.0.0.10", 0);
+  DeploymentClient client(it.Seeds(), 1, it.clock(), it.metrics(), *peers,
+                          [](const schema::DeploymentUpdate&) {});
+  client.Start();
+  REQUIRE(WaitFor([&] { return client.IsCurrent(); }));
+  const auto claim = [&](const std::string& program,
+                         const std::string& request) {
+    std::optional<core::Result<relay::ClaimReply>> reply;
+    relay::TokenClaim claim;
+    claim.program = program;
+    claim.request_id = request;
+    claim.budget = 100;
+    claim.tokens = 10;
+    client.Claim(
+        claim, std::chrono::seconds(5),
+        [&reply](const core::Result<relay::ClaimReply>& it) { reply = it; });
+    REQUIRE(WaitFor([&] { return reply.has_value(); }));
+    return *reply;
+  };
+  // The leader assumes little memory until all members have told theirs.
+  constexpr size_t kMostPrograms = 2000;
+  size_t programs = 0;
+  while (programs < kMostPrograms &&
+         core::IsOk(claim("p" + std::to_string(programs), "r"))) {
+    ++programs;
+  }
+  REQUIRE(programs > 100);
+  REQUIRE(programs < kMostPrograms);
+  const auto refused = claim("one more", "r");
+  REQUIRE_FALSE(core::IsOk(refused));
+  CHECK(core::ErrorOf(refused).code == core::ErrorCode::kOverloaded);
+  CHECK(core::ErrorOf(refused).execution == core::Execution::kNotRun);
+  CHECK(core::ErrorOf(refused).retry_after ==
+        DeploymentHost::kNoRoomRetryAfter);
+  const auto known = claim("p0", "second");
+  REQUIRE(core::IsOk(known));
+  CHECK(core::Value(known).granted);
+  const auto& state = it.host(it.Leader()).state();
+  CHECK(state.program_bytes() <
+        kMemory / DeploymentHost::kProgramMemoryDivisor + 1000);
+}
+
 }  // namespace
 }  // namespace hawthorn::cluster
