cluster: Serialize what all watchers get once

Fields of a message may be serialized one after the other, so the parts that are equal for all watchers are now kept as bytes, by the revisions that they were made from.

--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cluster/deployment_host.h"
+#include "schema/field_header.h"
 
 namespace hawthorn::cluster {
 
@@ -113,50 +114,95 @@
   return serialized;
 }
 
-void WatchRegistry::Send(Watcher* watcher, const WatchSource& source,
-                         uint64_t instances) {
-  schema::DeploymentMessage message;
-  schema::DeploymentUpdate* update = message.mutable_update();
-  if (state_.configuration().version() > watcher->configuration_version) {
-    *update->mutable_configuration() = state_.configuration();
+std::string_view WatchRegistry::ConfigurationField() {
+  const schema::PublishedConfiguration& configuration = state_.configuration();
+  if (configuration_field_version_ != configuration.version()) {
+    configuration_field_version_ = configuration.version();
+    schema::DeploymentUpdate update;
+    *update.mutable_configuration() = configuration;
+    configuration_field_ = update.SerializeAsString();
+  }
+  return configuration_field_;
+}
+
+std::string_view WatchRegistry::TableFields(uint64_t instances) {
+  const TableKey key{state_.upstream_revision(), state_.crashes().revision(),
+                     instances};
+  if (table_fields_key_ != key) {
+    table_fields_key_ = key;
+    schema::DeploymentUpdate update;
+    for (const auto& [id, entry] : state_.upstreams()) {
+      if (!entry.gone()) {
+        *update.add_upstreams() = entry;
+      }
+    }
+    AddHarmful(&update);
+    AppendInstances(state_, update.mutable_instances());
+    table_fields_ = update.SerializeAsString();
   }
-  update->set_whole_table(!watcher->sent_table);
+  return table_fields_;
+}
+
+void WatchRegistry::AddHarmful(schema::DeploymentUpdate* update) const {
+  schema::HarmfulRequests* harmful = update->mutable_harmful();
+  const std::set<uint64_t> refused = state_.crashes().AllRefused();
+  const std::set<uint64_t> suspected = state_.crashes().AllSuspected();
+  harmful->mutable_digests()->Add(refused.begin(), refused.end());
+  harmful->mutable_suspected()->Add(suspected.begin(), suspected.end());
+}
+
+void WatchRegistry::AddChanges(const Watcher& watcher, uint64_t instances,
+                               schema::DeploymentUpdate* update) const {
   // Most updates are only keep-alives, and the table contains many upstreams
   // that are gone, so skip it if nothing has changed.
-  if (!watcher->sent_table ||
-      watcher->upstream_revision < state_.upstream_revision()) {
+  if (watcher.upstream_revision < state_.upstream_revision()) {
     for (const auto& [id, entry] : state_.upstreams()) {
-      const bool changed = !watcher->sent_table
-                               ? !entry.gone()
-                               : entry.revision() > watcher->upstream_revision;
-      if (changed) {
+      if (entry.revision() > watcher.upstream_revision) {
         *update->add_upstreams() = entry;
       }
     }
   }
-  if (!watcher->sent_table ||
-      watcher->crash_revision != state_.crashes().revision()) {
-    schema::HarmfulRequests* poison_requests = update->mutable_harmful();
-    const std::set<uint64_t> poison = state_.crashes().AllRefused();
-    const std::set<uint64_t> suspected = state_.crashes().AllSuspected();
-    poison_requests->mutable_digests()->Add(poison.begin(), poison.end());
-    poison_requests->mutable_suspected()->Add(suspected.begin(),
-                                              suspected.end());
-  }
-  update->set_leader(source.leader);
-  *update->mutable_position() = source.position;
-  if (watcher->last_instances != instances || !watcher->sent_table) {
+  if (watcher.crash_revision != state_.crashes().revision()) {
+    AddHarmful(update);
+  }
+  if (watcher.last_instances != instances) {
     AppendInstances(state_, update->mutable_instances());
   }
-  update->set_watchers(
+}
+
+void WatchRegistry::Send(Watcher* watcher, const WatchSource& source,
+                         uint64_t instances) {
+  schema::DeploymentUpdate update;
+  update.set_whole_table(!watcher->sent_table);
+  if (watcher->sent_table) {
+    AddChanges(*watcher, instances, &update);
+  }
+  update.set_leader(source.leader);
+  *update.mutable_position() = source.position;
+  update.set_watchers(
       static_cast<uint32_t>(std::max(watchers_.size(), total_)));
-  std::string forwarders = AddForwarders(*watcher, update);
+  std::string forwarders = AddForwarders(*watcher, &update);
   schema::UpstreamSpeeds speeds =
       speeds_.Since(watcher->speed_cursor, watcher->instance, clock_.Now());
   if (!speeds.speeds().empty()) {
-    *update->mutable_speeds() = std::move(speeds);
-  }
-  const schema::PeerMessage packed = Pack(message);
+    *update.mutable_speeds() = std::move(speeds);
+  }
+  // Fields of a message may be serialized one after the other, so what is the
+  // same for all watchers is serialized once.
+  const bool has_news =
+      state_.configuration().version() > watcher->configuration_version;
+  const std::string_view configuration =
+      has_news ? ConfigurationField() : std::string_view();
+  const std::string_view table =
+      watcher->sent_table ? std::string_view() : TableFields(instances);
+  const std::string own = update.SerializeAsString();
+  const size_t size = configuration.size() + table.size() + own.size();
+  schema::PeerMessage packed;
+  std::string* bytes = packed.mutable_deployment();
+  bytes->reserve(size + schema::kMaxFieldHeaderBytes);
+  schema::AppendFieldHeader(schema::DeploymentMessage::kUpdateFieldNumber, size,
+                            bytes);
+  bytes->append(configuration).append(table).append(own);
   if (!core::IsOk(watcher->replier.SendChunk(packed))) {
     return;
   }
--- a/cluster/watch_registry.h
+++ b/cluster/watch_registry.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <list>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cluster/forwarder_list.h"
@@ -89,6 +91,15 @@
 
   /// Digest of what watchers need to know of the instances with a disk.
   uint64_t InstancesDigest() const;
+  /// Serialized update with the current configuration alone.
+  std::string_view ConfigurationField();
+  /// Serialized update with the upstreams that are not gone, the requests that
+  /// are refused and the instances; `instances` is the current InstancesDigest.
+  std::string_view TableFields(uint64_t instances);
+  void AddHarmful(schema::DeploymentUpdate* update) const;
+  /// Adds what changed since the last update of a watcher that has the table.
+  void AddChanges(const Watcher& watcher, uint64_t instances,
+                  schema::DeploymentUpdate* update) const;
   /// Sends an update; `instances` is the current InstancesDigest.
   void Send(Watcher* watcher, const WatchSource& source, uint64_t instances);
   /// Adds the forwarders for the watcher to an update if they have changed;
@@ -100,6 +111,12 @@
   const core::Clock& clock_;
   std::list<Watcher> watchers_;
   size_t total_ = 0;
+  uint64_t configuration_field_version_ = 0;
+  std::string configuration_field_;
+  /// Revisions of upstreams and crashes, and the digest of the instances.
+  using TableKey = std::array<uint64_t, 3>;
+  std::optional<TableKey> table_fields_key_;
+  std::string table_fields_;
   uint64_t added_count_ = 0;
   uint64_t table_count_ = 0;
   uint64_t sent_bytes_ = 0;
--- a/control/spending_table.cpp
+++ b/control/spending_table.cpp
@@ -1,20 +1,14 @@
 #include "control/spending_table.h"
 
-#include <google/protobuf/io/coded_stream.h>
-
 #include <algorithm>
-#include <array>
 #include <utility>
 
+#include "schema/field_header.h"
+
 namespace hawthorn::control {
 
 namespace {
 
-/// Tag of the field `programs` in a serialized DeploymentSnapshot.
-constexpr uint32_t kProgramsTag =
-    (schema::DeploymentSnapshot::kProgramsFieldNumber << 3U) | 2U;
-/// Greatest size of that tag and of the length that follows it.
-constexpr size_t kFieldHeaderBytes = 1 + 5;
 /// Memory of a record beside its id and its content: the node of the map and
 /// the headers of three allocations.
 constexpr size_t kRecordOverheadBytes = 160;
@@ -69,18 +63,13 @@
 }
 
 size_t SpendingTable::snapshot_bytes() const {
-  return content_bytes_ + records_.size() * kFieldHeaderBytes;
+  return content_bytes_ + records_.size() * schema::kMaxFieldHeaderBytes;
 }
 
 void SpendingTable::AppendTo(std::string* snapshot) const {
-  static_assert(kProgramsTag < 0x80, "the tag takes one byte");
-  std::array<uint8_t, 5> length{};
   for (const auto& [program, record] : records_) {
-    snapshot->push_back(static_cast<char>(kProgramsTag));
-    const uint8_t* end =
-        google::protobuf::io::CodedOutputStream::WriteVarint32ToArray(
-            static_cast<uint32_t>(record.serialized.size()), length.data());
-    snapshot->append(length.begin(), length.begin() + (end - length.data()));
+    schema::AppendFieldHeader(schema::DeploymentSnapshot::kProgramsFieldNumber,
+                              record.serialized.size(), snapshot);
     snapshot->append(record.serialized);
   }
 }
--- a/storage/record.cpp
+++ b/storage/record.cpp
@@ -1,6 +1,5 @@
 #include "storage/record.h"
 
-#include <google/protobuf/io/coded_stream.h>
 #include <xxhash.h>
 
 #include <array>
@@ -8,17 +7,14 @@
 #include <memory>
 #include <utility>
 
+#include "schema/field_header.h"
+
 namespace hawthorn::storage {
 
 namespace {
 
 constexpr uint32_t kRecordMagic = 0x48574c31;
 constexpr size_t kChecksummedHeaderBytes = 16;
-/// Tag of the field `data` in a serialized StoredSnapshot.
-constexpr uint32_t kSnapshotDataTag =
-    (schema::StoredSnapshot::kDataFieldNumber << 3U) | 2U;
-/// Greatest size of a length of 32 bits in a serialized message.
-constexpr size_t kMaxLengthBytes = 5;
 
 template <typename T>
 void AppendLittleEndian(std::string* out, T value) {
@@ -86,12 +82,8 @@
   fields.set_term(snapshot.term);
   fields.set_membership(snapshot.membership);
   std::string head = fields.SerializeAsString();
-  head.push_back(static_cast<char>(kSnapshotDataTag));
-  std::array<uint8_t, kMaxLengthBytes> length{};
-  const uint8_t* end =
-      google::protobuf::io::CodedOutputStream::WriteVarint32ToArray(
-          static_cast<uint32_t>(snapshot.data.size()), length.data());
-  head.append(length.begin(), length.begin() + (end - length.data()));
+  schema::AppendFieldHeader(schema::StoredSnapshot::kDataFieldNumber,
+                            snapshot.data.size(), &head);
   const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> checksum(
       XXH64_createState(), &XXH64_freeState);
   XXH64_reset(checksum.get(), 0);
--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -373,15 +373,13 @@
   if (!core::IsOk(opened)) {
     return core::ErrorOf(opened);
   }
-  PendingSnapshot& pending = pending_snapshot_.emplace();
-  pending.name = name;
-  pending.temporary = temporary;
-  pending.file = core::TakeValue(std::move(opened));
+  pending_snapshot_ = PendingSnapshot{std::move(snapshot), name, temporary,
+                                      core::TakeValue(std::move(opened)), 0};
+  const PendingSnapshot& pending = *pending_snapshot_;
   core::Status status = pending.file->Truncate(0);
   if (core::IsOk(status)) {
-    status = pending.file->Append(EncodeSnapshotHead(*snapshot));
+    status = pending.file->Append(EncodeSnapshotHead(*pending.snapshot));
   }
-  pending.snapshot = std::move(snapshot);
   return status;
 }
 
