cluster: Ask sources that do not answer less and less often

Cause, by reading: the change that asks others beside a source that is slow kept up to five watches open for as long as none answered, and began the next as soon as one ended, so each instance asked for a whole table seven times a second, where the timers before asked once or twice. Sources that are slow stay so, and hold what they could not send yet.

Change: after five watches the time to the next doubles up to 700 ms, whatever ends meanwhile.

Test: 'A client asks sources that do not answer less and less often'; the bound is what the first five and one each 700 ms add up to.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -146,7 +146,7 @@
     retry_.start(kWatchRetryDelay);
     return;
   }
-  // The end of an open watch begins the next one.
+  // While others are open, the timer of the latest one begins the next.
   const std::string source =
       watches_.size() < kMaxOpenWatches ? SelectSource() : std::string();
   if (source.empty()) {
@@ -170,7 +170,17 @@
   watches_[number] = {source,
                       peers_.OpenStream(core::InstanceId(source), Pack(message),
                                         kUpdateTimeout, std::move(callbacks))};
-  first_update_.start(kFirstUpdateTimeout);
+  ++begun_watches_;
+  first_update_.start(FirstUpdateTimeout());
+}
+
+std::chrono::milliseconds DeploymentClient::FirstUpdateTimeout() const {
+  auto timeout = kFirstUpdateTimeout;
+  for (size_t n = kQuickWatches; n < begun_watches_ && timeout < kUpdateTimeout;
+       ++n) {
+    timeout = std::min(timeout * 2, kUpdateTimeout);
+  }
+  return timeout;
 }
 
 void DeploymentClient::Serve(uint64_t number) {
@@ -185,6 +195,7 @@
                 [number](const auto& it) { return it.first != number; });
   serving_ = number;
   serving_since_ = clock_.Now();
+  begun_watches_ = 0;
   failed_watches_ = 0;
   sources_behind_ = 0;
   source_ = watches_.at(number).source;
@@ -295,6 +306,8 @@
     return;
   }
   sources_[watches_.rbegin()->second.source].failed = true;
+  // Asks nobody if as many as may be are open.
+  first_update_.start(FirstUpdateTimeout());
   Watch();
 }
 
@@ -332,7 +345,8 @@
       core::ErrorOf(status).code == core::ErrorCode::kConflict) {
     OnSourceBehind();
   }
-  if (!retry_.isActive()) {
+  if (watches_.empty()) {
+    first_update_.stop();
     retry_.start(RetryDelay());
   }
 }
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -38,11 +38,13 @@
   /// the first one: several round trips. The one that answers first serves, so
   /// that instances that are gone cost little and slow ones work too.
   static constexpr std::chrono::milliseconds kFirstUpdateTimeout{100};
-  /// Maximum number of watches that wait for their first update. The last one
-  /// begins kFirstUpdateTimeout times as many later as there are others, which
-  /// with the age of the state before is below the time that a configuration
-  /// may take.
-  static constexpr size_t kMaxOpenWatches = 5;
+  /// Watches without an update after which that time doubles with each further
+  /// one, up to kUpdateTimeout: sources that are all slow must not be asked
+  /// more often. As many quick ones take, with the age of the state before,
+  /// less than a configuration may take.
+  static constexpr size_t kQuickWatches = 5;
+  /// Maximum number of watches that wait for their first update.
+  static constexpr size_t kMaxOpenWatches = kQuickWatches;
   /// Watches in a row after which a source that does not tell its position
   /// serves; bounded, since many of the others may be gone.
   static constexpr size_t kPositionAttempts = 4;
@@ -178,6 +180,7 @@
   /// Notes that a source that is current is behind this client.
   void OnSourceBehind();
   std::chrono::milliseconds RetryDelay() const;
+  std::chrono::milliseconds FirstUpdateTimeout() const;
   /// Notes which version is held once an update was handled.
   void UpdateHeldVersion(const schema::DeploymentUpdate& update);
   /// Asks another source for the version that is not in force.
@@ -234,6 +237,8 @@
   /// Number of the watch that serves; 0 if none does.
   uint64_t serving_ = 0;
   core::TimePoint serving_since_;
+  /// Watches in a row that were begun without an update.
+  size_t begun_watches_ = 0;
   /// Watches in a row that ended without an update.
   size_t failed_watches_ = 0;
   /// Sources in a row that were current and behind this client.
--- a/tests/cluster/stale_source_test.cpp
+++ b/tests/cluster/stale_source_test.cpp
@@ -172,6 +172,23 @@
   CHECK(asked <= 4 + kWaitedMs / DeploymentClient::kMaxWatchRetryDelay.count());
 }
 
+// Guards against sources that are all too slow for the first update, and are
+// asked for whole tables more and more often, so that they stay slow.
+TEST_CASE("A client asks sources that do not answer less and less often") {
+  TwoSources it;
+  it.first.is_silent = true;
+  it.second.is_silent = true;
+  it.client.Start();
+  QElapsedTimer timer;
+  timer.start();
+  constexpr qint64 kWaitedMs = 4000;
+  REQUIRE(WaitFor([&] { return timer.elapsed() >= kWaitedMs; }));
+  const int asked = it.first.watches + it.second.watches;
+  CHECK(asked >= 4);
+  CHECK(asked <= static_cast<int>(DeploymentClient::kQuickWatches) + 3 +
+                     kWaitedMs / DeploymentClient::kUpdateTimeout.count());
+}
+
 TEST_CASE("A client leaves a source whose state falls back") {
   TwoSources it;
   it.first.update = TableAt(20);
