control: Read and write the record of a program once for each command

Cause: a claim parsed and serialized the record of its program up to four times, for the settlement, the reservation and the stream.

--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -191,6 +191,7 @@
     case schema::DeploymentCommand::BODY_NOT_SET:
       break;
   }
+  programs_.Close();
   reply.set_version(configuration_.version());
   return reply.SerializeAsString();
 }
@@ -361,13 +362,13 @@
   entry.set_revision(++upstream_revision_);
 }
 
-schema::ProgramSpending DeploymentState::Use(const std::string& program,
-                                             int64_t retention_ms) const {
-  schema::ProgramSpending spending = programs_.Get(program);
-  spending.set_retention_ms(programs_.Contains(program)
-                                ? SpendingTable::LongerRetention(
-                                      spending.retention_ms(), retention_ms)
-                                : retention_ms);
+schema::ProgramSpending& DeploymentState::Use(const std::string& program,
+                                              int64_t retention_ms) {
+  const auto [spending, is_new] = programs_.Open(program);
+  spending.set_retention_ms(is_new
+                                ? retention_ms
+                                : SpendingTable::LongerRetention(
+                                      spending.retention_ms(), retention_ms));
   spending.set_last_used_ms(clock_ms_);
   return spending;
 }
@@ -377,7 +378,7 @@
   for (const schema::TokenSettlement& it : reservation.settlements()) {
     Settle(it);
   }
-  schema::ProgramSpending spending =
+  schema::ProgramSpending& spending =
       Use(reservation.program(), reservation.retention_ms());
   const std::string& request = reservation.request();
   const bool settled =
@@ -397,7 +398,6 @@
     reply->set_granted(open);
   }
   reply->set_remaining(reservation.budget() - CommittedTokens(spending));
-  programs_.Set(spending);
   if (reply->granted()) {
     BindStream(reservation, reply);
   }
@@ -422,7 +422,7 @@
   } else {
     *stream.mutable_stream() = reservation.stream();
   }
-  schema::ProgramSpending owner =
+  schema::ProgramSpending& owner =
       Use(StreamOwner(reservation), reservation.retention_ms());
   const auto bound = std::find_if(
       owner.mutable_streams()->begin(), owner.mutable_streams()->end(),
@@ -436,30 +436,27 @@
     }
     *reply->mutable_stream() = bound->stream();
   }
-  programs_.Set(owner);
 }
 
 std::optional<schema::StreamVersion> DeploymentState::FindResumed(
     const schema::TokenReservation& reservation) const {
   const std::string& resumed = reservation.resumed_request();
-  const schema::ProgramSpending own = programs_.Get(StreamOwner(reservation));
+  const auto own = programs_.Find(StreamOwner(reservation));
   // A claim that is sent again finds what its first send found.
-  if (const auto* bound = FindStream(own, reservation.request())) {
+  if (const auto* bound =
+          own ? FindStream(*own, reservation.request()) : nullptr) {
     return bound->stream();
   }
   for (const std::string* id :
        {&StreamOwner(reservation), &reservation.resumed_owner(),
         &reservation.program()}) {
-    if (resumed.empty() || !programs_.Contains(*id)) {
-      continue;
-    }
-    const schema::ProgramSpending owner = programs_.Get(*id);
-    if (const auto* bound = FindStream(owner, resumed)) {
+    const auto owner = resumed.empty() ? std::nullopt : programs_.Find(*id);
+    if (const auto* bound = owner ? FindStream(*owner, resumed) : nullptr) {
       return bound->stream();
     }
   }
-  if (resumed.empty()) {
-    if (auto found = FindByContent(own, reservation.content())) {
+  if (resumed.empty() && own) {
+    if (auto found = FindByContent(*own, reservation.content())) {
       return found;
     }
   }
@@ -498,7 +495,7 @@
 }
 
 void DeploymentState::Settle(const schema::TokenSettlement& settlement) {
-  schema::ProgramSpending spending =
+  schema::ProgramSpending& spending =
       Use(settlement.program(), settlement.retention_ms());
   if (RemoveOpen(settlement.request(), &spending)) {
     spending.set_spent(spending.spent() + settlement.tokens());
@@ -507,7 +504,6 @@
   if (static_cast<size_t>(spending.settled_size()) > kSettledRequests) {
     spending.mutable_settled()->DeleteSubrange(0, 1);
   }
-  programs_.Set(spending);
 }
 
 void DeploymentState::ApplyInstance(schema::InstanceRecord record) {
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -84,10 +84,10 @@
   /// the same one and every stream that may have it is kept.
   static std::optional<schema::StreamVersion> FindByContent(
       const schema::ProgramSpending& spending, uint64_t content);
-  /// Record of a program that is used now, with a retention of at least
-  /// `retention_ms`.
-  schema::ProgramSpending Use(const std::string& program,
-                              int64_t retention_ms) const;
+  /// Opens the record of a program that is used now, with a retention of at
+  /// least `retention_ms`. It is valid until another one is used.
+  schema::ProgramSpending& Use(const std::string& program,
+                               int64_t retention_ms);
   void Settle(const schema::TokenSettlement& settlement);
   void ApplyInstance(schema::InstanceRecord record);
   void Retire(const std::string& name, schema::DeploymentReply* reply);
--- a/control/spending_table.cpp
+++ b/control/spending_table.cpp
@@ -15,19 +15,41 @@
 
 }  // namespace
 
-schema::ProgramSpending SpendingTable::Get(const std::string& program) const {
-  schema::ProgramSpending spending;
+SpendingTable::OpenRecord SpendingTable::Open(const std::string& program) {
+  if (is_open_ && open_.program() == program) {
+    return {open_, false};
+  }
+  Close();
   const auto it = records_.find(program);
-  if (it == records_.end()) {
-    spending.set_program(program);
+  const bool is_new = it == records_.end();
+  if (is_new) {
+    open_.Clear();
+    open_.set_program(program);
   } else {
-    spending.ParseFromString(it->second.serialized);
+    open_.ParseFromString(it->second.serialized);
+  }
+  is_open_ = true;
+  return {open_, is_new};
+}
+
+void SpendingTable::Close() {
+  if (std::exchange(is_open_, false)) {
+    Store(open_.program(), {ExpiryOf(open_), open_.SerializeAsString()});
   }
-  return spending;
 }
 
-void SpendingTable::Set(const schema::ProgramSpending& spending) {
-  Store(spending.program(), {ExpiryOf(spending), spending.SerializeAsString()});
+std::optional<schema::ProgramSpending> SpendingTable::Find(
+    const std::string& program) const {
+  if (is_open_ && open_.program() == program) {
+    return open_;
+  }
+  const auto it = records_.find(program);
+  if (it == records_.end()) {
+    return std::nullopt;
+  }
+  schema::ProgramSpending spending;
+  spending.ParseFromString(it->second.serialized);
+  return spending;
 }
 
 bool SpendingTable::SetSerialized(std::string record) {
@@ -40,7 +62,6 @@
 }
 
 void SpendingTable::Store(const std::string& program, Record record) {
-  record.serialized.shrink_to_fit();
   const size_t added = record.serialized.size();
   const auto [it, inserted] = records_.try_emplace(program);
   content_bytes_ -= it->second.serialized.size();
--- a/control/spending_table.h
+++ b/control/spending_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,13 +21,24 @@
   /// open, and settlements that wait for a leader.
   static constexpr int64_t kRetentionMarginMs = 30'000;
 
-  /// Returns the record of `program`; one with only its id if it is not known.
-  schema::ProgramSpending Get(const std::string& program) const;
+  /// A record that is open for changes.
+  struct OpenRecord {
+    schema::ProgramSpending& spending;
+    /// It was not known before; it has only its id.
+    bool is_new = false;
+  };
+
+  /// Opens the record of `program` for changes, up to the next call that opens
+  /// another or closes it.
+  OpenRecord Open(const std::string& program);
+  /// Stores the record that is open, if any.
+  void Close();
+  /// Returns the record of `program`, with the changes so far if it is open;
+  /// std::nullopt if it is not known.
+  std::optional<schema::ProgramSpending> Find(const std::string& program) const;
   bool Contains(const std::string& program) const {
     return records_.contains(program);
   }
-  /// Stores a record; it replaces the one of the same program.
-  void Set(const schema::ProgramSpending& spending);
   /// Stores a record in its serialized form. Returns false if it is unreadable.
   bool SetSerialized(std::string record);
   /// Removes the programs whose retention has passed at `now_ms` on the group's
@@ -57,6 +69,9 @@
   void Store(const std::string& program, Record record);
 
   std::map<std::string, Record> records_;
+  /// The record that is open; otherwise only its memory is used again.
+  schema::ProgramSpending open_;
+  bool is_open_ = false;
   /// Sizes of all ids and serialized records.
   size_t content_bytes_ = 0;
 };
