consensus: Apply a long log in pieces

Change: at most 1,024 committed entries are returned for the state machine at once. Until the last one is returned the state counts as no newer than before, and a leader does not count as one that knows what was committed.

Test: 'a long log is applied in pieces and the state is old until then'. The former code returns all 3,001 entries at once (by reading; it has no such limit).

--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -245,11 +245,16 @@
 }
 
 bool Replica::KnowsCommits() const {
-  return role_ == Role::kLeader && CommittedInTerm();
+  return role_ == Role::kLeader && CommittedInTerm() &&
+         emitted_index_ == commit_index_;
 }
 
 std::optional<core::TimePoint> Replica::CurrentAsOf() const {
-  if (KnowsCommits()) {
+  return emitted_index_ == commit_index_ ? CommittedAsOf() : returned_as_of_;
+}
+
+std::optional<core::TimePoint> Replica::CommittedAsOf() const {
+  if (role_ == Role::kLeader && CommittedInTerm()) {
     return std::max(current_as_of_,
                     leader_state_->ConfirmedRoundStart(membership()));
   }
@@ -272,7 +277,7 @@
 
 void Replica::BecomeFollower(uint64_t new_term, const ReplicaId& leader) {
   // Before the term changes, since a leader has committed in its own.
-  current_as_of_ = CurrentAsOf();
+  current_as_of_ = CommittedAsOf();
   if (new_term > term()) {
     hard_state_ = storage::HardState{new_term, {}};
     queue_.MarkHardState();
@@ -325,9 +330,13 @@
 }
 
 void Replica::CollectCommitted(Actions* actions) {
-  while (emitted_index_ < commit_index_) {
+  while (emitted_index_ < commit_index_ &&
+         actions->committed.size() < options_.max_committed_entries) {
     actions->committed.push_back(log_.At(++emitted_index_));
   }
+  if (emitted_index_ == commit_index_) {
+    returned_as_of_ = CommittedAsOf();
+  }
 }
 
 core::Error Replica::NotLeader() const {
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -147,8 +147,8 @@
   /// last contact while this replica is behind, while the leader has not
   /// committed in its term, and if messages are delayed.
   std::optional<core::TimePoint> CurrentAsOf() const;
-  /// Returns whether this replica leads and knows what earlier leaders have
-  /// committed, because an entry of its term is committed.
+  /// Returns whether this replica leads and has returned all that earlier
+  /// leaders have committed, up to an entry of its term.
   bool KnowsCommits() const;
   /// Returns whether the last write failed.
   bool storage_failed() const { return storage_failed_; }
@@ -236,6 +236,8 @@
   const ReplicaId* MostUpToDateVoter() const;
   bool CommittedInTerm() const;
   bool MembershipReplicated() const;
+  /// As CurrentAsOf, of the committed entries instead of the applied ones.
+  std::optional<core::TimePoint> CommittedAsOf() const;
 
   // replica_admission.cpp
   void TickAdmission();
@@ -259,8 +261,11 @@
   /// Highest commit index that the leader of this term has told; see
   /// leader_commit_index.
   uint64_t leader_commit_index_ = 0;
-  /// See CurrentAsOf; for a leader, the time before its leadership.
+  /// Time up to which the log is known to include what was committed; for a
+  /// leader, the time before its leadership.
   std::optional<core::TimePoint> current_as_of_;
+  /// CurrentAsOf when all committed entries had last been returned.
+  std::optional<core::TimePoint> returned_as_of_;
   /// Times of the replies that the leader has not echoed, by number. Numbers of
   /// one process do not occur in another.
   std::map<uint64_t, core::TimePoint> reply_times_;
--- a/consensus/replica_options.h
+++ b/consensus/replica_options.h
@@ -48,6 +48,9 @@
   size_t snapshot_chunk_bytes = size_t{256} * 1024;
   /// Maximum number of uncommitted entries; more proposals are refused.
   size_t max_uncommitted_entries = size_t{16} * 1024;
+  /// Maximum committed entries that are returned for the state machine at once,
+  /// so that a long log after a restart does not hold up heartbeats.
+  size_t max_committed_entries = 1024;
   /// Entries kept before a snapshot, for replicas that are slightly behind.
   uint64_t retained_entries = 1024;
 
--- a/tests/consensus/group_test.cpp
+++ b/tests/consensus/group_test.cpp
@@ -140,6 +140,40 @@
   CHECK(saved_bytes < 4 * command_bytes);
 }
 
+// Guards against leaders that are held up by their log after a restart, one
+// after the other: each applied all of it at once and lost its followers.
+TEST_CASE("a long log is applied in pieces and the state is old until then") {
+  constexpr uint64_t kEntries = 3000;
+  ReplicaOptions options;
+  options.id = ReplicaId{"a", 1};
+  storage::StoredState state;
+  state.hard_state = storage::HardState{1, {}};
+  const Membership alone({Member{options.id, true, true}});
+  state.entries.push_back(
+      {1, 1, storage::EntryKind::kMembership, alone.Serialize()});
+  for (uint64_t n = 2; n <= kEntries; ++n) {
+    state.entries.push_back({n, 1, storage::EntryKind::kCommand, "x"});
+  }
+  core::TimePoint now = core::TimePoint() + milliseconds(1000);
+  Replica replica(options, std::move(state), now);
+  uint64_t returned = 0;
+  for (int n = 0; n < 20; ++n) {
+    now += milliseconds(10);
+    replica.Tick(now);
+    const Actions actions = replica.TakeActions(now);
+    CHECK(actions.committed.size() <= options.max_committed_entries);
+    returned += actions.committed.size();
+    // All of the log and the first entry of the leader's term.
+    const bool is_complete = returned == kEntries + 1;
+    CHECK(replica.CurrentAsOf().has_value() == is_complete);
+    CHECK(replica.KnowsCommits() == is_complete);
+    if (actions.persist) {
+      replica.OnPersisted(actions.persist->sequence, now);
+    }
+  }
+  CHECK(returned == kEntries + 1);
+}
+
 TEST_CASE("a group of one voter elects itself and commits at once") {
   TestGroup group({"a"});
   group.Deliver();
