cluster: Keep a single watch in the client

One watch has one handle and one flag again, and the time to a first update and the pause before the next watch follow from the same count. No change of behaviour but in one place: refusals count for the time to a first update only as watches that ended.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -27,6 +27,13 @@
          core::ErrorOf(reply).code == core::ErrorCode::kInvalidArgument;
 }
 
+/// Returns `time` doubled some times, at most `most`.
+std::chrono::milliseconds Doubled(std::chrono::milliseconds time, size_t times,
+                                  std::chrono::milliseconds most) {
+  constexpr size_t kMostTimes = 16;
+  return std::min(time * (1U << std::min(times, kMostTimes)), most);
+}
+
 }  // namespace
 
 DeploymentClient::DeploymentClient(const std::vector<std::string>& seeds,
@@ -54,11 +61,7 @@
           &DeploymentClient::SendSettlements);
 }
 
-DeploymentClient::~DeploymentClient() {
-  for (const auto& [number, it] : watches_) {
-    peers_.CancelStream(it.stream);
-  }
-}
+DeploymentClient::~DeploymentClient() { peers_.CancelStream(watch_); }
 
 void DeploymentClient::AddSeeds(const std::vector<std::string>& seeds) {
   for (const std::string& address : seeds) {
@@ -112,21 +115,21 @@
                     static_cast<double>(settlements_.size()));
 }
 
-std::string DeploymentClient::SelectSource() {
+void DeploymentClient::SelectSource() {
   const auto at = [this](size_t n) {
     return std::next(sources_.begin(),
                      static_cast<ptrdiff_t>(n % sources_.size()));
   };
   size_t selected = source_cursor_;
-  for (size_t n = source_cursor_; n < source_cursor_ + sources_.size(); ++n) {
-    const auto it = at(n);
+  for (size_t n = 0; n < sources_.size(); ++n) {
+    const auto it = at(source_cursor_ + n);
     if (!it->second.failed && it->first != source_) {
-      selected = n;
+      selected = source_cursor_ + n;
       break;
     }
   }
+  source_ = at(selected)->first;
   source_cursor_ = selected % sources_.size() + 1;
-  return at(selected)->first;
 }
 
 void DeploymentClient::Watch() {
@@ -134,69 +137,50 @@
     retry_.start(kWatchRetryDelay);
     return;
   }
-  const std::string source = SelectSource();
+  SelectSource();
   schema::DeploymentMessage message;
   message.mutable_watch()->set_configuration_version(configuration_version_);
   *message.mutable_watch()->mutable_position() = position_;
   if (forwarder_) {
     *message.mutable_watch()->mutable_forwarder() = *forwarder_;
   }
-  const uint64_t number = ++last_watch_;
   peer::StreamCallbacks callbacks;
-  callbacks.on_chunk = [this, number](const schema::PeerMessage& event) {
-    OnWatchEvent(number, event);
+  callbacks.on_chunk = [this](const schema::PeerMessage& event) {
+    OnWatchEvent(event);
   };
-  callbacks.on_end = [this, number](const core::Status& status) {
-    OnWatchEnd(number, status);
-  };
-  Log(LogLevel::kInfo, "watch started", {{"source", source}});
-  watches_[number] = {source,
-                      peers_.OpenStream(core::InstanceId(source), Pack(message),
-                                        kUpdateTimeout, std::move(callbacks))};
-  ++begun_watches_;
+  callbacks.on_end = [this](const core::Status& status) { OnWatchEnd(status); };
+  Log(LogLevel::kInfo, "watch started", {{"source", source_}});
+  watch_ = peers_.OpenStream(core::InstanceId(source_), Pack(message),
+                             kUpdateTimeout, std::move(callbacks));
   first_update_.start(FirstUpdateTimeout());
 }
 
 std::chrono::milliseconds DeploymentClient::FirstUpdateTimeout() const {
-  auto timeout = kFirstUpdateTimeout;
-  for (size_t n = kQuickWatches; n < begun_watches_ && timeout < kUpdateTimeout;
-       ++n) {
-    timeout = std::min(timeout * 2, kUpdateTimeout);
-  }
-  return timeout;
+  const size_t slow =
+      failed_watches_ < kQuickWatches ? 0 : failed_watches_ - kQuickWatches + 1;
+  return Doubled(kFirstUpdateTimeout, slow, kUpdateTimeout);
 }
 
-void DeploymentClient::Serve(uint64_t number) {
-  first_update_.stop();
-  retry_.stop();
-  serving_ = number;
-  begun_watches_ = 0;
-  failed_watches_ = 0;
-  sources_behind_ = 0;
-  source_ = watches_.at(number).source;
-  sources_[source_].failed = false;
-}
-
-void DeploymentClient::OnWatchEvent(uint64_t number,
-                                    const schema::PeerMessage& event) {
+void DeploymentClient::OnWatchEvent(const schema::PeerMessage& event) {
   const auto message = Unpack(event);
   if (!core::IsOk(message) || !core::Value(message).has_update()) {
     // What changed would be missing for as long as this watch lasts, and a new
     // one begins with the whole state.
     metrics_.Count("unreadable_updates");
-    LeaveSource(number, core::ErrorCode::kInvalidArgument, "unreadable update");
+    LeaveSource(core::ErrorCode::kInvalidArgument, "unreadable update");
     return;
   }
   const schema::DeploymentUpdate& update = core::Value(message).update();
-  if (!IsUpToDate(number, update)) {
+  if (!IsUpToDate(update)) {
     metrics_.Count("updates_behind");
-    LeaveSource(number, core::ErrorCode::kConflict, "the source is behind");
+    LeaveSource(core::ErrorCode::kConflict, "the source is behind");
     return;
   }
   last_update_ = clock_.Now();
-  if (number != serving_) {
-    Serve(number);
-  }
+  first_update_.stop();
+  source_serves_ = true;
+  failed_watches_ = 0;
+  sources_behind_ = 0;
   if (update.leader() != leader_) {
     leader_ = update.leader();
     Log(LogLevel::kInfo, "leader changed",
@@ -238,8 +222,8 @@
 
 void DeploymentClient::OnUnreadableRetry() {
   // Without a watch, the next one asks for the version anyway.
-  if (serving_ != 0) {
-    LeaveSource(serving_, core::ErrorCode::kUnavailable,
+  if (source_serves_) {
+    LeaveSource(core::ErrorCode::kUnavailable,
                 "a configuration is not in force");
   }
 }
@@ -259,8 +243,7 @@
   }
 }
 
-bool DeploymentClient::IsUpToDate(uint64_t number,
-                                  const schema::DeploymentUpdate& update) {
+bool DeploymentClient::IsUpToDate(const schema::DeploymentUpdate& update) {
   if (update.has_position()) {
     if (Precedes(update.position(), position_)) {
       return false;
@@ -271,62 +254,45 @@
   }
   // A source of an earlier build may be behind without telling. It serves if no
   // other one does.
-  return number == serving_ || position_.index() == 0 ||
+  return source_serves_ || position_.index() == 0 ||
          watches_without_position_ >
              std::min(sources_.size(), kPositionAttempts);
 }
 
 void DeploymentClient::OnFirstUpdateTimeout() {
-  if (serving_ != 0 || watches_.empty()) {
-    return;
-  }
-  LeaveSource(watches_.rbegin()->first, core::ErrorCode::kDeadlineExceeded,
-              "no first update in time");
+  LeaveSource(core::ErrorCode::kDeadlineExceeded, "no first update in time");
 }
 
-void DeploymentClient::LeaveSource(uint64_t number, core::ErrorCode code,
+void DeploymentClient::LeaveSource(core::ErrorCode code,
                                    const std::string& reason) {
-  peers_.CancelStream(watches_.at(number).stream);
-  OnWatchEnd(number, core::Error{code, reason, core::Execution::kUnknown, {}});
+  peers_.CancelStream(watch_);
+  OnWatchEnd(core::Error{code, reason, core::Execution::kUnknown, {}});
 }
 
-void DeploymentClient::OnWatchEnd(uint64_t number, const core::Status& status) {
-  const auto ended = watches_.find(number);
-  if (ended == watches_.end()) {
-    return;
-  }
-  const std::string source = ended->second.source;
-  watches_.erase(ended);
-  const bool served = number == serving_;
-  sources_[source].failed = !served;
+void DeploymentClient::OnWatchEnd(const core::Status& status) {
+  first_update_.stop();
+  watch_ = {};
+  const bool served = std::exchange(source_serves_, false);
+  sources_[source_].failed = !served;
   metrics_.Count("watch_ended");
   Log(LogLevel::kWarn, "watch ended",
-      {{"source", source},
+      {{"source", source_},
        {"reason",
         core::IsOk(status) ? "finished" : core::ErrorOf(status).message}});
-  if (served) {
-    serving_ = 0;
-    retry_.start(kWatchRetryDelay);
-    return;
-  }
-  ++failed_watches_;
-  ++watches_without_position_;
-  if (!core::IsOk(status) &&
-      core::ErrorOf(status).code == core::ErrorCode::kConflict) {
-    OnSourceBehind();
+  if (!served) {
+    ++failed_watches_;
+    ++watches_without_position_;
+    if (!core::IsOk(status) &&
+        core::ErrorOf(status).code == core::ErrorCode::kConflict) {
+      OnSourceBehind();
+    }
   }
-  first_update_.stop();
   retry_.start(RetryDelay());
 }
 
 std::chrono::milliseconds DeploymentClient::RetryDelay() const {
-  auto delay = kWatchRetryDelay;
-  for (size_t n = sources_.size();
-       n <= failed_watches_ && delay < kMaxWatchRetryDelay;
-       n += sources_.size()) {
-    delay = std::min(delay * 2, kMaxWatchRetryDelay);
-  }
-  return delay;
+  return Doubled(kWatchRetryDelay, failed_watches_ / sources_.size(),
+                 kMaxWatchRetryDelay);
 }
 
 void DeploymentClient::OnSourceBehind() {
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -132,7 +132,7 @@
   bool IsCurrent() const { return HadContactWithin(kUpdateTimeout); }
   bool HadContactWithin(std::chrono::milliseconds time) const;
   /// Number of watches that have not ended.
-  size_t open_watches() const { return watches_.size(); }
+  size_t open_watches() const { return watch_.number == 0 ? 0 : 1; }
   /// Number of settlements that are not durable yet.
   size_t open_settlements() const { return settlements_.size(); }
   /// Number of reports that the group has not confirmed yet.
@@ -161,17 +161,14 @@
   /// Selects the source of the next watch: the next other one in turn whose
   /// last watch brought updates or that was not watched yet. If there is none,
   /// the next one in turn.
-  std::string SelectSource();
-  void OnWatchEvent(uint64_t number, const schema::PeerMessage& event);
-  /// Makes the watch the one that serves.
-  void Serve(uint64_t number);
-  /// Ends a watch; another one begins.
-  void LeaveSource(uint64_t number, core::ErrorCode code,
-                   const std::string& reason);
+  void SelectSource();
+  void OnWatchEvent(const schema::PeerMessage& event);
+  /// Ends the watch and begins another one later.
+  void LeaveSource(core::ErrorCode code, const std::string& reason);
   /// Returns whether the update was made from a state at or beyond the one that
   /// this client has.
-  bool IsUpToDate(uint64_t number, const schema::DeploymentUpdate& update);
-  void OnWatchEnd(uint64_t number, const core::Status& status);
+  bool IsUpToDate(const schema::DeploymentUpdate& update);
+  void OnWatchEnd(const core::Status& status);
   /// Notes that a source that is current is behind this client.
   void OnSourceBehind();
   std::chrono::milliseconds RetryDelay() const;
@@ -218,21 +215,11 @@
   std::map<std::string, Source> sources_;
   std::map<std::string, std::string> peer_addresses_;
   std::optional<schema::Forwarder> forwarder_;
-  /// Source of the watch that serves, or that served last.
+  /// Source of the current watch, or of the last one.
   std::string source_;
   size_t source_cursor_ = 0;
-  /// A watch that has not ended.
-  struct OpenWatch {
-    std::string source;
-    peer::StreamHandle stream;
-  };
-  /// The open watch, if any, by its number.
-  std::map<uint64_t, OpenWatch> watches_;
-  uint64_t last_watch_ = 0;
-  /// Number of the watch that serves; 0 if none does.
-  uint64_t serving_ = 0;
-  /// Watches in a row that were begun without an update.
-  size_t begun_watches_ = 0;
+  /// Whether the current watch has brought an update.
+  bool source_serves_ = false;
   /// Watches in a row that ended without an update.
   size_t failed_watches_ = 0;
   /// Sources in a row that were current and behind this client.
@@ -250,6 +237,8 @@
   /// Watches in a row since one of a source that tells its position.
   size_t watches_without_position_ = 0;
   core::TimePoint last_update_;
+  /// The current watch; its number is 0 if there is none.
+  peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
   QTimer first_update_;
   QTimer retry_;
