control, storage, cluster, platform: Say things once

No change of behaviour; the tests of the modules pass (consensus, control, storage, platform, cluster).

--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -224,17 +224,13 @@
 
 size_t DeploymentHost::ProgramLimit() const {
   uint64_t smallest = kMaxMachineBytes;
-  bool is_known = true;
   for (const consensus::Member& member :
        group_->replica().membership().members()) {
     const auto it = machine_.instances().find(member.id.instance);
-    const uint64_t bytes =
-        it == machine_.instances().end() ? 0 : it->second.memory_bytes();
-    is_known = is_known && bytes > 0;
-    smallest = bytes > 0 ? std::min(smallest, bytes) : smallest;
-  }
-  if (!is_known) {
-    smallest = std::min<uint64_t>(smallest, kAssumedMachineBytes);
+    const bool is_known =
+        it != machine_.instances().end() && it->second.memory_bytes() > 0;
+    smallest = std::min(
+        smallest, is_known ? it->second.memory_bytes() : kAssumedMachineBytes);
   }
   return smallest / kProgramMemoryDivisor;
 }
--- a/cluster/watch_registry.cpp
+++ b/cluster/watch_registry.cpp
@@ -56,6 +56,9 @@
 
 void WatchRegistry::Update(const WatchSource& source) {
   watchers_.remove_if([](const Watcher& it) { return !it.replier.IsOpen(); });
+  if (watchers_.empty()) {
+    return;
+  }
   const core::TimePoint now = clock_.Now();
   const uint64_t instances = InstancesDigest();
   for (Watcher& it : watchers_) {
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -51,25 +51,29 @@
   return total;
 }
 
+/// Finds the element of a repeated field that belongs to a request.
+template <typename List>
+auto FindByRequest(List& list, const std::string& request) {
+  return std::find_if(list.begin(), list.end(), [&request](const auto& it) {
+    return it.request() == request;
+  });
+}
+
 /// Removes the open reservation of a request. Returns whether there was one.
 bool RemoveOpen(const std::string& request, schema::ProgramSpending* spending) {
-  auto* open = spending->mutable_open();
-  const auto it = std::find_if(
-      open->begin(), open->end(),
-      [&request](const auto& other) { return other.request() == request; });
-  if (it == open->end()) {
+  auto& open = *spending->mutable_open();
+  const auto it = FindByRequest(open, request);
+  if (it == open.end()) {
     return false;
   }
-  open->erase(it);
+  open.erase(it);
   return true;
 }
 
 /// Stream of a request, or null.
 const schema::BoundStream* FindStream(const schema::ProgramSpending& spending,
                                       const std::string& request) {
-  const auto it = std::find_if(
-      spending.streams().begin(), spending.streams().end(),
-      [&request](const auto& other) { return other.request() == request; });
+  const auto it = FindByRequest(spending.streams(), request);
   return it == spending.streams().end() ? nullptr : &*it;
 }
 
@@ -384,9 +388,8 @@
   const bool settled =
       std::find(spending.settled().begin(), spending.settled().end(),
                 request) != spending.settled().end();
-  const bool open = std::any_of(
-      spending.open().begin(), spending.open().end(),
-      [&request](const auto& it) { return it.request() == request; });
+  const bool open =
+      FindByRequest(spending.open(), request) != spending.open().end();
   const int64_t committed = CommittedTokens(spending);
   if (!settled && !open &&
       committed + reservation.tokens() <= reservation.budget()) {
@@ -424,9 +427,7 @@
   }
   schema::ProgramSpending& owner =
       Use(StreamOwner(reservation), reservation.retention_ms());
-  const auto bound = std::find_if(
-      owner.mutable_streams()->begin(), owner.mutable_streams()->end(),
-      [&stream](const auto& it) { return it.request() == stream.request(); });
+  const auto bound = FindByRequest(*owner.mutable_streams(), stream.request());
   if (bound == owner.mutable_streams()->end()) {
     AddStream(stream, &owner);
     *reply->mutable_stream() = stream.stream();
--- a/storage/segment_store.cpp
+++ b/storage/segment_store.cpp
@@ -339,28 +339,48 @@
   return AppendRecord(reset);
 }
 
+core::Result<std::unique_ptr<WritableFile>> SegmentStore::OpenTemporary(
+    const std::string& name) {
+  auto opened =
+      files_->OpenForAppend(PathOf(name + std::string(kTemporarySuffix)));
+  if (!core::IsOk(opened)) {
+    return core::ErrorOf(opened);
+  }
+  core::Status status = core::Value(opened)->Truncate(0);
+  if (!core::IsOk(status)) {
+    RemoveTemporary(name);
+    return core::ErrorOf(status);
+  }
+  return opened;
+}
+
+core::Status SegmentStore::PublishTemporary(const std::string& name) {
+  core::Status status = files_->Rename(
+      PathOf(name + std::string(kTemporarySuffix)), PathOf(name));
+  return core::IsOk(status) ? files_->SyncFolder(options_.folder) : status;
+}
+
+void SegmentStore::RemoveTemporary(const std::string& name) {
+  files_->Remove(PathOf(name + std::string(kTemporarySuffix)));
+}
+
 core::Status SegmentStore::WriteAtomically(const std::string& name,
                                            const std::string& content) {
-  const std::string temporary = PathOf(name + std::string(kTemporarySuffix));
-  auto opened = files_->OpenForAppend(temporary);
+  auto opened = OpenTemporary(name);
   if (!core::IsOk(opened)) {
     return core::ErrorOf(opened);
   }
   const std::unique_ptr<WritableFile> file = core::TakeValue(std::move(opened));
-  core::Status status = file->Truncate(0);
-  if (core::IsOk(status)) {
-    status = file->Append(content);
-  }
+  core::Status status = file->Append(content);
   if (core::IsOk(status)) {
     status = file->Sync();
   }
   if (core::IsOk(status)) {
-    status = files_->Rename(temporary, PathOf(name));
+    status = PublishTemporary(name);
   }
-  if (core::IsOk(status)) {
-    return files_->SyncFolder(options_.folder);
+  if (!core::IsOk(status)) {
+    RemoveTemporary(name);
   }
-  files_->Remove(temporary);
   return status;
 }
 
@@ -368,19 +388,14 @@
     std::shared_ptr<const Snapshot> snapshot) {
   AbandonSnapshot();
   const std::string name = NumberedName(kSnapshotPrefix, snapshot->index);
-  const std::string temporary = PathOf(name + std::string(kTemporarySuffix));
-  auto opened = files_->OpenForAppend(temporary);
+  auto opened = OpenTemporary(name);
   if (!core::IsOk(opened)) {
     return core::ErrorOf(opened);
   }
-  pending_snapshot_ = PendingSnapshot{std::move(snapshot), name, temporary,
+  pending_snapshot_ = PendingSnapshot{std::move(snapshot), name,
                                       core::TakeValue(std::move(opened)), 0};
-  const PendingSnapshot& pending = *pending_snapshot_;
-  core::Status status = pending.file->Truncate(0);
-  if (core::IsOk(status)) {
-    status = pending.file->Append(EncodeSnapshotHead(*pending.snapshot));
-  }
-  return status;
+  return pending_snapshot_->file->Append(
+      EncodeSnapshotHead(*pending_snapshot_->snapshot));
 }
 
 core::Status SegmentStore::ContinueSnapshot(bool to_end) {
@@ -402,10 +417,7 @@
   if (!core::IsOk(status) || pending.written < data.size()) {
     return status;
   }
-  status = files_->Rename(pending.temporary, PathOf(pending.name));
-  if (core::IsOk(status)) {
-    status = files_->SyncFolder(options_.folder);
-  }
+  status = PublishTemporary(pending.name);
   if (!core::IsOk(status)) {
     return status;
   }
@@ -422,8 +434,7 @@
 
 void SegmentStore::AbandonSnapshot() {
   if (pending_snapshot_) {
-    pending_snapshot_->file.reset();
-    files_->Remove(pending_snapshot_->temporary);
+    RemoveTemporary(pending_snapshot_->name);
     pending_snapshot_.reset();
   }
 }
--- a/storage/segment_store.h
+++ b/storage/segment_store.h
@@ -60,7 +60,6 @@
   struct PendingSnapshot {
     std::shared_ptr<const Snapshot> snapshot;
     std::string name;
-    std::string temporary;
     std::unique_ptr<WritableFile> file;
     /// Bytes of the data that are saved.
     size_t written = 0;
@@ -78,6 +77,11 @@
   core::Status Replay(std::string_view payload, const std::string& path,
                       uint64_t offset, Segment* segment);
   core::Status AlignLogWithSnapshot();
+  /// Opens an empty file that takes the name `name` once it is published.
+  core::Result<std::unique_ptr<WritableFile>> OpenTemporary(
+      const std::string& name);
+  core::Status PublishTemporary(const std::string& name);
+  void RemoveTemporary(const std::string& name);
   core::Status WriteAtomically(const std::string& name,
                                const std::string& content);
   core::Status BeginSnapshot(std::shared_ptr<const Snapshot> snapshot);
