--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -52,6 +52,13 @@
   storage::FileSystem* files = nullptr;
 };
 
+namespace detail {
+
+/// Organisation label of the metrics of work for the deployment itself.
+inline const core::OrganisationId kDeploymentWork("deployment");
+
+}  // namespace detail
+
 /// Owns the replica of this instance. Lives in one thread with an event loop;
 /// the journal has a separate thread.
 class DeploymentHost final : public QObject {
--- a/relay/poison_guard.h
+++ b/relay/poison_guard.h
@@ -12,6 +12,10 @@
 
 namespace hawthorn::relay {
 
+/// Why a poison request is refused.
+inline constexpr const char* kPoisonReason =
+    "the request ends upstreams that run it";
+
 /// Requests that this instance refuses because they crash upstreams: those that
 /// the group lists, and those that speak against themselves by the crashes that
 /// this instance saw, with or without a leader. Deterministic.
--- a/tests/cluster/stale_source_test.cpp
+++ b/tests/cluster/stale_source_test.cpp
@@ -157,17 +157,22 @@
   CHECK(it.it.metrics().CounterValue("positions_dropped") == 1);
 }
 
+/// Watches that a client begins at two sources within a time.
+int WatchesWithin(TwoSources* it, qint64 waited_ms) {
+  it->client.Start();
+  QElapsedTimer timer;
+  timer.start();
+  REQUIRE(WaitFor([&] { return timer.elapsed() >= waited_ms; }));
+  return it->first.watches + it->second.watches;
+}
+
 // Guards against sources that are kept busy by instances that have none.
 TEST_CASE("A client asks sources that refuse it less and less often") {
   TwoSources it;
   it.first.refuses = true;
   it.second.refuses = true;
-  it.client.Start();
-  QElapsedTimer timer;
-  timer.start();
   constexpr qint64 kWaitedMs = 2000;
-  REQUIRE(WaitFor([&] { return timer.elapsed() >= kWaitedMs; }));
-  const int asked = it.first.watches + it.second.watches;
+  const int asked = WatchesWithin(&it, kWaitedMs);
   CHECK(asked >= 4);
   CHECK(asked <= 4 + kWaitedMs / DeploymentClient::kMaxWatchRetryDelay.count());
 }
@@ -178,12 +183,8 @@
   TwoSources it;
   it.first.is_silent = true;
   it.second.is_silent = true;
-  it.client.Start();
-  QElapsedTimer timer;
-  timer.start();
   constexpr qint64 kWaitedMs = 4000;
-  REQUIRE(WaitFor([&] { return timer.elapsed() >= kWaitedMs; }));
-  const int asked = it.first.watches + it.second.watches;
+  const int asked = WatchesWithin(&it, kWaitedMs);
   CHECK(asked >= 4);
   CHECK(asked <= static_cast<int>(DeploymentClient::kQuickWatches) + 3 +
                      kWaitedMs / DeploymentClient::kUpdateTimeout.count());
