tests/relay: Share the path of calls through another instance

The test of cut heads has a fixture that reaches an upstream directly or through another instance. No check changes.

--- a/tests/relay/cut_head_test.cpp
+++ b/tests/relay/cut_head_test.cpp
@@ -31,35 +31,6 @@
   return ends_whole && status / 100 == 2;
 }
 
-/// A caller of a relay with one upstream, directly or through another instance.
-class Way {
- public:
-  Way(const ScriptedUpstream& upstream, bool is_forwarded) {
-    if (!is_forwarded) {
-      direct_ = std::make_unique<RelayFixture>();
-      direct_->AddUpstream("u1", upstream.address());
-      return;
-    }
-    cut_ = std::make_unique<Instance>("127.0.0.25");
-    whole_ = std::make_unique<Instance>("127.0.0.26");
-    cut_->SetForwarders({whole_.get()});
-    ScriptedUpstream closed(
-        [](const std::string&) { return ScriptedUpstream::Step{}; });
-    closed.StopListening();
-    cut_->relay.AddUpstream("u1", closed.address());
-    whole_->relay.AddUpstream("u1", upstream.address());
-  }
-
-  uint16_t port() const {
-    return direct_ ? direct_->port() : cut_->relay.port();
-  }
-
- private:
-  std::unique_ptr<RelayFixture> direct_;
-  std::unique_ptr<Instance> cut_;
-  std::unique_ptr<Instance> whole_;
-};
-
 struct Case {
   std::string path;
   bool is_forwarded = false;
@@ -94,10 +65,10 @@
         const size_t kept = std::stoul(id) - 1000;
         return {HeadFor(it, request).substr(0, kept), reset, !reset};
       });
-  Way way(upstream, it.is_forwarded);
+  CallPath path(upstream, it.is_forwarded);
   std::vector<std::unique_ptr<Caller>> callers;
   for (size_t kept = first; kept <= last; ++kept) {
-    callers.push_back(std::make_unique<Caller>(way.port()));
+    callers.push_back(std::make_unique<Caller>(path.port()));
     if (it.is_kept) {
       callers.back()->Send(RelayFixture::Request("/once/x", "before"));
       REQUIRE(WaitFor(
--- a/tests/relay/instance_fixture.h
+++ b/tests/relay/instance_fixture.h
@@ -56,4 +56,33 @@
   RelayFixture relay;
 };
 
+/// The path of calls to one upstream, directly or through another instance.
+class CallPath {
+ public:
+  CallPath(const ScriptedUpstream& upstream, bool is_forwarded) {
+    if (!is_forwarded) {
+      direct_ = std::make_unique<RelayFixture>();
+      direct_->AddUpstream("u1", upstream.address());
+      return;
+    }
+    cut_ = std::make_unique<Instance>("127.0.0.25");
+    whole_ = std::make_unique<Instance>("127.0.0.26");
+    cut_->SetForwarders({whole_.get()});
+    ScriptedUpstream closed(
+        [](const std::string&) { return ScriptedUpstream::Step{}; });
+    closed.StopListening();
+    cut_->relay.AddUpstream("u1", closed.address());
+    whole_->relay.AddUpstream("u1", upstream.address());
+  }
+
+  /// The relay that callers are connected to.
+  RelayFixture& relay() { return direct_ ? *direct_ : cut_->relay; }
+  uint16_t port() { return relay().port(); }
+
+ private:
+  std::unique_ptr<RelayFixture> direct_;
+  std::unique_ptr<Instance> cut_;
+  std::unique_ptr<Instance> whole_;
+};
+
 }  // namespace hawthorn::relay
