transport, relay: Refuse responses whose status is not valid

What callers saw: an upstream in trouble answered with status 000 and the right id and signature.

Cause: ResponseReader hands on any three digits, and SerializeHead writes the number. A status is valid from 100 to 599 (RFC 9110, section 15).

Change: transport::CheckHead decides whether a head is valid. ResponseReader, which reads for the relay, for upstreams without a platform and for hawthornctl, and DecodeHead, which takes the head that another instance forwards, both call it. What is not valid takes the way of malformed bytes: the call runs again where it may, else 502.

Logs: 'malformed response' names the request and the reason, also for successes without id or signature, with an encoding or with an event that is too large; so far they left no record. The instance that forwarded an exchange writes the reason into 'exchange forwarded'. 'call ended' says that the response was refused and no longer that it was broken off.

One case is worse than before for its caller: a response to another request with such a status was skipped and the own one awaited; now the attempt ends, as it did for other malformed bytes at that place. Nothing that follows bytes which are no response can be trusted.

--- a/relay/exchange_link.h
+++ b/relay/exchange_link.h
@@ -40,7 +40,9 @@
     std::function<void(std::string_view)> on_body;
     /// The response is complete.
     std::function<void()> on_complete;
-    std::function<void(LinkFailure)> on_failed;
+    /// `reason` says in the log why a response is malformed; it may be empty
+    /// for other failures.
+    std::function<void(LinkFailure, const std::string& reason)> on_failed;
   };
 
   using QObject::QObject;
--- a/relay/forward_server.cpp
+++ b/relay/forward_server.cpp
@@ -52,10 +52,11 @@
     };
     events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
     events.on_complete = [this] { End(schema::FORWARD_END_COMPLETE); };
-    events.on_failed = [this](LinkFailure failure) {
+    events.on_failed = [this](LinkFailure failure, const std::string& reason) {
       const bool is_partitioned =
           failure == LinkFailure::kUnreachable && !server_.host_.HadContact();
-      End(is_partitioned ? schema::FORWARD_END_PARTITIONED : EndOf(failure));
+      End(is_partitioned ? schema::FORWARD_END_PARTITIONED : EndOf(failure),
+          reason);
     };
     link_->Start(std::exchange(*request_.mutable_request(), {}),
                  std::move(events));
@@ -119,12 +120,12 @@
   }
 
   /// Sends how the exchange ended, after everything that was received.
-  void End(schema::ForwardEnd end) {
+  void End(schema::ForwardEnd end, const std::string& reason = {}) {
     if (end_ != schema::FORWARD_END_UNSPECIFIED || link_ == nullptr) {
       return;
     }
     end_ = end;
-    ReleaseLink(end);
+    ReleaseLink(end, reason);
     Send(EncodeEnd(end));
   }
 
@@ -133,7 +134,7 @@
     Leave();
   }
 
-  void ReleaseLink(schema::ForwardEnd end) {
+  void ReleaseLink(schema::ForwardEnd end, const std::string& reason = {}) {
     deadline_timer_.stop();
     if (link_ == nullptr) {
       return;
@@ -143,7 +144,7 @@
     }
     server_.host_.CloseForwarded(request_, std::exchange(link_, nullptr),
                                  response_);
-    server_.host_.OnForwardedEnded(request_, origin_, end);
+    server_.host_.OnForwardedEnded(request_, origin_, end, reason);
   }
 
   void Leave() { server_.OnEnded(this); }
--- a/relay/forward_server.h
+++ b/relay/forward_server.h
@@ -35,10 +35,12 @@
   /// Whether this instance has reached an upstream recently, so that its word
   /// on another one counts.
   virtual bool HadContact() const = 0;
-  /// An exchange for `origin` has ended.
+  /// An exchange for `origin` has ended; `reason` says why its response was
+  /// refused, if it was.
   virtual void OnForwardedEnded(const schema::ForwardRequest& request,
                                 const std::string& origin,
-                                schema::ForwardEnd end) = 0;
+                                schema::ForwardEnd end,
+                                const std::string& reason) = 0;
 };
 
 /// Carries out exchanges with upstreams for other instances. Each uses a
--- a/relay/forwarded_link.cpp
+++ b/relay/forwarded_link.cpp
@@ -58,20 +58,9 @@
 void ForwardedLink::OnPart(const schema::PeerMessage& message) {
   const schema::ForwardedPart& part = message.forwarded();
   switch (part.part_case()) {
-    case schema::ForwardedPart::kHead: {
-      on_outcome_(true);
-      is_only_send_ = part.head().is_only_send();
-      const auto length = part.head().has_length()
-                              ? std::optional(part.head().length())
-                              : std::nullopt;
-      const ResponseMatch match =
-          events_.on_head ? events_.on_head(DecodeHead(part.head()), length)
-                          : ResponseMatch::kOwn;
-      if (match == ResponseMatch::kForeign) {
-        Fail(LinkFailure::kMalformed);
-      }
+    case schema::ForwardedPart::kHead:
+      OnHead(part.head());
       return;
-    }
     case schema::ForwardedPart::kBody:
       if (events_.on_body) {
         events_.on_body(part.body());
@@ -81,7 +70,26 @@
       OnEnd(part.end());
       return;
     case schema::ForwardedPart::PART_NOT_SET:
-      Fail(LinkFailure::kMalformed);
+      Fail(LinkFailure::kMalformed, "a forwarded part is empty");
+  }
+}
+
+void ForwardedLink::OnHead(const schema::ForwardedHead& encoded) {
+  on_outcome_(true);
+  is_only_send_ = encoded.is_only_send();
+  const auto head = DecodeHead(encoded);
+  if (!core::IsOk(head)) {
+    Fail(LinkFailure::kMalformed, core::ErrorOf(head).message);
+    return;
+  }
+  const auto length =
+      encoded.has_length() ? std::optional(encoded.length()) : std::nullopt;
+  const ResponseMatch match = events_.on_head
+                                  ? events_.on_head(core::Value(head), length)
+                                  : ResponseMatch::kOwn;
+  if (match == ResponseMatch::kForeign) {
+    Fail(LinkFailure::kMalformed,
+         "the forwarded response is to another request");
   }
 }
 
@@ -91,7 +99,7 @@
     if (failure == LinkFailure::kForwarderFailed) {
       on_outcome_(false);
     }
-    Fail(failure);
+    Fail(failure, ToString(end));
     return;
   }
   const Events events = std::exchange(events_, {});
@@ -109,11 +117,11 @@
   Fail(not_received ? LinkFailure::kForwarderFailed : LinkFailure::kReset);
 }
 
-void ForwardedLink::Fail(LinkFailure failure) {
+void ForwardedLink::Fail(LinkFailure failure, const std::string& reason) {
   const Events events = std::exchange(events_, {});
   Abandon();
   if (events.on_failed) {
-    events.on_failed(failure);
+    events.on_failed(failure, reason);
   }
 }
 
--- a/relay/forwarded_link.h
+++ b/relay/forwarded_link.h
@@ -38,9 +38,10 @@
 
  private:
   void OnPart(const schema::PeerMessage& message);
+  void OnHead(const schema::ForwardedHead& encoded);
   void OnEnd(schema::ForwardEnd end);
   void OnStreamEnd(const core::Status& status);
-  void Fail(LinkFailure failure);
+  void Fail(LinkFailure failure, const std::string& reason = {});
 
   peer::PeerTransport& peers_;
   std::string forwarder_;
--- a/relay/forwarded_parts.cpp
+++ b/relay/forwarded_parts.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "transport/http_status.h"
+
 namespace hawthorn::relay {
 
 schema::ForwardedPart EncodeHead(const transport::ResponseHead& head,
@@ -20,12 +22,20 @@
   return part;
 }
 
-transport::ResponseHead DecodeHead(const schema::ForwardedHead& encoded) {
+core::Result<transport::ResponseHead> DecodeHead(
+    const schema::ForwardedHead& encoded) {
   transport::ResponseHead head;
   head.status = encoded.status();
   for (const schema::HttpField& field : encoded.fields()) {
     head.fields.push_back({field.name(), field.value()});
   }
+  const core::Status checked = transport::CheckHead(head);
+  if (!core::IsOk(checked)) {
+    return core::ErrorOf(checked);
+  }
+  if (transport::IsInterim(head.status)) {
+    return transport::MalformedResponse("an interim response was forwarded");
+  }
   return head;
 }
 
--- a/relay/forwarded_parts.h
+++ b/relay/forwarded_parts.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "core/error.h"
 #include "relay/exchange_link.h"
 #include "schema/generated/peer.pb.h"
 #include "transport/http_message.h"
@@ -12,7 +13,10 @@
 
 schema::ForwardedPart EncodeHead(const transport::ResponseHead& head,
                                  std::optional<uint64_t> length);
-transport::ResponseHead DecodeHead(const schema::ForwardedHead& encoded);
+/// Returns kInvalidArgument if the head is not that of a valid response: the
+/// instance that sent it may have checked less.
+core::Result<transport::ResponseHead> DecodeHead(
+    const schema::ForwardedHead& encoded);
 schema::ForwardedPart EncodeEnd(schema::ForwardEnd end);
 /// How an exchange ended whose own connection failed so.
 schema::ForwardEnd EndOf(LinkFailure failure);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -201,8 +201,8 @@
   /// Within kContactTime.
   bool HadContact() const override;
   void OnForwardedEnded(const schema::ForwardRequest& request,
-                        const std::string& origin,
-                        schema::ForwardEnd end) override;
+                        const std::string& origin, schema::ForwardEnd end,
+                        const std::string& reason) override;
 
   /// A request that was sent to an incarnation of an upstream.
   struct ExchangeId {
--- a/relay/relay_call.h
+++ b/relay/relay_call.h
@@ -285,6 +285,8 @@
     kEnded
   };
 
+  /// Decision on a response that is not valid.
+  static constexpr char kMalformedResponse[] = "malformed response";
   /// Maximum number of software versions that a stream is bound to until its
   /// first event.
   static constexpr uint32_t kMaxBindings = 4;
@@ -323,11 +325,14 @@
   /// Whether a response may continue the one that the caller has begun to
   /// receive.
   bool MayContinue(const transport::ResponseHead& head) const;
-  /// Ends the attempt because the upstream's response cannot be used.
-  void RejectResponse();
+  /// Ends the attempt because the upstream's response cannot be used, and logs
+  /// why.
+  void RejectResponse(const char* decision, const std::string& reason);
   void OnBody(std::string_view bytes);
   void OnComplete();
-  void OnFailed(LinkFailure failure);
+  void OnFailed(LinkFailure failure, const std::string& reason = {});
+  /// Retries a call that the upstream may have run, or ends it.
+  void RetryOrFail(std::string reason);
   /// Nothing of the current exchange was sent, as connecting failed.
   void OnUnreachable();
   /// The upstream broke off a response that the caller held up.
--- a/relay/relay_call_attempts.cpp
+++ b/relay/relay_call_attempts.cpp
@@ -11,6 +11,8 @@
 
 namespace status = transport::status;
 
+constexpr char kRefusedResponse[] = "the upstream's response was refused";
+
 /// A call is given up after it crashed this many upstreams.
 constexpr int kMaxCrashes = 3;
 
@@ -53,7 +55,9 @@
   };
   events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
   events.on_complete = [this] { OnComplete(); };
-  events.on_failed = [this](LinkFailure failure) { OnFailed(failure); };
+  events.on_failed = [this](LinkFailure failure, const std::string& reason) {
+    OnFailed(failure, reason);
+  };
   ++sent_exchanges_;
   was_sent_before_ = !sent_to_.insert(upstream_).second;
   link_->Start(parts_.host.codec().EncodeForward(parts_.request, forward),
@@ -75,7 +79,7 @@
        "every upstream that was asked refused");
 }
 
-void RelayCall::OnFailed(LinkFailure failure) {
+void RelayCall::OnFailed(LinkFailure failure, const std::string& reason) {
   if (state_ != State::kRunning) {
     return;
   }
@@ -106,14 +110,29 @@
         OnUnreadResponse();
         return;
       }
-      break;
+      RetryOrFail("the upstream broke its answer off");
+      return;
     case LinkFailure::kMalformed:
-      break;
+      parts_.host.OnDecision(*this, kMalformedResponse, reason);
+      RetryOrFail(kRefusedResponse);
   }
+}
+
+void RelayCall::RejectResponse(const char* decision,
+                               const std::string& reason) {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  parts_.host.OnDecision(*this, decision, reason);
+  link_->Abandon();
+  RetryOrFail(kRefusedResponse);
+}
+
+void RelayCall::RetryOrFail(std::string reason) {
   parts_.host.OnConnectionBroken(*this, upstream_);
   ran_at_.insert(upstream_);
   if (!Retry()) {
-    FailAttempt("the upstream broke its answer off");
+    FailAttempt(std::move(reason));
   }
 }
 
--- a/relay/relay_call_response.cpp
+++ b/relay/relay_call_response.cpp
@@ -62,17 +62,18 @@
   held_since_.reset();
   response_length_ = length;
   response_info_ = info;
-  const bool untrusted = success && (info.request_id.empty() ||
-                                     !info.has_signature || info.encoded);
-  if (untrusted) {
-    RejectResponse();
+  if (success && (info.request_id.empty() || !info.has_signature)) {
+    RejectResponse(kMalformedResponse, "a success has no id or no signature");
+    return ResponseMatch::kOwn;
+  }
+  if (success && info.encoded) {
+    RejectResponse(kMalformedResponse, "the body has an encoding");
     return ResponseMatch::kOwn;
   }
   if (info.IsRefusal()) {
     if (!link_->is_only_send() && was_sent_before_) {
-      parts_.host.OnDecision(*this, "refusal not trusted",
-                             "it may be that of an earlier attempt");
-      RejectResponse();
+      RejectResponse("refusal not trusted",
+                     "it may be that of an earlier attempt");
       return ResponseMatch::kOwn;
     }
     ignore_body_ = true;
@@ -80,9 +81,8 @@
   }
   streaming_ = success && parts_.route.kind == CallKind::kStream;
   if (response_started_ && !MayContinue(head)) {
-    parts_.host.OnDecision(*this, "response not joined",
-                           "it does not continue the stream that has begun");
-    RejectResponse();
+    RejectResponse("response not joined",
+                   "it does not continue the stream that has begun");
     return ResponseMatch::kOwn;
   }
   if (streaming_ && (last_event_ || parts_.head.resume_after)) {
@@ -107,11 +107,6 @@
          MediaTypeOf(head) == media_type_;
 }
 
-void RelayCall::RejectResponse() {
-  link_->Abandon();
-  OnFailed(LinkFailure::kMalformed);
-}
-
 void RelayCall::OnBody(std::string_view bytes) {
   if (ignore_body_ || state_ != State::kRunning) {
     return;
@@ -207,10 +202,8 @@
       has_unidentified_events_ = false;
     } else if (HasContent(event.bytes)) {
       if (response_started_ && !has_identified_event_ && last_event_) {
-        parts_.host.OnDecision(*this, "response not joined",
-                               "its first event has no id");
         framer_.Reset();
-        RejectResponse();
+        RejectResponse("response not joined", "its first event has no id");
         return;
       }
       has_unidentified_events_ = true;
@@ -231,7 +224,7 @@
   }
   CountBuffers();
   if (framer_.overflowed()) {
-    RejectResponse();
+    RejectResponse(kMalformedResponse, "an event is too large");
     return;
   }
   if (out.empty()) {
@@ -251,9 +244,8 @@
     progress_timer_.start(parts_.progress_timeout);
     return;
   }
-  parts_.host.OnDecision(*this, "stream stalled",
-                         "the upstream sent no complete event in time");
-  RejectResponse();
+  RejectResponse("stream stalled",
+                 "the upstream sent no complete event in time");
 }
 
 void RelayCall::OnComplete() {
--- a/relay/relay_forwarding.cpp
+++ b/relay/relay_forwarding.cpp
@@ -405,13 +405,14 @@
 }
 
 void Relay::OnForwardedEnded(const schema::ForwardRequest& request,
-                             const std::string& origin,
-                             schema::ForwardEnd end) {
+                             const std::string& origin, schema::ForwardEnd end,
+                             const std::string& reason) {
   logging::Log(logging::LogLevel::kInfo, "exchange forwarded",
                {{"request", request.request_id()},
                 {"origin", origin},
                 {"upstream", request.upstream()},
-                {"end", ToString(end)}});
+                {"end", ToString(end)},
+                {"reason", reason}});
   const bool failed_to_connect = end == schema::FORWARD_END_UNREACHABLE ||
                                  end == schema::FORWARD_END_PARTITIONED;
   if (failed_to_connect &&
--- a/relay/upstream_link.cpp
+++ b/relay/upstream_link.cpp
@@ -10,7 +10,11 @@
   socket_.SetBudget(buffers);
   timer_.setSingleShot(true);
   connect(&timer_, &QTimer::timeout, this, [this] {
-    Fail(connected_ ? LinkFailure::kMalformed : LinkFailure::kUnreachable);
+    if (connected_) {
+      Fail(LinkFailure::kMalformed, "only responses to other requests came");
+    } else {
+      Fail(LinkFailure::kUnreachable);
+    }
   });
   socket_.SetEvents({.on_connected =
                          [this] {
@@ -89,7 +93,7 @@
       return;
     }
     if (!core::IsOk(used)) {
-      Fail(LinkFailure::kMalformed);
+      Fail(LinkFailure::kMalformed, core::ErrorOf(used).message);
       return;
     }
     if (!reader_->complete()) {
@@ -100,7 +104,7 @@
       break;
     }
     if (++foreign_responses_ > kMaxForeignResponses) {
-      Fail(LinkFailure::kMalformed);
+      Fail(LinkFailure::kMalformed, "too many responses to other requests");
       return;
     }
     StartReader();
@@ -147,13 +151,13 @@
   }
 }
 
-void UpstreamLink::Fail(LinkFailure failure) {
+void UpstreamLink::Fail(LinkFailure failure, const std::string& reason) {
   const Events events = std::exchange(events_, {});
   const bool connected = connected_;
   Abandon();
   ReportCheck(connected);
   if (events.on_failed) {
-    events.on_failed(failure);
+    events.on_failed(failure, reason);
   }
 }
 
--- a/relay/upstream_link.h
+++ b/relay/upstream_link.h
@@ -84,7 +84,7 @@
   void OnEnd(transport::SocketEnd how);
   void ReportCheck(bool connected);
   void Complete();
-  void Fail(LinkFailure failure);
+  void Fail(LinkFailure failure, const std::string& reason = {});
 
   transport::StreamSocket socket_;
   /// Runs while connecting and while an own response is due after a foreign
--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -105,7 +105,8 @@
     timer->stop();
     OnAnswerChecked(upstream, link, true);
   };
-  events.on_failed = [this, upstream, link, timer](LinkFailure) {
+  events.on_failed = [this, upstream, link, timer](LinkFailure,
+                                                   const std::string&) {
     timer->stop();
     OnAnswerChecked(upstream, link, false);
   };
--- a/tests/transport/response_reader_test.cpp
+++ b/tests/transport/response_reader_test.cpp
@@ -154,5 +154,43 @@
   CHECK(it.body == "hi");
 }
 
+/// Whether a reader refuses `bytes`, at once and in pieces of one byte.
+bool IsRefused(const std::string& bytes) {
+  for (const size_t step : {bytes.size(), size_t{1}}) {
+    Recorder it;
+    ResponseReader reader(it.Events());
+    bool is_refused = false;
+    for (size_t n = 0; n < bytes.size() && !is_refused; n += step) {
+      is_refused = !core::IsOk(reader.Feed(bytes.substr(n, step)));
+    }
+    if (!is_refused) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Guards against an invalid status that is handed on as a number (RFC 9110,
+// section 15).
+TEST_CASE("a status outside 100 to 599 is an error") {
+  for (const std::string status : {"000", "001", "009", "099", "600", "999"}) {
+    CAPTURE(status);
+    CHECK(IsRefused("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("each status from 100 to 599 is valid") {
+  for (int status = 100; status <= 599; ++status) {
+    CAPTURE(status);
+    Recorder it;
+    ResponseReader reader(it.Events());
+    const bool is_valid =
+        core::IsOk(reader.Feed("HTTP/1.1 " + std::to_string(status) +
+                               " X\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(is_valid == (status != 101));
+    CHECK(it.statuses.size() == (status >= 200 ? 1 : 0));
+  }
+}
+
 }  // namespace
 }  // namespace hawthorn::transport
--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -1,11 +1,13 @@
 #include "transport/http_message.h"
 
+#include <absl/strings/escaping.h>
 #include <strings.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <iterator>
+#include <utility>
 
 #include "transport/http_status.h"
 #include "transport/text.h"
@@ -66,6 +68,34 @@
   return nullptr;
 }
 
+core::Error MalformedResponse(std::string reason) {
+  return core::Error{core::ErrorCode::kInvalidArgument,
+                     std::move(reason),
+                     core::Execution::kUnknown,
+                     {}};
+}
+
+core::Status CheckHead(const ResponseHead& head) {
+  if (head.status < kMinStatus || head.status > kMaxStatus) {
+    return MalformedResponse("status " + std::to_string(head.status) +
+                             " is not between 100 and 599");
+  }
+  if (head.status == status::kSwitchingProtocols) {
+    return MalformedResponse("no request asked for another protocol");
+  }
+  for (const HeaderField& field : head.fields) {
+    if (!IsToken(field.name)) {
+      return MalformedResponse("field name '" + absl::CHexEscape(field.name) +
+                               "' is not a token");
+    }
+    if (HasControlByte(field.value)) {
+      return MalformedResponse("the value of field " + field.name +
+                               " has a control byte");
+    }
+  }
+  return std::monostate{};
+}
+
 RelayRequest ParseFramedRequest(std::string_view message) {
   RelayRequest request;
   std::string_view start = TakeLine(&message);
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -47,6 +47,14 @@
   bool operator==(const ResponseHead&) const = default;
 };
 
+/// Checks the head of a response from any source: its status, and the names and
+/// values of its fields (RFC 9110, sections 5 and 15). Returns
+/// kInvalidArgument with the reason if it is not valid.
+core::Status CheckHead(const ResponseHead& head);
+
+/// Error of bytes that are not a valid response.
+core::Error MalformedResponse(std::string reason);
+
 /// Parses a request that RequestFramer completed. Decodes a chunked body.
 RelayRequest ParseFramedRequest(std::string_view message);
 
--- a/transport/http_status.h
+++ b/transport/http_status.h
@@ -7,6 +7,7 @@
 /// Status codes that are sent or checked for (RFC 9110).
 namespace status {
 
+inline constexpr int kSwitchingProtocols = 101;
 inline constexpr int kOk = 200;
 inline constexpr int kCreated = 201;
 inline constexpr int kNoContent = 204;
@@ -31,6 +32,13 @@
 
 }  // namespace status
 
+/// Range of the status codes that a response may have.
+inline constexpr int kMinStatus = 100;
+inline constexpr int kMaxStatus = 599;
+
+/// Whether the final response is still to come (1xx).
+constexpr bool IsInterim(int code) { return code >= 100 && code < 200; }
+
 /// Whether a status code reports success (2xx).
 constexpr bool IsSuccess(int code) { return code >= 200 && code < 300; }
 
--- a/transport/request_framer.cpp
+++ b/transport/request_framer.cpp
@@ -22,16 +22,6 @@
   return limits.max_head_bytes + 2 * limits.max_body_bytes;
 }
 
-bool IsTokenChar(char c) {
-  constexpr std::string_view kExtra = "!#$%&'*+-.^_`|~";
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-         kExtra.find(c) != std::string_view::npos;
-}
-
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
-}
-
 std::string Lower(std::string_view text) {
   std::string lower(text);
   std::transform(
@@ -57,13 +47,6 @@
                      [](char c) { return c > ' ' && c < 0x7f; });
 }
 
-bool HasControlByte(std::string_view value) {
-  return std::any_of(value.begin(), value.end(), [](char c) {
-    const auto byte = static_cast<unsigned char>(c);
-    return (byte < 0x20 && c != '\t') || byte == 0x7f;
-  });
-}
-
 }  // namespace
 
 void RequestFramer::Reset() { *this = RequestFramer(limits_); }
--- a/transport/response_reader.cpp
+++ b/transport/response_reader.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <utility>
 
+#include "transport/http_status.h"
+
 namespace hawthorn::transport {
 
 namespace http = boost::beast::http;
@@ -14,13 +16,6 @@
 
 std::string_view ToStd(string_view text) { return {text.data(), text.size()}; }
 
-constexpr int kSwitchingProtocols = 101;
-
-core::Error Malformed(const std::string& reason) {
-  return core::Error{
-      core::ErrorCode::kInvalidArgument, reason, core::Execution::kUnknown, {}};
-}
-
 }  // namespace
 
 /// Collects the head and passes on the body. The names of the overrides are
@@ -34,7 +29,12 @@
   }
 
   /// Whether the parsed head is that of an interim response.
-  bool is_interim() const { return head_.status / 100 == 1; }
+  bool is_interim() const { return IsInterim(head_.status); }
+
+  /// Why the parser stopped with `ec`.
+  core::Error ErrorFor(const error_code& ec) const {
+    return refusal_ ? *refusal_ : MalformedResponse(ec.message());
+  }
 
  private:
   void on_request_impl(http::verb, string_view, string_view, int,
@@ -51,8 +51,9 @@
         {std::string(ToStd(name)), std::string(ToStd(value))});
   }
   void on_header_impl(error_code& ec) override {
-    if (head_.status == kSwitchingProtocols) {
-      // Only a request that asks for it may be answered so.
+    const core::Status checked = CheckHead(head_);
+    if (!core::IsOk(checked)) {
+      refusal_ = core::ErrorOf(checked);
       ec = http::error::bad_status;
       return;
     }
@@ -82,6 +83,8 @@
 
   const Events& events_;
   ResponseHead head_;
+  /// Set if the head was parsed and is not valid.
+  std::optional<core::Error> refusal_;
 };
 // NOLINTEND(readability-identifier-naming)
 
@@ -111,11 +114,11 @@
       break;
     }
     if (ec) {
-      return Malformed(ec.message());
+      return parser_->ErrorFor(ec);
     }
     if (parser_->is_done() && parser_->is_interim()) {
       if (++interim_responses_ > kMaxInterimResponses) {
-        return Malformed("too many interim responses");
+        return MalformedResponse("too many interim responses");
       }
       StartParser();
     } else if (n == 0) {
@@ -125,7 +128,7 @@
   const bool done = parser_->is_done();
   buffer_.erase(0, used);
   if (!done && buffer_.size() > kMaxBufferedBytes) {
-    return Malformed("a chunk header or trailer is too large");
+    return MalformedResponse("a chunk header or trailer is too large");
   }
   if (!done) {
     return bytes.size();
@@ -138,12 +141,12 @@
     return std::monostate{};
   }
   if (!parser_->got_some() || !buffer_.empty()) {
-    return Malformed("the connection closed before the response");
+    return MalformedResponse("the connection closed before the response");
   }
   error_code ec;
   parser_->put_eof(ec);
   if (ec) {
-    return Malformed(ec.message());
+    return parser_->ErrorFor(ec);
   }
   return std::monostate{};
 }
