transport: Refuse lines of a response head that begin with a blank

At its end or inside a name it was refused already; at its start it was not.

Cause: the parser takes such a line for the continuation of the line before (obs-fold) and joins both, so that a field is lost and another one changes.

Change: the reader refuses a field that is continued, also in interim responses and in trailers; RFC 9112, section 5.2, allows a 502 for it. The bytes are looked at where the parser reports the field, since a value is joined also if the line of its name was empty.

--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -26,6 +26,7 @@
   std::string framing = "length";
   /// Bytes between the last chunk and the end of a chunked body.
   std::string trailer = {};
+  bool closes = false;
 
   Step To(const std::string& request) const {
     const bool is_stream = request.find(" /turn/") != std::string::npos;
@@ -39,7 +40,7 @@
       head += "Transfer-Encoding: chunked\r\n";
       body = transport::SerializeChunk(body) + "0\r\n" + trailer + "\r\n";
     }
-    return {head + "\r\n" + body, false, framing == "close"};
+    return {head + "\r\n" + body, false, closes || framing == "close"};
   }
 };
 
@@ -90,6 +91,14 @@
   CheckRefused({.status = status, .framing = framing});
 }
 
+// Guards against a line whose name begins with a blank: it was joined to the
+// line before, here the signature, and a length or coding in it was lost.
+TEST_CASE("A response with a line that begins with a blank is refused") {
+  const std::string blank = GENERATE(" ", "\t", "X-A: b\r\n ", "X-A:\r\n\t");
+  const std::string framing = GENERATE("length", "chunked");
+  CheckRefused({.fields = blank, .framing = framing, .closes = true});
+}
+
 TEST_CASE("A call runs again after a response whose status is not valid") {
   const std::string route = GENERATE("/once/x", "/read/x", "/turn/x");
   const bool is_forwarded = GENERATE(false, true);
--- a/tests/transport/response_reader_test.cpp
+++ b/tests/transport/response_reader_test.cpp
@@ -192,5 +192,31 @@
   }
 }
 
+/// A response with `line` at one place of it.
+std::string WithLine(const std::string& place, const std::string& line) {
+  const std::string before = "X-Before: 1\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\n" + before;
+  if (place == "interim") {
+    return "HTTP/1.1 103 Early Hints\r\n" + before + line + "\r\n" + head +
+           "Content-Length: 2\r\n\r\nhi";
+  }
+  if (place == "trailer") {
+    return kChunkedHead + "2\r\nhi\r\n0\r\n" + before + line + "\r\n";
+  }
+  return head + line + "Content-Length: 2\r\n\r\nhi";
+}
+
+// Guards against a line whose name begins with a blank: it was joined to the
+// line before it, so that the signature or the framing changed.
+TEST_CASE("a line that begins with a blank is an error") {
+  const std::string place = GENERATE("head", "interim", "trailer");
+  const std::string blank = GENERATE(" ", "\t", " \t ");
+  const std::string line =
+      GENERATE("X-Field: 2", "Transfer-Encoding: chunked", "2", "");
+  CAPTURE(place, blank, line);
+  CHECK(IsRefused(WithLine(place, blank + line + "\r\n")));
+  CHECK(IsRefused(WithLine(place, "X-Empty:\r\n" + blank + line + "\r\n")));
+}
+
 }  // namespace
 }  // namespace hawthorn::transport
--- a/transport/response_reader.cpp
+++ b/transport/response_reader.cpp
@@ -31,6 +31,12 @@
   /// Whether the parsed head is that of an interim response.
   bool is_interim() const { return IsInterim(head_.status); }
 
+  /// Parses bytes of the response; returns how many were used.
+  size_t Put(std::string_view bytes, error_code& ec) {
+    bytes_ = bytes;
+    return put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+  }
+
   /// Why the parser stopped with `ec`.
   core::Error ErrorFor(const error_code& ec) const {
     return refusal_ ? *refusal_ : MalformedResponse(ec.message());
@@ -46,7 +52,14 @@
     head_.status = status;
   }
   void on_field_impl(http::field, string_view name, string_view value,
-                     error_code& /*ec*/) override {
+                     error_code& ec) override {
+    if (IsContinued(name)) {
+      refusal_ =
+          MalformedResponse("the line after field " + std::string(ToStd(name)) +
+                            " begins with a blank");
+      ec = http::error::bad_obs_fold;
+      return;
+    }
     head_.fields.push_back(
         {std::string(ToStd(name)), std::string(ToStd(value))});
   }
@@ -81,9 +94,23 @@
   }
   void on_finish_impl(error_code& /*ec*/) override {}
 
+  /// Whether the line after that of a field begins with a blank. The base class
+  /// joins such a line to the value (obs-fold, RFC 9112, section 5.2), although
+  /// it may be a field of its own whose name is malformed. It has read the
+  /// first byte after the line; `name` lies in the bytes that it parses.
+  bool IsContinued(string_view name) const {
+    constexpr std::string_view kLineEnd = "\r\n";
+    const auto begin = static_cast<size_t>(name.data() - bytes_.data());
+    const size_t next = bytes_.find(kLineEnd, begin) + kLineEnd.size();
+    return next < bytes_.size() &&
+           (bytes_[next] == ' ' || bytes_[next] == '\t');
+  }
+
   const Events& events_;
+  /// What the base class parses at present.
+  std::string_view bytes_;
   ResponseHead head_;
-  /// Set if the head was parsed and is not valid.
+  /// Set if what was parsed is not valid.
   std::optional<core::Error> refusal_;
 };
 // NOLINTEND(readability-identifier-naming)
@@ -107,8 +134,8 @@
   size_t used = 0;
   while (used < buffer_.size() && !parser_->is_done()) {
     error_code ec;
-    const size_t n = parser_->put(
-        boost::asio::buffer(buffer_.data() + used, buffer_.size() - used), ec);
+    const std::string_view buffered_bytes(buffer_);
+    const size_t n = parser_->Put(buffered_bytes.substr(used), ec);
     used += n;
     if (ec == http::error::need_more) {
       break;
