tests/transport, tests/relay: Names that are no token are refused

The tests stay:

- each byte that a name may not hold, at the start, inside and at the end of a name, in the head, an interim response and a trailer, and in the name of the length; an empty name; a line without a colon;
- each byte of a token is valid in a name;
- through the relay, directly and forwarded, on an idempotent, a non-idempotent and a streamed route: 502;
- a trailer after the events of a stream were passed on: the stream goes on in another run, or the caller sees it broken off.

--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -65,8 +65,10 @@
 }
 
 /// Checks that no caller gets `response`, directly or through another instance.
-void CheckRefused(const Response& response) {
-  for (const std::string route : {"/once/x", "/read/x", "/turn/x"}) {
+void CheckRefused(const Response& response,
+                  const std::vector<std::string>& routes = {
+                      "/once/x", "/read/x", "/turn/x"}) {
+  for (const std::string& route : routes) {
     for (const bool is_forwarded : {false, true}) {
       ScriptedUpstream upstream(
           [&](const std::string& request) { return response.To(request); });
@@ -99,6 +101,47 @@
   CheckRefused({.fields = blank, .framing = framing, .closes = true});
 }
 
+// Guards against a line that is passed on, or that hides the length, although
+// its name is no token.
+TEST_CASE("A response with a name that is no token is refused") {
+  const std::string line =
+      GENERATE(as<std::string>(), "X A: b\r\n", "X-A : b\r\n", "X-A\t: b\r\n",
+               "X\x01-A: b\r\n", "X-A\x7f: b\r\n", "\x01X-A: b\r\n",
+               std::string("X\0A: b\r\n", 8));
+  const std::string place = GENERATE("head", "trailer", "length");
+  if (place == "trailer") {
+    CheckRefused({.framing = "chunked", .trailer = line},
+                 {"/once/x", "/read/x"});
+  } else if (place == "length") {
+    CheckRefused({.fields = line.substr(0, line.find(':')), .closes = true});
+  } else {
+    CheckRefused({.fields = line});
+  }
+}
+
+// The events before the trailer have reached the caller.
+TEST_CASE("A stream with an invalid trailer does not look complete") {
+  const bool is_forwarded = GENERATE(false, true);
+  const bool recovers = GENERATE(false, true);
+  CAPTURE(is_forwarded, recovers);
+  int runs = 0;
+  ScriptedUpstream upstream([&](const std::string& request) -> Step {
+    const bool is_sound = ++runs > 1 && recovers;
+    return {StreamHead(request) + EventChunk(runs) + "0\r\n" +
+            (is_sound ? "" : "X A: b\r\n") + "\r\n"};
+  });
+  CallPath path(upstream, is_forwarded);
+  Caller caller(path.port());
+  caller.Send(RelayFixture::Request("/turn/x", "r1"));
+  REQUIRE(WaitFor([&] {
+    return caller.ended() || caller.received().ends_with("0\r\n\r\n");
+  }));
+  CHECK(caller.ended() == !recovers);
+  CHECK(caller.received().find(EventChunk(1) + EventChunk(2)) !=
+        std::string::npos);
+  CHECK(caller.received().find("X A") == std::string::npos);
+}
+
 TEST_CASE("A call runs again after a response whose status is not valid") {
   const std::string route = GENERATE("/once/x", "/read/x", "/turn/x");
   const bool is_forwarded = GENERATE(false, true);
--- a/tests/transport/response_reader_test.cpp
+++ b/tests/transport/response_reader_test.cpp
@@ -1,7 +1,9 @@
 #include "transport/response_reader.h"
 
 #include <catch2/catch.hpp>
+#include <cctype>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthorn::transport {
@@ -206,6 +208,51 @@
   return head + line + "Content-Length: 2\r\n\r\nhi";
 }
 
+bool IsTokenByte(unsigned char byte) {
+  return std::isalnum(byte) != 0 ||
+         (byte != 0 && std::string_view("!#$%&'*+-.^_`|~").find(byte) !=
+                           std::string_view::npos);
+}
+
+// Guards against a line that is passed on, or that hides the length, although
+// its name is no token (RFC 9110, section 5.1).
+TEST_CASE("a name that is no token is an error") {
+  const std::string place = GENERATE("head", "interim", "trailer");
+  const std::string name = GENERATE("X-Field", "Content-Length");
+  for (int n = 0; n < 256; ++n) {
+    const char byte = static_cast<char>(n);
+    if (IsTokenByte(static_cast<unsigned char>(n)) || byte == ':') {
+      continue;
+    }
+    for (const size_t at : {size_t{0}, name.size() / 2, name.size()}) {
+      if (at == 0 && (byte == ' ' || byte == '\t')) {
+        continue;  // Continues the line before.
+      }
+      CAPTURE(place, name, n, at);
+      std::string broken = name;
+      broken.insert(at, 1, byte);
+      CHECK(IsRefused(WithLine(place, broken + ": 2\r\n")));
+    }
+  }
+  CHECK(IsRefused(WithLine(place, ": 2\r\n")));
+  CHECK(IsRefused(WithLine(place, "X-Field\r\n")));
+}
+
+TEST_CASE("each byte of a token is valid in a name") {
+  const std::string place = GENERATE("head", "interim", "trailer");
+  for (int n = 0; n < 256; ++n) {
+    if (IsTokenByte(static_cast<unsigned char>(n))) {
+      const std::string name = std::string("X") + static_cast<char>(n);
+      CAPTURE(place, name);
+      Recorder it;
+      ResponseReader reader(it.Events());
+      CHECK(core::IsOk(reader.Feed(WithLine(place, name + ": 2\r\n"))));
+      CHECK(reader.complete());
+      CHECK(it.body == "hi");
+    }
+  }
+}
+
 // Guards against a line whose name begins with a blank: it was joined to the
 // line before it, so that the signature or the framing changed.
 TEST_CASE("a line that begins with a blank is an error") {
