transport: Refuse transfer codings other than chunked

What callers saw: a 200 with "Transfer-Encoding: gzip" or "gzip, chunked" reached the caller as a success with the encoded bytes, and the field that says so was dropped, as it concerns one connection only. With "chunked, gzip" the framing of the chunks stood in the body, also in a stream (MIXED).

Cause: the parser removes a last coding "chunked" and passes any other on as it came. Requests ask for no coding, and nothing here can remove another one.

Reasons that quote a response are limited to 256 bytes.

'A chunked response reaches its caller whole', with the coding in any case and blanks around it, passes before and now.

--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -26,6 +26,8 @@
   std::string framing = "length";
   /// Bytes between the last chunk and the end of a chunked body.
   std::string trailer = {};
+  /// Transfer coding of a chunked body.
+  std::string coding = "chunked";
   bool closes = false;
 
   Step To(const std::string& request) const {
@@ -37,7 +39,7 @@
     if (framing == "length") {
       head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     } else if (framing == "chunked") {
-      head += "Transfer-Encoding: chunked\r\n";
+      head += "Transfer-Encoding: " + coding + "\r\n";
       body = transport::SerializeChunk(body) + "0\r\n" + trailer + "\r\n";
     }
     return {head + "\r\n" + body, false, closes || framing == "close"};
@@ -119,6 +121,25 @@
   }
 }
 
+// Guards against a success whose body is still encoded while the field that
+// says so is dropped, as it concerns one connection only.
+TEST_CASE("A response with a transfer coding other than chunked is refused") {
+  const std::string coding = GENERATE(
+      as<std::string>(), "gzip", "gzip, chunked", "chunked, gzip", "identity",
+      "gzip\r\nTransfer-Encoding: chunked", "chunked;a=b", "xchunked");
+  CheckRefused({.framing = "chunked", .coding = coding, .closes = true});
+}
+
+TEST_CASE("A chunked response reaches its caller whole") {
+  const std::string coding = GENERATE("chunked", "Chunked", " \tCHUNKED ");
+  const bool is_forwarded = GENERATE(false, true);
+  ScriptedUpstream upstream([&](const std::string& request) {
+    return Response{.framing = "chunked", .coding = coding}.To(request);
+  });
+  CallPath path(upstream, is_forwarded);
+  CHECK(Call(path.port(), "/once/x").ends_with("\r\n\r\n" + kBody));
+}
+
 // The events before the trailer have reached the caller.
 TEST_CASE("A stream with an invalid trailer does not look complete") {
   const bool is_forwarded = GENERATE(false, true);
@@ -281,6 +302,7 @@
       transport::ResponseHead{-200, {}},
       transport::ResponseHead{200, {{"X A", "b"}}},
       transport::ResponseHead{200, {{"", "b"}}},
+      transport::ResponseHead{200, {{"Transfer-Encoding", "gzip"}}},
       transport::ResponseHead{200, {{"X-A", "b\r\nX-B: c"}}});
   const std::string received = CallForwarded(head, route);
   CAPTURE(route, head.status, received);
--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -22,6 +22,9 @@
     "te",         "proxy-connection",  "proxy-authorization",
     "trailer",    "transfer-encoding", "upgrade"};
 
+/// Of a reason for the log that quotes a response.
+constexpr size_t kMaxReasonBytes = 256;
+
 /// Removes the text up to the first `separator` from `text` and returns it.
 std::string_view TakeUntil(std::string_view* text, char separator) {
   const size_t end = text->find(separator);
@@ -69,6 +72,7 @@
 }
 
 core::Error MalformedResponse(std::string reason) {
+  reason.resize(std::min(reason.size(), kMaxReasonBytes));
   return core::Error{core::ErrorCode::kInvalidArgument,
                      std::move(reason),
                      core::Execution::kUnknown,
@@ -92,6 +96,13 @@
       return MalformedResponse("the value of field " + field.name +
                                " has a control byte");
     }
+    // The only coding that is removed here; requests ask for no other one.
+    if (EqualsIgnoreCase(field.name, "transfer-encoding") &&
+        !EqualsIgnoreCase(Trim(field.value), "chunked")) {
+      return MalformedResponse("transfer coding '" +
+                               absl::CHexEscape(field.value) +
+                               "' is not chunked");
+    }
   }
   return std::monostate{};
 }
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -47,9 +47,10 @@
   bool operator==(const ResponseHead&) const = default;
 };
 
-/// Checks the head of a response from any source: its status, and the names and
-/// values of its fields (RFC 9110, sections 5 and 15). Returns
-/// kInvalidArgument with the reason if it is not valid.
+/// Checks the head of a response from any source: its status, the names and
+/// values of its fields (RFC 9110, sections 5 and 15), and its transfer coding
+/// (RFC 9112, section 6.1). Returns kInvalidArgument with the reason if it is
+/// not valid.
 core::Status CheckHead(const ResponseHead& head);
 
 /// Error of bytes that are not a valid response.
