relay: Take malformed bytes for an answer when a path is checked

What operators saw: a path to an upstream that was half-open stays forwarded after it works again, as long as the upstream answers the question for a sign of life with bytes that are no response.

Cause: the check counts only complete responses as answers.

Change: malformed bytes count too. The question is whether connections are answered at all, not whether the upstream is in trouble.

--- a/relay/upstream_link_pool.cpp
+++ b/relay/upstream_link_pool.cpp
@@ -105,10 +105,11 @@
     timer->stop();
     OnAnswerChecked(upstream, link, true);
   };
-  events.on_failed = [this, upstream, link, timer](LinkFailure,
+  events.on_failed = [this, upstream, link, timer](LinkFailure failure,
                                                    const std::string&) {
     timer->stop();
-    OnAnswerChecked(upstream, link, false);
+    // Malformed bytes prove as well that the path works in both directions.
+    OnAnswerChecked(upstream, link, failure == LinkFailure::kMalformed);
   };
   link->Start(request, std::move(events));
 }
--- a/relay/upstream_link_pool.h
+++ b/relay/upstream_link_pool.h
@@ -50,8 +50,9 @@
              const transport::SocketAddress& address,
              std::function<void(bool)> on_checked);
   /// Sends `request` to test whether the upstream answers within
-  /// kAnswerTimeout, on a new connection if `must_be_new`. One such test for
-  /// each upstream runs at a time; callers that ask meanwhile get its result.
+  /// kAnswerTimeout, with whatever bytes, on a new connection if `must_be_new`.
+  /// One such test for each upstream runs at a time; callers that ask meanwhile
+  /// get its result.
   void CheckAnswer(const std::string& upstream,
                    const transport::SocketAddress& address,
                    const std::string& request, bool must_be_new,
--- a/tests/relay/half_open_test.cpp
+++ b/tests/relay/half_open_test.cpp
@@ -71,6 +71,14 @@
   waited.start();
   REQUIRE(WaitFor([&] { return waited.hasExpired(1500); }));
   CHECK(fleet.cut.Count("relay_paths_direct_again") == 0);
+  // Malformed bytes prove that the path works, too.
+  const std::string response =
+      GENERATE("", "HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n",
+               "no response at all\r\n");
+  CAPTURE(response);
+  if (!response.empty()) {
+    fleet.silent.probe_response = response;
+  }
   fleet.silent.answers_probes = true;
   CHECK(WaitFor(
       [&] { return fleet.cut.Count("relay_paths_direct_again") == 1; }));
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -40,9 +40,7 @@
   connection->framer.Reset();
   if (message.find("X-Expect-Instance: probe\r\n") != std::string::npos) {
     if (answers_probes) {
-      connection->socket.Write(
-          "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
-          "Content-Length: 0\r\n\r\n");
+      connection->socket.Write(probe_response);
     }
     return;
   }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -49,6 +49,9 @@
   void End(size_t connection, bool reset);
   /// Whether requests that need no work are answered; they are not recorded.
   bool answers_probes = true;
+  std::string probe_response =
+      "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
   /// Stops listening; connections stay open.
   void StopListening() { listener_.Close(); }
   /// Stops listening and resets all connections.
