transport: Tell a reset from the end of a body in the HTTP client

What callers saw: an answer that broke off looked whole.

Cause: QTcpSocket reports a reset like an orderly end, and only an orderly end marks the end of such a body.

Change: the client uses StreamSocket, as the relay does, which tells them apart. To stand in for QTcpSocket it connects to IPv6 addresses too, keeps the cause of a failure for messages, and can leave a peer that acknowledges nothing to the time-outs of its user; the client had no such limit.

--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -3,12 +3,12 @@
 #include <absl/strings/str_cat.h>
 
 #include <QHostAddress>
-#include <QTcpSocket>
 #include <QTimer>
 #include <optional>
 #include <string_view>
 
 #include "transport/response_reader.h"
+#include "transport/stream_socket.h"
 
 namespace hawthorn::transport {
 
@@ -42,15 +42,12 @@
                             const std::optional<uint64_t>&) { OnHead(head); },
              .on_body = [this](std::string_view body) { chunk_ += body; }}) {}
 
-  ~Call() { socket_.disconnect(); }
-
   /// Closes the connection without calling on_end.
   void Abort() {
     ended_ = true;
     deadline_timer_.stop();
     idle_timer_.stop();
-    socket_.disconnect();
-    socket_.abort();
+    socket_.Close();
   }
 
   /// Connects and sends the request.
@@ -67,12 +64,11 @@
       Fail("malformed address '" + request_.address + "'");
       return;
     }
-    QObject::connect(&socket_, &QTcpSocket::connected, [this] { Send(); });
-    QObject::connect(&socket_, &QTcpSocket::readyRead, [this] { Receive(); });
-    QObject::connect(&socket_, &QTcpSocket::disconnected,
-                     [this] { OnClosed(); });
-    QObject::connect(&socket_, &QTcpSocket::errorOccurred,
-                     [this] { OnError(); });
+    socket_.SetEvents(
+        {.on_connected = [this] { Send(); },
+         .on_bytes = [this](std::string_view bytes) { Receive(bytes); },
+         .on_end = [this](SocketEnd how) { OnEnd(how); },
+         .on_drained = {}});
     QObject::connect(&deadline_timer_, &QTimer::timeout,
                      [this] { FailWithTimeout("the call exceeded its time"); });
     QObject::connect(&idle_timer_, &QTimer::timeout,
@@ -81,24 +77,20 @@
     idle_timer_.setSingleShot(true);
     deadline_timer_.start(request_.timeout);
     idle_timer_.start(request_.idle_timeout);
-    socket_.connectToHost(host, static_cast<quint16>(port));
+    socket_.IgnorePeerTimeout();
+    socket_.Connect(
+        {host.toString().toStdString(), static_cast<uint16_t>(port)});
   }
 
  private:
   void Send() {
-    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     sent_ = true;
-    socket_.write(QByteArray::fromStdString(Serialize(request_)));
-  }
-
-  void Receive() {
-    idle_timer_.start(request_.idle_timeout);
-    const QByteArray bytes = socket_.readAll();
-    Parse({bytes.constData(), static_cast<size_t>(bytes.size())});
+    socket_.Write(Serialize(request_));
   }
 
   /// Parses the received bytes and passes on the decoded body.
-  void Parse(std::string_view bytes) {
+  void Receive(std::string_view bytes) {
+    idle_timer_.start(request_.idle_timeout);
     if (ended_ || reader_.complete()) {
       return;
     }
@@ -119,22 +111,15 @@
     response_.execution = execution == nullptr ? std::string() : *execution;
   }
 
-  void OnError() {
-    if (socket_.error() == QAbstractSocket::RemoteHostClosedError) {
-      return;  // The disconnected signal follows.
-    }
-    Fail("connection failed: " + socket_.errorString().toStdString());
-  }
-
-  void OnClosed() {
-    if (ended_) {
-      return;
-    }
-    if (core::IsOk(reader_.FeedEnd())) {
+  /// Only an orderly end completes a body without a length.
+  void OnEnd(SocketEnd how) {
+    if (how == SocketEnd::kReset) {
+      Fail("connection failed: " + socket_.error_text());
+    } else if (core::IsOk(reader_.FeedEnd())) {
       Finish();
-      return;
+    } else {
+      Fail("the upstream closed the connection in mid-answer");
     }
-    Fail("the upstream closed the connection in mid-answer");
   }
 
   void Finish() {
@@ -167,7 +152,7 @@
     deadline_timer_.stop();
     idle_timer_.stop();
     // The end is reported from the event loop, since this may run within
-    // Start() or within a signal of the call's socket.
+    // Start() or within a callback of the call's socket.
     QMetaObject::invokeMethod(
         &client_,
         [&client = client_, id = request_.id, response = std::move(response)] {
@@ -178,7 +163,7 @@
 
   HttpClient& client_;
   ClientRequest request_;
-  QTcpSocket socket_;
+  StreamSocket socket_;
   QTimer deadline_timer_;
   QTimer idle_timer_;
   ClientResponse response_;
--- a/transport/stream_socket.cpp
+++ b/transport/stream_socket.cpp
@@ -43,6 +43,13 @@
   return inet_pton(AF_INET, address.host.c_str(), &out->sin_addr) == 1;
 }
 
+bool ToSockaddr(const SocketAddress& address, sockaddr_in6* out) {
+  *out = sockaddr_in6{};
+  out->sin6_family = AF_INET6;
+  out->sin6_port = htons(address.port);
+  return inet_pton(AF_INET6, address.host.c_str(), &out->sin6_addr) == 1;
+}
+
 void SetOption(int descriptor, int level, int name, int value) {
   setsockopt(descriptor, level, name, &value, sizeof(value));
 }
@@ -82,17 +89,23 @@
 }
 
 void StreamSocket::Connect(const SocketAddress& address) {
-  sockaddr_in encoded{};
-  descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const bool valid = descriptor_ >= 0 && ToSockaddr(address, &encoded);
+  sockaddr_in v4{};
+  sockaddr_in6 v6{};
+  const bool is_v4 = ToSockaddr(address, &v4);
+  const bool is_address = is_v4 || ToSockaddr(address, &v6);
+  const auto* target = is_v4 ? reinterpret_cast<sockaddr*>(&v4)
+                             : reinterpret_cast<sockaddr*>(&v6);
+  descriptor_ =
+      socket(target->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const bool valid = descriptor_ >= 0 && is_address;
   if (valid) {
     SetSocketOptions();
   }
   const int status =
-      valid ? ::connect(descriptor_, reinterpret_cast<sockaddr*>(&encoded),
-                        sizeof(encoded))
+      valid ? ::connect(descriptor_, target, is_v4 ? sizeof(v4) : sizeof(v6))
             : -1;
   if (!valid || (status != 0 && errno != EINPROGRESS)) {
+    error_ = valid ? errno : EINVAL;
     // The outcome is reported from the event loop, never within this call.
     QMetaObject::invokeMethod(
         this, [this] { End(SocketEnd::kReset); }, Qt::QueuedConnection);
@@ -104,10 +117,13 @@
 
 void StreamSocket::SetSocketOptions() {
   SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(kPeerTimeout.count()));
   SetOption(descriptor_, SOL_SOCKET, SO_SNDBUF, kKernelBufferBytes);
   SetOption(descriptor_, SOL_SOCKET, SO_RCVBUF, kKernelBufferBytes);
+  if (!has_peer_timeout_) {
+    return;
+  }
+  SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kPeerTimeout.count()));
   SetOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
   SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
@@ -151,6 +167,7 @@
     if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
       return;
     }
+    error_ = got < 0 ? errno : 0;
     End(got == 0 ? SocketEnd::kFinished : SocketEnd::kReset);
     return;
   }
@@ -158,10 +175,9 @@
 
 void StreamSocket::OnWritable() {
   if (!connected_) {
-    int error = 0;
-    socklen_t size = sizeof(error);
-    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) {
+    socklen_t size = sizeof(error_);
+    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error_, &size);
+    if (error_ != 0) {
       End(SocketEnd::kReset);
       return;
     }
@@ -231,6 +247,7 @@
       return;
     }
     if (n < 0) {
+      error_ = errno;
       // A read may report the failure before this; it is reported only once.
       QMetaObject::invokeMethod(
           this, [this] { End(SocketEnd::kReset); }, Qt::QueuedConnection);
@@ -268,6 +285,10 @@
   QTimer::singleShot(kLingerTime, this, [this] { End(SocketEnd::kFinished); });
 }
 
+std::string StreamSocket::error_text() const {
+  return error_ == 0 ? std::string() : std::strerror(error_);
+}
+
 void StreamSocket::Close() { CloseDescriptor(false); }
 
 void StreamSocket::Abort() { CloseDescriptor(true); }
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -15,7 +15,7 @@
 // TCP sockets that distinguish an orderly end of a connection from a reset.
 namespace hawthorn::transport {
 
-/// IPv4 address and port.
+/// IP address and port.
 struct SocketAddress {
   std::string host;
   uint16_t port = 0;
@@ -23,7 +23,8 @@
   auto operator<=>(const SocketAddress&) const = default;
 };
 
-/// Parses "IP:port"; returns kInvalidArgument for anything else.
+/// Parses "IP:port" with an IPv4 address; returns kInvalidArgument for anything
+/// else.
 core::Result<SocketAddress> ParseAddress(std::string_view text);
 
 /// How a connection ended.
@@ -79,6 +80,9 @@
     events_.on_drained = std::move(on_drained);
     low_water_ = low_water;
   }
+  /// Leaves a peer that acknowledges nothing to the time-outs of the user; by
+  /// default the connection fails after kPeerTimeout. Call it before Connect.
+  void IgnorePeerTimeout() { has_peer_timeout_ = false; }
   /// Counts the output buffer against `budget`, which must outlive the socket.
   void SetBudget(BufferBudget* budget) { charge_.SetBudget(budget); }
 
@@ -101,6 +105,8 @@
   void SetReading(bool reading);
 
   bool is_open() const { return descriptor_ >= 0; }
+  /// Why the connection failed; empty if it did not, or was reset here.
+  std::string error_text() const;
   /// Whether bytes have arrived that were not read yet.
   bool HasUnreadInput() const;
 
@@ -120,7 +126,10 @@
 
   Events events_;
   int descriptor_ = -1;
+  /// Value of errno at the failure.
+  int error_ = 0;
   bool connected_ = false;
+  bool has_peer_timeout_ = true;
   bool close_after_write_ = false;
   bool reading_ = true;
   std::string output_;
