main/ctl: Take only a success for an answer

What operators saw: hawthornctl showed an answer with a status under 200 or in the 300s as if the instance had done what was asked, and a failure whose body is JSON of another kind as an empty message.

Cause: each status under 400 counted as a success, and the message was taken from a member of the body that need not be there.

Change: a success is 2xx.

With the change all pass; 200, 201 and 299 pass before and now.

--- a/main/ctl/operator_client.cpp
+++ b/main/ctl/operator_client.cpp
@@ -8,13 +8,13 @@
 
 #include "main/http/json.h"
 #include "transport/http_client.h"
+#include "transport/http_status.h"
 
 namespace hawthorn::ctl {
 
 namespace {
 
 constexpr std::chrono::milliseconds kTimeout{15'000};
-constexpr int kFirstFailureStatus = 400;
 
 /// Replaces the name of a host in "HOST:port" by its address.
 std::string Resolve(const std::string& address) {
@@ -28,11 +28,16 @@
          address.substr(colon);
 }
 
-core::Error ErrorFrom(const std::string& text) {
+/// Error of an answer that reports no success. Its body may not be that of an
+/// instance.
+core::Error ErrorFrom(int status, const std::string& text) {
+  core::Error error{core::ErrorCode::kInternal,
+                    "answer with status " + std::to_string(status) +
+                        (text.empty() ? "" : ": " + text),
+                    core::Execution::kUnknown,
+                    {}};
   const auto parsed = main::ParseObject(text);
-  core::Error error{
-      core::ErrorCode::kInternal, text, core::Execution::kUnknown, {}};
-  if (!core::IsOk(parsed)) {
+  if (!core::IsOk(parsed) || !core::Value(parsed)["error"].isObject()) {
     return error;
   }
   const QJsonObject object = core::Value(parsed)["error"].toObject();
@@ -79,8 +84,8 @@
                        response.error.execution,
                        {}};
   }
-  if (response.status >= kFirstFailureStatus) {
-    return ErrorFrom(text);
+  if (!transport::IsSuccess(response.status)) {
+    return ErrorFrom(response.status, text);
   }
   return text;
 }
--- a/tests/main/operator_client_test.cpp
+++ b/tests/main/operator_client_test.cpp
@@ -66,5 +66,32 @@
   CHECK(core::Value(text) == body);
 }
 
+// Guards against an answer that reports no success and is shown as one.
+TEST_CASE("only a success of an instance is an answer for operators") {
+  const std::string status =
+      GENERATE("000", "099", "300", "302", "304", "399", "404", "503", "600");
+  const std::string body = status == "304" ? "" : "{\"a\":1}";
+  CAPTURE(status);
+  const CuttingInstance instance(
+      "HTTP/1.1 " + status + " X\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      false);
+  OperatorClient client(instance.address(), "key");
+  const auto text = client.GetText("/v1/metrics");
+  REQUIRE_FALSE(core::IsOk(text));
+  CHECK_FALSE(core::ErrorOf(text).message.empty());
+  CHECK_FALSE(core::IsOk(client.Get("/v1/configuration")));
+  CHECK_FALSE(core::IsOk(client.Post("/v1/configuration", {})));
+}
+
+TEST_CASE("any success of an instance is an answer for operators") {
+  const std::string status = GENERATE("200", "201", "299");
+  CAPTURE(status);
+  const CuttingInstance instance(
+      "HTTP/1.1 " + status + " X\r\nContent-Length: 7\r\n\r\n{\"a\":1}", false);
+  OperatorClient client(instance.address(), "key");
+  CHECK(core::IsOk(client.Get("/v1/configuration")));
+}
+
 }  // namespace
 }  // namespace hawthorn::ctl
