--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -22,7 +22,7 @@
     "te",         "proxy-connection",  "proxy-authorization",
     "trailer",    "transfer-encoding", "upgrade"};
 
-/// Of a reason for the log that quotes a response.
+/// Maximum size of a reason, which may quote a response, in the log.
 constexpr size_t kMaxReasonBytes = 256;
 
 /// Removes the text up to the first `separator` from `text` and returns it.
