--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -77,7 +77,7 @@
     idle_timer_.setSingleShot(true);
     deadline_timer_.start(request_.timeout);
     idle_timer_.start(request_.idle_timeout);
-    socket_.IgnorePeerTimeout();
+    socket_.DisablePeerTimeout();
     socket_.Connect(
         {host.toString().toStdString(), static_cast<uint16_t>(port)});
   }
--- a/transport/response_reader.cpp
+++ b/transport/response_reader.cpp
@@ -39,7 +39,7 @@
 
   /// Why the parser stopped with `ec`.
   core::Error ErrorFor(const error_code& ec) const {
-    return refusal_ ? *refusal_ : MalformedResponse(ec.message());
+    return error_ ? *error_ : MalformedResponse(ec.message());
   }
 
  private:
@@ -54,7 +54,7 @@
   void on_field_impl(http::field, string_view name, string_view value,
                      error_code& ec) override {
     if (IsContinued(name)) {
-      refusal_ =
+      error_ =
           MalformedResponse("the line after field " + std::string(ToStd(name)) +
                             " begins with a blank");
       ec = http::error::bad_obs_fold;
@@ -66,7 +66,7 @@
   void on_header_impl(error_code& ec) override {
     const core::Status checked = CheckHead(head_);
     if (!core::IsOk(checked)) {
-      refusal_ = core::ErrorOf(checked);
+      error_ = core::ErrorOf(checked);
       ec = http::error::bad_status;
       return;
     }
@@ -111,7 +111,7 @@
   std::string_view bytes_;
   ResponseHead head_;
   /// Set if what was parsed is not valid.
-  std::optional<core::Error> refusal_;
+  std::optional<core::Error> error_;
 };
 // NOLINTEND(readability-identifier-naming)
 
--- a/transport/stream_socket.h
+++ b/transport/stream_socket.h
@@ -82,7 +82,7 @@
   }
   /// Leaves a peer that acknowledges nothing to the time-outs of the user; by
   /// default the connection fails after kPeerTimeout. Call it before Connect.
-  void IgnorePeerTimeout() { has_peer_timeout_ = false; }
+  void DisablePeerTimeout() { has_peer_timeout_ = false; }
   /// Counts the output buffer against `budget`, which must outlive the socket.
   void SetBudget(BufferBudget* budget) { charge_.SetBudget(budget); }
 
