cluster, peer, tests: Make the load of the group visible, a deployment in simulated time

Logs and metrics could not tell the hypotheses of docs/incidents/slow-leader.md apart: log 'group load' shows once a second what an instance of the group applied, how much of it was repeated, and how late it was.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -39,7 +39,7 @@
 DeploymentClient::DeploymentClient(const std::vector<std::string>& seeds,
                                    uint64_t seed, const core::Clock& clock,
                                    core::Metrics& metrics,
-                                   peer::PeerTransport& peers,
+                                   peer::Transport& peers,
                                    UpdateHandler on_update)
     : seed_(seed),
       clock_(clock),
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -14,7 +14,7 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
-#include "peer/peer_transport.h"
+#include "peer/transport.h"
 #include "relay/token_ledger.h"
 #include "schema/generated/deployment.pb.h"
 
@@ -80,7 +80,7 @@
 
   DeploymentClient(const std::vector<std::string>& seeds, uint64_t seed,
                    const core::Clock& clock, core::Metrics& metrics,
-                   peer::PeerTransport& peers, UpdateHandler on_update);
+                   peer::Transport& peers, UpdateHandler on_update);
   /// Ends the watch. `peers` must outlive the client.
   ~DeploymentClient() override;
 
@@ -205,7 +205,7 @@
   uint64_t seed_;
   const core::Clock& clock_;
   core::Metrics& metrics_;
-  peer::PeerTransport& peers_;
+  peer::Transport& peers_;
   UpdateHandler on_update_;
   struct Source {
     /// The last watch ended before its first update.
--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -54,8 +54,7 @@
 }
 
 DeploymentHost::DeploymentHost(HostOptions options, const core::Clock& clock,
-                               core::Metrics& metrics,
-                               peer::PeerTransport& peers)
+                               core::Metrics& metrics, peer::Transport& peers)
     : options_(std::move(options)),
       clock_(clock),
       metrics_(metrics),
@@ -67,9 +66,8 @@
 }
 
 DeploymentHost::~DeploymentHost() {
-  if (journal_) {
-    journal_->Stop();
-  }
+  // Its thread calls this object.
+  journal_.reset();
 }
 
 core::Status DeploymentHost::Start() {
@@ -107,12 +105,14 @@
     return core::ErrorOf(group);
   }
   group_ = core::TakeValue(std::move(group));
-  journal_ = std::make_unique<storage::JournalThread>(
-      [this](storage::JournalWritten written) {
-        QMetaObject::invokeMethod(
-            this, [this, written = std::move(written)] { OnWritten(written); },
-            Qt::QueuedConnection);
-      });
+  const auto on_written = [this](storage::JournalWritten written) {
+    QMetaObject::invokeMethod(
+        this, [this, written = std::move(written)] { OnWritten(written); },
+        Qt::QueuedConnection);
+  };
+  journal_ = options_.journal
+                 ? options_.journal(on_written)
+                 : std::make_unique<storage::JournalThread>(on_written);
   AddSeeds(options_.seeds);
   LearnStoredAddresses();
   last_command_ = Now();
@@ -185,6 +185,7 @@
 void DeploymentHost::Tick() {
   const core::TimePoint now = Now();
   CheckLoopDelay(now);
+  ReportLoad(now);
   group_->Tick(now);
   if (now >= next_announce_) {
     next_announce_ = now + kAnnounceInterval;
@@ -206,6 +207,9 @@
 
 void DeploymentHost::CheckLoopDelay(core::TimePoint now) {
   const auto previous = std::exchange(last_tick_, now);
+  if (previous != core::TimePoint()) {
+    load_report_.OnLoopDelay(now - previous);
+  }
   if (previous == core::TimePoint() ||
       now - previous < kTickInterval + kLoopDelayLimit) {
     return;
@@ -219,6 +223,18 @@
        {"watchers", std::to_string(watches_.size())}});
 }
 
+void DeploymentHost::ReportLoad(core::TimePoint now) {
+  if (!load_report_.IsDue(now)) {
+    return;
+  }
+  const consensus::Replica& replica = group_->replica();
+  load_report_.Write(
+      {machine_.counts(), peers_.counters(), watches_.added_count(),
+       watches_.table_count(), replica.last_index() - replica.commit_index(),
+       watches_.size(), is_leader()},
+      now);
+}
+
 void DeploymentHost::UpdateQuota() {
   const consensus::Replica& replica = group_->replica();
   // The limits of a leader that has not committed in its term may be those of
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/load_report.h"
 #include "cluster/membership_planner.h"
 #include "cluster/quota_server.h"
 #include "cluster/state_barrier.h"
@@ -19,7 +20,8 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/metrics.h"
-#include "peer/peer_transport.h"
+#include "peer/replier.h"
+#include "peer/transport.h"
 #include "schema/generated/deployment.pb.h"
 #include "storage/journal_thread.h"
 #include "storage/segment_store.h"
@@ -50,6 +52,11 @@
   /// Files of the replica; null for those of the operating system. Must outlive
   /// the host.
   storage::FileSystem* files = nullptr;
+  /// Makes the journal, which reports each result to the given function, in any
+  /// thread; null for a JournalThread.
+  std::function<std::unique_ptr<storage::JournalSink>(
+      storage::JournalThread::EventSink)>
+      journal = {};
 };
 
 namespace detail {
@@ -106,7 +113,7 @@
   static constexpr std::chrono::milliseconds kUpstreamTimeout{45000};
 
   DeploymentHost(HostOptions options, const core::Clock& clock,
-                 core::Metrics& metrics, peer::PeerTransport& peers);
+                 core::Metrics& metrics, peer::Transport& peers);
   ~DeploymentHost() override;
 
   /// Opens the store and joins the group. Returns errors of the store.
@@ -180,6 +187,7 @@
   void Tick();
   /// Reports an event loop that was held up since the previous tick.
   void CheckLoopDelay(core::TimePoint now);
+  void ReportLoad(core::TimePoint now);
   void Flush();
   void OnWritten(const storage::JournalWritten& written);
   void AfterApply();
@@ -243,12 +251,12 @@
   HostOptions options_;
   const core::Clock& clock_;
   core::Metrics& metrics_;
-  peer::PeerTransport& peers_;
+  peer::Transport& peers_;
   storage::PosixFileSystem files_;
   std::unique_ptr<storage::SegmentStore> store_;
   control::DeploymentState machine_;
   std::unique_ptr<consensus::Group<control::DeploymentState>> group_;
-  std::unique_ptr<storage::JournalThread> journal_;
+  std::unique_ptr<storage::JournalSink> journal_;
   QTimer tick_;
   bool flush_scheduled_ = false;
   /// Time at which the batch in flight was passed to the journal.
@@ -259,6 +267,7 @@
   uint64_t last_install_count_ = 0;
   uint64_t last_snapshot_count_ = 0;
   core::TimePoint last_tick_;
+  LoadReport load_report_;
   bool was_leader_ = false;
   std::string known_leader_;
   core::TimePoint last_command_;
--- a/cluster/deployment_host_requests.cpp
+++ b/cluster/deployment_host_requests.cpp
@@ -49,6 +49,9 @@
       OnWatch(message.watch(), from, replier);
       return;
     case schema::DeploymentMessage::kPropose: {
+      if (!replier.IsOpen()) {
+        load_report_.OnAbandoned();
+      }
       schema::DeploymentCommand command;
       if (!command.ParseFromString(message.propose())) {
         replier.Fail({core::ErrorCode::kInvalidArgument,
@@ -149,6 +152,7 @@
               core::Value(it));
           metrics_.Observe({detail::kDeploymentWork, kind, "commit"},
                            Now() - now);
+          load_report_.OnCommit(Now() - now);
         } else {
           result = core::ErrorOf(it);
           metrics_.Count("commands_failed");
--- a/control/deployment_state.cpp
+++ b/control/deployment_state.cpp
@@ -70,6 +70,12 @@
   return true;
 }
 
+bool IsSettled(const schema::ProgramSpending& spending,
+               const std::string& request) {
+  return std::find(spending.settled().begin(), spending.settled().end(),
+                   request) != spending.settled().end();
+}
+
 /// Stream of a request, or null.
 const schema::BoundStream* FindStream(const schema::ProgramSpending& spending,
                                       const std::string& request) {
@@ -140,6 +146,8 @@
                              static_cast<int>(command.size()))) {
     return reply.SerializeAsString();
   }
+  ++counts_.commands;
+  counts_.bytes += command.size();
   const int64_t before_ms = clock_ms_;
   clock_ms_ += std::max<int64_t>(0, parsed.elapsed_ms());
   // Depends on the clock alone, so that a replica that was restored from a
@@ -237,7 +245,9 @@
                        core::Execution::kNotRun,
                        {}};
   }
+  const ApplyCounts counts = counts_;
   *this = DeploymentState();
+  counts_ = counts;
   programs_ = std::move(programs);
   configuration_ = parsed.configuration();
   for (const schema::UpstreamEntry& entry : parsed.upstreams()) {
@@ -385,11 +395,11 @@
   schema::ProgramSpending& spending =
       Use(reservation.program(), reservation.retention_ms());
   const std::string& request = reservation.request();
-  const bool settled =
-      std::find(spending.settled().begin(), spending.settled().end(),
-                request) != spending.settled().end();
+  const bool settled = IsSettled(spending, request);
   const bool open =
       FindByRequest(spending.open(), request) != spending.open().end();
+  ++counts_.claims;
+  counts_.repeated_claims += settled || open ? 1 : 0;
   const int64_t committed = CommittedTokens(spending);
   if (!settled && !open &&
       committed + reservation.tokens() <= reservation.budget()) {
@@ -498,6 +508,9 @@
 void DeploymentState::Settle(const schema::TokenSettlement& settlement) {
   schema::ProgramSpending& spending =
       Use(settlement.program(), settlement.retention_ms());
+  ++counts_.settlements;
+  counts_.repeated_settlements +=
+      IsSettled(spending, settlement.request()) ? 1 : 0;
   if (RemoveOpen(settlement.request(), &spending)) {
     spending.set_spent(spending.spent() + settlement.tokens());
   }
--- a/control/deployment_state.h
+++ b/control/deployment_state.h
@@ -17,6 +17,20 @@
 // its configuration; the highest version wins.
 namespace hawthorn::control {
 
+/// Work of a state machine since the process started. Not part of its state.
+struct ApplyCounts {
+  uint64_t commands = 0;
+  uint64_t bytes = 0;
+  uint64_t claims = 0;
+  /// Claims of requests that had been granted one or were settled.
+  uint64_t repeated_claims = 0;
+  uint64_t settlements = 0;
+  /// Settlements of requests that were settled.
+  uint64_t repeated_settlements = 0;
+
+  bool operator==(const ApplyCounts&) const = default;
+};
+
 /// Configuration, upstreams, instances with a disk and the spending of
 /// programs. Deterministic: the same commands in the same order give the same
 /// state.
@@ -65,6 +79,7 @@
   }
   /// Memory that the spending of programs takes, in bytes.
   size_t program_bytes() const { return programs_.memory_bytes(); }
+  const ApplyCounts& counts() const { return counts_; }
 
  private:
   void Publish(const schema::PublishedConfiguration& published);
@@ -102,6 +117,7 @@
   CrashTable crashes_;
   VersionTable versions_;
   int64_t clock_ms_ = 0;
+  ApplyCounts counts_;
 };
 
 }  // namespace hawthorn::control
--- a/peer/peer_transport.h
+++ b/peer/peer_transport.h
@@ -13,37 +13,19 @@
 #include "core/id.h"
 #include "peer/peer_options.h"
 #include "peer/replier.h"
+#include "peer/transport.h"
 #include "schema/generated/peer.pb.h"
 
 // Authenticated HTTP/2 links between instances.
 namespace hawthorn::peer {
 
-/// Receives the reply or an error. Execution::kNotRun means that the peer
-/// certainly did not receive the complete request.
-using ReplyCallback = std::function<void(core::Result<schema::PeerMessage>)>;
-
-/// Receives the chunks of a streamed reply in order, and its end.
-struct StreamCallbacks {
-  std::function<void(const schema::PeerMessage&)> on_chunk;
-  /// Called once, with success or the error that ended the stream.
-  std::function<void(const core::Status&)> on_end;
-};
-
 /// Handles incoming messages. `from` of the message is the authenticated
 /// sender. One-way messages have an empty Replier.
 using MessageHandler = std::function<void(schema::PeerMessage, Replier)>;
 
-/// Identifies an open stream, to cancel it.
-struct StreamHandle {
-  uint64_t number = 0;
-
-  auto operator<=>(const StreamHandle&) const = default;
-};
-
 /// Sends messages to other instances and receives theirs. Lives in one thread
-/// with an event loop; all calls and callbacks are on that thread. Callbacks
-/// are never called from within the call that they belong to.
-class PeerTransport : public QObject {
+/// with an event loop; all calls and callbacks are on that thread.
+class PeerTransport : public QObject, public Transport {
  public:
   explicit PeerTransport(PeerOptions options, QObject* parent = nullptr);
   ~PeerTransport() override;
@@ -57,31 +39,23 @@
   /// Sets the address ("IP:port") of another instance. Only known instances
   /// may connect, unless PeerOptions::accept_unknown_peers is set.
   core::Status SetPeer(const core::InstanceId& peer,
-                       const std::string& address);
+                       const std::string& address) override;
   /// Removes an instance and closes its links.
   void RemovePeer(const core::InstanceId& peer);
 
   /// Sets the handler of incoming messages.
   void SetHandler(MessageHandler handler);
 
-  /// Sends a one-way message; `from` is set by the receiver. Success means that
-  /// it was queued, not that it was received.
-  core::Status Send(const core::InstanceId& to, schema::PeerMessage message);
-
-  /// Sends a request. `callback` is called exactly once, no later than after
-  /// `timeout`; with an error if the transport is destroyed before.
+  core::Status Send(const core::InstanceId& to,
+                    schema::PeerMessage message) override;
   void Request(const core::InstanceId& to, schema::PeerMessage message,
-               std::chrono::milliseconds timeout, ReplyCallback callback);
-
-  /// Sends a request whose reply has several chunks. The stream ends with
-  /// kDeadlineExceeded if no chunk is received for `idle_timeout`.
+               std::chrono::milliseconds timeout,
+               ReplyCallback callback) override;
   StreamHandle OpenStream(const core::InstanceId& to,
                           schema::PeerMessage message,
                           std::chrono::milliseconds idle_timeout,
-                          StreamCallbacks callbacks);
-  /// Cancels a stream. The peer's Replier is notified, and no callback of the
-  /// stream is called any more.
-  void CancelStream(StreamHandle stream);
+                          StreamCallbacks callbacks) override;
+  void CancelStream(StreamHandle stream) override;
 
   /// Pauses or resumes the flow of a reply. While paused, the peer sends at
   /// most what the flow control window of the stream still allows.
@@ -95,7 +69,7 @@
   /// links to `peers` carry no bytes but are not closed.
   void CutLinks(const std::set<core::InstanceId>& peers);
 
-  PeerCounters counters() const;
+  PeerCounters counters() const override;
 
  private:
   class Impl;
--- a/peer/replier.h
+++ b/peer/replier.h
@@ -9,9 +9,7 @@
 // Replies to requests from peers.
 namespace hawthorn::peer {
 
-namespace detail {
-class ReplyStream;
-}  // namespace detail
+class ReplySink;
 
 /// Replies to one incoming message, at once or later, on the thread of the
 /// transport. Copies reply to the same message. If the last copy is destroyed
@@ -21,7 +19,7 @@
  public:
   /// Replier of a one-way message; sends nothing.
   Replier() = default;
-  explicit Replier(std::shared_ptr<detail::ReplyStream> stream);
+  explicit Replier(std::shared_ptr<ReplySink> sink);
 
   /// Sends one chunk of a reply that has several. Returns kOverloaded while too
   /// many bytes are queued, and kUnavailable if the requester has cancelled or
@@ -42,7 +40,7 @@
   void OnWritable(std::function<void()> callback) const;
 
  private:
-  std::shared_ptr<detail::ReplyStream> stream_;
+  std::shared_ptr<ReplySink> sink_;
 };
 
 }  // namespace hawthorn::peer
--- a/peer/reply_stream.cpp
+++ b/peer/reply_stream.cpp
@@ -84,50 +84,49 @@
 
 }  // namespace
 
-Replier::Replier(std::shared_ptr<detail::ReplyStream> stream)
-    : stream_(std::move(stream)) {}
+Replier::Replier(std::shared_ptr<ReplySink> sink) : sink_(std::move(sink)) {}
 
 core::Status Replier::SendChunk(const schema::PeerMessage& chunk) const {
-  return stream_ ? stream_->SendChunk(chunk) : core::Status(NoReplyExpected());
+  return sink_ ? sink_->SendChunk(chunk) : core::Status(NoReplyExpected());
 }
 
 void Replier::Finish() const {
-  if (stream_) {
-    stream_->Finish();
+  if (sink_) {
+    sink_->Finish();
   }
 }
 
 void Replier::Reply(const schema::PeerMessage& reply) const {
-  if (!stream_) {
+  if (!sink_) {
     return;
   }
-  const core::Status sent = stream_->SendChunk(reply);
+  const core::Status sent = sink_->SendChunk(reply);
   if (core::IsOk(sent)) {
-    stream_->Finish();
+    sink_->Finish();
   } else {
     core::Error error = core::ErrorOf(sent);
     error.execution = core::Execution::kRan;
-    stream_->Fail(error);
+    sink_->Fail(error);
   }
 }
 
 void Replier::Fail(const core::Error& error) const {
-  if (stream_) {
-    stream_->Fail(error);
+  if (sink_) {
+    sink_->Fail(error);
   }
 }
 
-bool Replier::IsOpen() const { return stream_ && stream_->IsOpen(); }
+bool Replier::IsOpen() const { return sink_ && sink_->IsOpen(); }
 
 void Replier::OnCancel(std::function<void()> callback) const {
-  if (stream_) {
-    stream_->OnCancel(std::move(callback));
+  if (sink_) {
+    sink_->OnCancel(std::move(callback));
   }
 }
 
 void Replier::OnWritable(std::function<void()> callback) const {
-  if (stream_) {
-    stream_->OnWritable(std::move(callback));
+  if (sink_) {
+    sink_->OnWritable(std::move(callback));
   }
 }
 
--- a/peer/reply_stream.h
+++ b/peer/reply_stream.h
@@ -6,26 +6,28 @@
 
 #include "core/error.h"
 #include "peer/incoming_link.h"
+#include "peer/reply_sink.h"
 #include "schema/generated/peer.pb.h"
 
 namespace hawthorn::peer::detail {
 
-/// State that the copies of one Replier share. Its destructor ends the reply
-/// with an error if it has not ended.
-class ReplyStream {
+/// Reply over a link, shared by the copies of one Replier.
+class ReplyStream final : public ReplySink {
  public:
   ReplyStream(IncomingLink* link, LinkContext& context, int32_t stream);
-  ~ReplyStream();
+  ~ReplyStream() override;
 
   ReplyStream(const ReplyStream&) = delete;
   ReplyStream& operator=(const ReplyStream&) = delete;
 
-  core::Status SendChunk(const schema::PeerMessage& chunk);
-  void Finish();
-  void Fail(const core::Error& error);
-  bool IsOpen() const { return !ended_ && !cancelled_ && link_ != nullptr; }
-  void OnCancel(std::function<void()> callback);
-  void OnWritable(std::function<void()> callback);
+  core::Status SendChunk(const schema::PeerMessage& chunk) override;
+  void Finish() override;
+  void Fail(const core::Error& error) override;
+  bool IsOpen() const override {
+    return !ended_ && !cancelled_ && link_ != nullptr;
+  }
+  void OnCancel(std::function<void()> callback) override;
+  void OnWritable(std::function<void()> callback) override;
 
   /// Called when the requester has cancelled or its link has closed.
   void Cancel();
