cluster, relay: Send a claim once, and few to a leader that does not answer

Callers saw 503 'budget unknown: no answer from the leader' for as long as they called, though claims were committed. An attempt at a claim ended after 400 ms and was sent again 60 ms later, to the same leader over the same link, behind the first one: beyond 400 ms each claim was up to three entries of the log.

A claim now waits for its answer until its own deadline and is sent again only to a new leader or after a reply that says that it failed, ever later. An instance whose oldest claim is unanswered for 400 ms refuses further ones at once, and sends one at a time to a leader that left one unanswered (LeaderContact). While no source of updates is current, claims go on as long as the leader answers.

--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -185,6 +185,7 @@
     leader_ = update.leader();
     Log(LogLevel::kInfo, "leader changed",
         {{"leader", leader_}, {"source", source_}});
+    leader_contact_.OnNewLeader();
     if (!leader_.empty()) {
       RetryClaims();
     }
@@ -324,45 +325,87 @@
       this, [this, pending] { TryClaim(pending); }, Qt::QueuedConnection);
 }
 
+core::Error DeploymentClient::NoAnswer(const PendingClaim& claim) const {
+  return {core::ErrorCode::kUnavailable,
+          leader_.empty() ? "no leader is known"
+                          : "no answer from the leader " + leader_,
+          claim.open_sends == 0 ? core::Execution::kNotRun
+                                : core::Execution::kUnknown,
+          IsIsolated() ? kIsolatedRetryAfter : kNoLeaderRetryAfter};
+}
+
+std::optional<core::Error> DeploymentClient::RefusalOf(
+    const PendingClaim& claim) const {
+  const core::TimePoint now = clock_.Now();
+  // The leader decides by its own state, so that it serves also while no
+  // source of updates is current.
+  const bool has_contact =
+      IsCurrent() || leader_contact_.AnsweredWithin(kUpdateTimeout, now);
+  if (now + kClaimRetryDelay >= claim.deadline || !has_contact) {
+    return NoAnswer(claim);
+  }
+  const bool is_first = claim.sent_to.empty() && !leader_.empty();
+  if (is_first && !leader_contact_.MaySend(now)) {
+    return core::Error{core::ErrorCode::kUnavailable,
+                       "the leader " + leader_ + " is slow to answer",
+                       core::Execution::kNotRun, kNoLeaderRetryAfter};
+  }
+  return std::nullopt;
+}
+
 void DeploymentClient::TryClaim(const ClaimPtr& claim) {
   if (claim->done) {
     return;
   }
-  const auto left = core::MillisecondsBetween(clock_.Now(), claim->deadline);
-  if (left <= kClaimRetryDelay || !IsCurrent()) {
+  if (const auto refusal = RefusalOf(*claim)) {
     metrics_.Count("claims_unanswered");
-    FinishClaim(
-        claim,
-        core::Error{core::ErrorCode::kUnavailable,
-                    leader_.empty() ? "no leader is known"
-                                    : "no answer from the leader " + leader_,
-                    core::Execution::kNotRun,
-                    IsIsolated() ? kIsolatedRetryAfter : kNoLeaderRetryAfter});
+    FinishClaim(claim, *refusal);
     return;
   }
   claims_.insert(claim);
   claim->sent_to = leader_;
-  if (leader_.empty()) {
-    QTimer::singleShot(kClaimRetryDelay, this, [this, claim] {
-      if (claim->sent_to.empty()) {
-        TryClaim(claim);
-      }
-    });
+  if (!leader_.empty()) {
+    SendClaim(claim);
     return;
   }
-  ++claim->sends;
+  QTimer::singleShot(kClaimRetryDelay, this, [this, claim] {
+    if (claim->sent_to.empty()) {
+      TryClaim(claim);
+    }
+  });
+}
+
+void DeploymentClient::SendClaim(const ClaimPtr& claim) {
+  ++claim->open_sends;
+  const uint64_t number = leader_contact_.OnSent(clock_.Now());
   schema::DeploymentCommand command;
   schema::TokenReservation* reserve = command.mutable_reserve();
   *reserve = relay::ReservationOf(claim->claim);
   FillSettlements(reserve->mutable_settlements());
-  SendToLeader(command, std::min(left, kClaimAttemptTimeout),
-               [this, claim, settlements = command.reserve().settlements()](
-                   const core::Result<schema::PeerMessage>& reply) {
-                 if (core::IsOk(reply)) {
-                   OnSettled(settlements);
-                 }
-                 OnClaimReply(claim, reply);
-               });
+  const auto left = core::MillisecondsBetween(clock_.Now(), claim->deadline);
+  SendToLeader(
+      command, left,
+      [this, claim, number, leader = leader_,
+       settlements = command.reserve().settlements()](
+          const core::Result<schema::PeerMessage>& reply) {
+        if (core::IsOk(reply)) {
+          OnSettled(settlements);
+        }
+        if (core::IsOk(reply) || IsRefusedForGood(reply) ||
+            core::ErrorOf(reply).code == core::ErrorCode::kOverloaded) {
+          leader_contact_.OnAnswer(number, clock_.Now());
+        } else {
+          leader_contact_.OnNoAnswer(number);
+        }
+        if (!core::IsOk(reply) &&
+            core::ErrorOf(reply).execution == core::Execution::kNotRun) {
+          --claim->open_sends;
+        }
+        // A new leader was asked meanwhile.
+        if (claim->sent_to == leader || core::IsOk(reply)) {
+          OnClaimReply(claim, reply);
+        }
+      });
 }
 
 void DeploymentClient::SendToLeader(
@@ -402,15 +445,32 @@
   if (!core::IsOk(reply) &&
       core::ErrorOf(reply).code == core::ErrorCode::kOverloaded) {
     core::Error error = core::ErrorOf(reply);
-    if (claim->sends > 1) {
+    if (claim->open_sends > 0) {
       error.execution = core::Execution::kUnknown;
     }
     FinishClaim(claim, error);
     return;
   }
+  RetryLater(claim);
+}
+
+void DeploymentClient::RetryLater(const ClaimPtr& claim) {
+  if (claim->done) {
+    return;
+  }
+  const auto delay =
+      Doubled(kClaimRetryDelay, claim->failures++, kMaxClaimRetryDelay);
+  if (clock_.Now() + delay >= claim->deadline) {
+    metrics_.Count("claims_unanswered");
+    FinishClaim(claim, NoAnswer(*claim));
+    return;
+  }
   // Retries are safe: a claim is granted once, however often it is sent.
-  QTimer::singleShot(kClaimRetryDelay, this,
-                     [this, claim] { TryClaim(claim); });
+  QTimer::singleShot(delay, this, [this, claim, leader = claim->sent_to] {
+    if (claim->sent_to == leader) {
+      TryClaim(claim);
+    }
+  });
 }
 
 void DeploymentClient::FinishClaim(
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/leader_contact.h"
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "peer/transport.h"
@@ -61,7 +62,11 @@
   /// election does not take as long.
   static constexpr std::chrono::milliseconds kIsolatedAfter{1500};
   static constexpr std::chrono::milliseconds kClaimAttemptTimeout{400};
+  /// Delay after a claim that the leader failed. Doubles with each further one.
+  /// While the leader does not answer, a claim is not sent again: the answer to
+  /// it would be no earlier.
   static constexpr std::chrono::milliseconds kClaimRetryDelay{60};
+  static constexpr std::chrono::milliseconds kMaxClaimRetryDelay{240};
   /// Time for which settlements wait for a claim that can include them. Well
   /// below one second: the deployment may count an ended turn at its maximum
   /// for no longer than that.
@@ -146,8 +151,11 @@
     core::TimePoint deadline;
     /// Leader to which the claim was last sent.
     std::string sent_to;
-    /// How often it was sent; an earlier one may still be granted.
-    int sends = 0;
+    /// How often it was sent, less the times that it was certainly not
+    /// proposed: each of these may still be granted.
+    int open_sends = 0;
+    /// Failed attempts in a row.
+    size_t failures = 0;
     bool done = false;
   };
   using ClaimPtr = std::shared_ptr<PendingClaim>;
@@ -179,8 +187,14 @@
   void OnUnreadableRetry();
   void OnFirstUpdateTimeout();
   void TryClaim(const ClaimPtr& claim);
+  /// Returns why a claim cannot be sent now and would not be answered in time.
+  std::optional<core::Error> RefusalOf(const PendingClaim& claim) const;
+  void SendClaim(const ClaimPtr& claim);
   void OnClaimReply(const ClaimPtr& claim,
                     const core::Result<schema::PeerMessage>& reply);
+  void RetryLater(const ClaimPtr& claim);
+  /// Error of a claim that is given up for lack of an answer.
+  core::Error NoAnswer(const PendingClaim& claim) const;
   void FinishClaim(const ClaimPtr& claim,
                    const core::Result<relay::ClaimReply>& result);
   /// Sends the pending claims of a previous leader to the new one without
@@ -240,6 +254,7 @@
   /// The current watch; its number is 0 if there is none.
   peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
+  LeaderContact leader_contact_;
   QTimer first_update_;
   QTimer retry_;
   QTimer settle_timer_;
--- a/relay/relay_call.cpp
+++ b/relay/relay_call.cpp
@@ -183,9 +183,8 @@
   claim_pending_ = false;
   if (!core::IsOk(reply)) {
     const core::Error& error = core::ErrorOf(reply);
-    if (error.code == core::ErrorCode::kOverloaded &&
-        error.execution == core::Execution::kNotRun) {
-      // A settlement would take the memory that was refused.
+    if (error.execution == core::Execution::kNotRun) {
+      // Nothing is reserved, and a settlement would cost the ledger as much.
       claim_.reset();
     }
     Refuse(status::kServiceUnavailable, "budget unknown: " + error.message,
--- a/relay/token_ledger.h
+++ b/relay/token_ledger.h
@@ -77,8 +77,8 @@
   virtual ~TokenLedger() = default;
 
   /// Reserves the claimed tokens. `callback` is called exactly once, never from
-  /// within this call and no later than after `timeout`. With kOverloaded and
-  /// Execution::kNotRun nothing is reserved and nothing must be settled.
+  /// within this call and no later than after `timeout`. With an error of
+  /// Execution::kNotRun nothing is reserved and nothing is to be settled.
   virtual void Claim(const TokenClaim& claim, std::chrono::milliseconds timeout,
                      ClaimCallback callback) = 0;
   /// Replaces a claim by the tokens that were sent to the caller. Retried until
