peer: Deliver one-way messages in the order of their sending

Messages of the group are one HTTP/2 stream each, and nghttp2 interleaves the bodies of streams. A message of more than one frame, 16 KiB, was overtaken by all smaller ones behind it. The follower rejects entries that do not fit, and the leader goes back and sends all of them again, which makes larger messages: a follower that is behind gets more and stays behind.

Bodies of one-way messages wait for those before them. Requests and replies interleave as before.

--- a/peer/http2_session.cpp
+++ b/peer/http2_session.cpp
@@ -118,6 +118,7 @@
 std::string Http2Session::TakeOutput(size_t max_bytes) {
   std::string output;
   while (output.size() < max_bytes) {
+    ResumeInOrder();
     const uint8_t* bytes = nullptr;
     const ssize_t size = nghttp2_session_mem_send(session_, &bytes);
     if (size <= 0) {
@@ -133,7 +134,8 @@
          nghttp2_session_want_write(session_) == 0;
 }
 
-int32_t Http2Session::SubmitRequest(const char* path, std::string body) {
+int32_t Http2Session::SubmitRequest(const char* path, std::string body,
+                                    Order order) {
   const std::array<nghttp2_nv, 4> fields = {
       Field(":method", "POST"),
       Field(":scheme", "http"),
@@ -149,6 +151,10 @@
     Body& queued = bodies_[stream];
     queued.bytes = std::move(body);
     queued.ended = true;
+    if (order == Order::kInOrder) {
+      queued.waits_in_order = true;
+      in_order_.push_back(stream);
+    }
   }
   return stream;
 }
@@ -240,6 +246,10 @@
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   }
   Body& body = it->second;
+  if (body.waits_in_order && in_order_.front() != stream) {
+    body.deferred = true;
+    return NGHTTP2_ERR_DEFERRED;
+  }
   const size_t left = body.bytes.size() - body.offset;
   if (left == 0 && !body.ended) {
     body.deferred = true;
@@ -254,6 +264,9 @@
     body.offset = 0;
     if (body.ended) {
       body.fully_sent = true;
+      if (std::exchange(body.waits_in_order, false)) {
+        in_order_.pop_front();
+      }
       *flags |= NGHTTP2_DATA_FLAG_EOF;
     }
   } else if (body.offset >= kCompactAfterBytes &&
@@ -265,6 +278,14 @@
   return static_cast<ssize_t>(count);
 }
 
+void Http2Session::ResumeInOrder() {
+  const auto it =
+      in_order_.empty() ? bodies_.end() : bodies_.find(in_order_.front());
+  if (it != bodies_.end() && std::exchange(it->second.deferred, false)) {
+    nghttp2_session_resume_data(session_, it->first);
+  }
+}
+
 void Http2Session::Close(int32_t stream, uint32_t error) {
   paused_.erase(stream);
   bool fully_sent = false;
@@ -272,6 +293,9 @@
   if (it != bodies_.end()) {
     fully_sent = it->second.fully_sent;
     queued_bytes_ -= QueuedBytes(stream);
+    if (it->second.waits_in_order) {
+      std::erase(in_order_, stream);
+    }
     bodies_.erase(it);
   }
   events_.OnStreamClosed(stream, error, fully_sent);
--- a/peer/http2_session.h
+++ b/peer/http2_session.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -59,9 +60,14 @@
   /// Returns whether the session neither receives nor sends any more bytes.
   bool IsEnded() const;
 
+  /// When the body of a request is sent: as soon as possible, interleaved with
+  /// others, or after the bodies of all earlier requests that are sent in
+  /// order.
+  enum class Order { kAny, kInOrder };
+
   /// Opens a stream with a complete body. Returns its id, or a negative number
   /// on failure.
-  int32_t SubmitRequest(const char* path, std::string body);
+  int32_t SubmitRequest(const char* path, std::string body, Order order);
   /// Replies to `stream` without a body.
   void SubmitEmptyReply(int32_t stream);
   /// Starts the reply to `stream`; AppendBody adds its body.
@@ -93,11 +99,15 @@
     bool ended = false;
     bool fully_sent = false;
     bool deferred = false;
+    /// It is one of in_order_.
+    bool waits_in_order = false;
   };
   struct Callbacks;
 
   ssize_t ReadBody(int32_t stream, uint8_t* buf, size_t size, uint32_t* flags);
   void Close(int32_t stream, uint32_t error);
+  /// Lets the next body that is sent in order go on.
+  void ResumeInOrder();
 
   /// Opens the flow control windows again for received bytes of a body.
   void Consume(int32_t stream, size_t size);
@@ -108,6 +118,8 @@
   /// Bytes received on paused streams, for which the window stays closed.
   std::map<int32_t, size_t> paused_;
   std::map<int32_t, Body> bodies_;
+  /// Streams whose bodies are sent in order and are not fully sent.
+  std::deque<int32_t> in_order_;
   size_t queued_bytes_ = 0;
 };
 
--- a/peer/outgoing_link.cpp
+++ b/peer/outgoing_link.cpp
@@ -221,8 +221,10 @@
 
 void OutgoingLink::Start(Exchange exchange) {
   const char* path = exchange.expects_reply ? kRequestPath : kOneWayPath;
+  const auto order = exchange.expects_reply ? Http2Session::Order::kAny
+                                            : Http2Session::Order::kInOrder;
   const int32_t stream =
-      session_->SubmitRequest(path, std::exchange(exchange.body, {}));
+      session_->SubmitRequest(path, std::exchange(exchange.body, {}), order);
   if (stream < 0) {
     // All stream ids are used; a new connection starts with new ones.
     EndExchange(std::move(exchange),
--- a/peer/transport.h
+++ b/peer/transport.h
@@ -43,7 +43,8 @@
                                const std::string& address) = 0;
 
   /// Sends a one-way message; `from` is set by the receiver. Success means that
-  /// it was queued, not that it was received.
+  /// it was queued, not that it was received. One-way messages to an instance
+  /// arrive in the order of their sending, while a link lasts.
   virtual core::Status Send(const core::InstanceId& to,
                             schema::PeerMessage message) = 0;
 
--- a/tests/peer/link_test.cpp
+++ b/tests/peer/link_test.cpp
@@ -74,6 +74,28 @@
   REQUIRE(std::set<std::string>(received.begin(), received.end()).size() == 50);
 }
 
+/// Guards against entries of a log that overtake each other: the follower
+/// rejects them and the leader sends all of them again.
+TEST_CASE("one-way messages of any size arrive in the order of their sending") {
+  constexpr size_t kMessages = 60;
+  constexpr size_t kLargeBytes = size_t{200} * 1024;
+  const Pair pair;
+  std::vector<size_t> received;
+  pair.b->SetHandler([&](const schema::PeerMessage& message, Replier) {
+    received.push_back(std::stoul(message.configuration()));
+  });
+  std::vector<size_t> sent;
+  for (size_t n = 0; n < kMessages; ++n) {
+    const size_t padding = n % 3 == 0 ? kLargeBytes : 0;
+    const schema::PeerMessage message =
+        TextMessage(std::to_string(n) + std::string(padding, ' '));
+    REQUIRE(core::IsOk(pair.a->Send(pair.right_id, message)));
+    sent.push_back(n);
+  }
+  REQUIRE(WaitUntil([&] { return received.size() == kMessages; }));
+  CHECK(received == sent);
+}
+
 TEST_CASE(
     "a message of several megabytes is sent and a larger one is refused") {
   PeerOptions left = test::OptionsOf("left");
