--- a/consensus/leader_state.h
+++ b/consensus/leader_state.h
@@ -41,6 +41,9 @@
   /// The snapshot being sent and the number of bytes received so far.
   std::shared_ptr<const storage::Snapshot> snapshot;
   uint64_t snapshot_offset = 0;
+  /// Offset of the part that was sent last, and when.
+  std::optional<uint64_t> sent_offset;
+  core::TimePoint part_sent_at;
 };
 
 /// State of one leadership: progress of the other replicas, heartbeat rounds
--- a/consensus/replica_leader.cpp
+++ b/consensus/replica_leader.cpp
@@ -61,6 +61,7 @@
     progress->state = Progress::State::kSnapshot;
     progress->snapshot = log_.snapshot();
     progress->snapshot_offset = 0;
+    progress->sent_offset.reset();
   }
   if (progress->state == Progress::State::kSnapshot) {
     SendSnapshotChunk(id, progress);
@@ -101,8 +102,17 @@
   chunk->set_index_term(snapshot.term);
   chunk->mutable_membership()->ParseFromString(snapshot.membership);
   chunk->set_offset(progress->snapshot_offset);
-  chunk->set_data(snapshot.data.substr(progress->snapshot_offset,
-                                       options_.snapshot_chunk_bytes));
+  // Without data it is a heartbeat. A replica that is slow to answer would get
+  // slower by each copy.
+  const bool is_sent =
+      progress->sent_offset == progress->snapshot_offset &&
+      now_ < progress->part_sent_at + options_.election_timeout;
+  if (!is_sent) {
+    progress->sent_offset = progress->snapshot_offset;
+    progress->part_sent_at = now_;
+    chunk->set_data(snapshot.data.substr(progress->snapshot_offset,
+                                         options_.snapshot_chunk_bytes));
+  }
   chunk->set_total_size(snapshot.data.size());
   chunk->set_round(leader_state_->round());
   Send(std::move(message));
