cluster: Spare an overloaded leader the claims that it would refuse

An instance that the leader refused a first claim refuses those of other programs that had no turn here for 0.5 s, and twice as long after each further one, up to 2 s, with the leader's error (ProgramGate). The first one that is granted opens it again.

The leader refuses only once its oldest request has been 100 ms old for 200 ms.

--- a/cluster/command_queue.cpp
+++ b/cluster/command_queue.cpp
@@ -12,7 +12,7 @@
   }
   const auto delay = Delay(now);
   bool refuses = delay >= kRefuseClaimsAt;
-  if (!refuses && !knows_program) {
+  if (!refuses && !knows_program && IsLate(now)) {
     const std::chrono::duration<double> over = delay - kRefuseProgramsFrom;
     const std::chrono::duration<double> range =
         kRefuseProgramsAt - kRefuseProgramsFrom;
@@ -30,6 +30,17 @@
                      core::Execution::kNotRun, kRetryAfter};
 }
 
+bool CommandQueue::IsLate(core::TimePoint now) {
+  if (Delay(now) < kRefuseProgramsFrom) {
+    late_since_.reset();
+    return false;
+  }
+  if (!late_since_) {
+    late_since_ = now;
+  }
+  return now - *late_since_ >= kSustained;
+}
+
 void CommandQueue::Push(Command command, core::TimePoint now) {
   command.number = ++last_number_;
   unanswered_.emplace(command.number, now);
--- a/cluster/command_queue.h
+++ b/cluster/command_queue.h
@@ -23,10 +23,12 @@
   using Callback =
       std::function<void(const core::Result<schema::DeploymentReply>&)>;
 
-  /// Age of the oldest unanswered request from which first claims are refused,
-  /// and at which all of them are; in between, a growing share.
+  /// Age of the oldest unanswered request from which first claims are refused
+  /// once it has been that old for kSustained, and at which all of them are; in
+  /// between, a growing share. A single late sync refuses nothing.
   static constexpr std::chrono::milliseconds kRefuseProgramsFrom{100};
-  static constexpr std::chrono::milliseconds kRefuseProgramsAt{150};
+  static constexpr std::chrono::milliseconds kRefuseProgramsAt{200};
+  static constexpr std::chrono::milliseconds kSustained{200};
   /// Age at which all claims are refused: callers would give up.
   static constexpr std::chrono::milliseconds kRefuseClaimsAt{600};
   /// Suggested retry delay of a claim that is refused.
@@ -54,6 +56,8 @@
   std::chrono::nanoseconds Delay(core::TimePoint now) const;
 
   bool empty() const { return queue_.empty(); }
+  /// Whether first claims are refused now.
+  bool IsLate(core::TimePoint now);
   /// Number of commands whose sender had given up before their turn.
   uint64_t abandoned() const { return abandoned_; }
   uint64_t refused() const { return refused_; }
@@ -63,6 +67,8 @@
   /// Arrival of each command that was not answered.
   std::map<uint64_t, core::TimePoint> unanswered_;
   uint64_t last_number_ = 0;
+  /// Since when the oldest request is at least kRefuseProgramsFrom old.
+  std::optional<core::TimePoint> late_since_;
   /// Part of a first claim that the share to be refused has added up to.
   double refusal_debt_ = 0;
   uint64_t abandoned_ = 0;
--- a/cluster/deployment_client.cpp
+++ b/cluster/deployment_client.cpp
@@ -347,7 +347,8 @@
                        "the leader " + leader_ + " is slow to answer",
                        core::Execution::kNotRun, kNoLeaderRetryAfter};
   }
-  return std::nullopt;
+  return is_first ? program_gate_.RefusalOf(claim.claim.program, now)
+                  : std::nullopt;
 }
 
 void DeploymentClient::TryClaim(const ClaimPtr& claim) {
@@ -430,6 +431,7 @@
     if (it.has_stream()) {
       answer.stream = {it.stream().version(), it.stream().round()};
     }
+    program_gate_.OnGranted(claim->claim.program, clock_.Now());
     FinishClaim(claim, answer);
     return;
   }
@@ -440,6 +442,7 @@
   if (!core::IsOk(reply) &&
       core::ErrorOf(reply).code == core::ErrorCode::kOverloaded) {
     core::Error error = core::ErrorOf(reply);
+    program_gate_.OnRefused(claim->claim.program, error, clock_.Now());
     if (claim->open_sends > 0) {
       error.execution = core::Execution::kUnknown;
     }
--- a/cluster/deployment_client.h
+++ b/cluster/deployment_client.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cluster/leader_contact.h"
+#include "cluster/program_gate.h"
 #include "cluster/settlement_queue.h"
 #include "core/clock.h"
 #include "core/metrics.h"
@@ -257,6 +258,7 @@
   peer::StreamHandle watch_;
   std::set<ClaimPtr> claims_;
   LeaderContact leader_contact_;
+  ProgramGate program_gate_;
   QTimer first_update_;
   QTimer retry_;
   QTimer settle_timer_;
--- a/tests/cluster/deployment_simulation.cpp
+++ b/tests/cluster/deployment_simulation.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kPause{20};
 constexpr milliseconds kLeastRetryAfter{100};
 constexpr int kTriesPerTurn = 2;
+constexpr uint64_t kRequestsPerMove = 4;
 constexpr int64_t kTokensPerTurn = 100;
 constexpr int kControlInstances = 5;
 constexpr int kUpstreams = 60;
@@ -568,8 +569,10 @@
 }
 
 void DeploymentSimulation::ClaimTurn(const ProgramPtr& program) {
-  // Callers reach another instance with each request.
-  program->entry = entries_[random_() % entries_.size()];
+  // Callers keep their connections, but for some of their requests.
+  if (random_() % kRequestsPerMove == 0) {
+    program->entry = entries_[random_() % entries_.size()];
+  }
   relay::TokenClaim claim;
   claim.program = program->id;
   claim.request_id = program->id + "-" + std::to_string(++program->requests);
