--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -297,8 +297,10 @@
 
   Fleet(Record& record, size_t cores, size_t stores, size_t fronts)
       : record_(record) {
-    char folder[] = "/tmp/review-XXXXXX";
-    folder_ = mkdtemp(folder);
+    folder_ = std::filesystem::temp_directory_path() / "review-XXXXXX";
+    if (mkdtemp(folder_.data()) == nullptr) {
+      exit(kCouldNotRun);
+    }
     net_ = FreeNet();
     size_t n = 1;
     for (const auto& [kind, count] :
@@ -735,14 +737,19 @@
 }
 
 /// A configuration with a route of each kind, like that of a small deployment.
-inline std::string Configuration(int max_connections, int app_timeout_ms) {
+inline std::string Configuration(int max_connections, int app_timeout_ms,
+                                 bool keeps_turns = false) {
+  const std::string retain = keeps_turns ? "true" : "false";
+  const std::string resumable = keeps_turns ? "false" : "true";
   const std::string max = std::to_string(max_connections);
   const std::string timeout = std::to_string(app_timeout_ms);
   return "{\"version\":7,\"routes\":[{\"name\":\"chat\",\"host\":\"app.example\","
          "\"path_prefix\":\"/chat/\",\"kind\":\"stream\",\"timeout_ms\":3000,"
          "\"slo_ms\":200,\"priority\":1,\"service\":\"llm\",\"max_attempts\":1,"
-         "\"retain\":false,\"retention_s\":60.0,\"sticky\":true,"
-         "\"resumable\":true,\"gap_aim_ms\":150},{\"name\":\"check\",\"host\":"
+         "\"retain\":" +
+         retain + ",\"retention_s\":60.0,\"sticky\":true,\"resumable\":" +
+         resumable +
+         ",\"gap_aim_ms\":150},{\"name\":\"check\",\"host\":"
          "\"app.example\",\"path_prefix\":\"/check/\",\"kind\":\"idempotent\","
          "\"timeout_ms\":" +
          timeout +
