--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,6 +1,6 @@
-// Two workers are at their connection limit and fall silent for a second while
-// they run idempotent requests; a third one has room. Counts the requests that
-// ran at more workers than their route allows.
+// Many users come at once, and two of three workers fall silent for a second.
+// Their queues are long, so they reset further connections. Counts the
+// idempotent requests that ran at more workers than their route allows.
 #include <memory>
 
 #include "../standins-2/fleet.hh"
@@ -9,11 +9,13 @@
 
 using namespace review;  // NOLINT
 
-/// The service's max_conns, which each worker accepts from all callers.
-constexpr int kMaxConnections = 8;
+constexpr int kMaxConnections = 110;
+constexpr int kSlots = 6;
+/// Requests that wait from which a worker resets further connections.
+constexpr int kLongQueue = 6;
 constexpr int kWorkMs = 40;
 constexpr int kSilenceMs = 900;
-constexpr int kRequests = 24;
+constexpr int kRequests = 45;
 /// BUDGET: more than this many requests at too many workers break the rule.
 constexpr int kAllowed = 3;
 
@@ -36,7 +38,7 @@
 
 int main(int argc, char** argv) {
   Record record(argc > 1 ? argv[1] : "record.txt");
-  Fleet fleet(record, 3, 3, 2);
+  Fleet fleet(record, 3, 3, 3);
   fleet.StartAll();
   if (!fleet.Control("POST", "/Config.Put",
                      Configuration(kMaxConnections, 1200), 15000)) {
@@ -48,11 +50,11 @@
     const std::string zone =
         "zone-" + std::string(1, static_cast<char>('a' + workers.size()));
     workers.push_back(std::make_unique<Worker>(
-        fleet, record, "app", zone, "v1", 6,
+        fleet, record, "app", zone, "v1", kSlots,
         [pauses](Worker&, const Message& request, Connection& it) {
           return Check(request, it, pauses);
         }));
-    workers.back()->SetConnectionLimit(kMaxConnections);
+    workers.back()->SetSlots(kSlots, kLongQueue);
     if (!workers.back()->Start()) {
       record.Line("no heartbeat was acknowledged");
       return kCouldNotRun;
@@ -71,7 +73,7 @@
   std::vector<std::thread> clients;
   for (int n = 0; n < kRequests; ++n) {
     clients.emplace_back([&, n] {
-      const std::string front = fleet.Names("front")[n % 2];
+      const std::string front = fleet.Names("front")[n % 3];
       const std::string id = RandomHex(16);
       const auto answer = Exchange(
           fleet.IpOf(front), Fleet::kFrontPort,
--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -593,8 +593,12 @@
     return known;
   }
 
-  /// Connections above this number are refused with a reset.
-  void SetConnectionLimit(int limit) { limit_ = limit; }
+  /// Runs `slots` requests at once; the others wait. While `long_queue` or more
+  /// wait, further connections are refused with a reset.
+  void SetSlots(int slots, int long_queue) {
+    slots_ = slots;
+    long_queue_ = long_queue;
+  }
 
   const std::string& id() const { return id_; }
   std::string version() {
@@ -632,13 +636,18 @@
   void Accept() {
     while (!stopping_) {
       if (listener_ < 0) {
-        if (open_ < limit_) {
+        if (waiting_ < long_queue_) {
           Listen();
         } else {
           Sleep(1);
         }
         continue;
       }
+      if (waiting_ >= long_queue_) {
+        // From here on the kernel resets new connections.
+        StopListening();
+        continue;
+      }
       pollfd it{listener_, POLLIN, 0};
       if (paused_ || poll(&it, 1, 10) <= 0) {
         Sleep(paused_ ? 1 : 0);
@@ -653,10 +662,7 @@
         const std::lock_guard lock(mutex_);
         connections_.insert(connection);
       }
-      if (++open_ >= limit_) {
-        // From here on the kernel resets what would be one too many.
-        StopListening();
-      }
+      ++open_;
       std::thread([this, connection] { Serve(connection); }).detach();
     }
   }
@@ -671,6 +677,11 @@
                           id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
+      if (!TakeSlot(*connection)) {
+        record_.Line("worker %s drops %s, which waited; its caller left",
+                     id_.c_str(), id.c_str());
+        break;
+      }
       {
         const std::lock_guard lock(mutex_);
         runs_.push_back({id, request.first_line, Clock::now()});
@@ -678,7 +689,9 @@
       record_.Line("worker %s (%s) runs %s, %s, after event '%s'", id_.c_str(),
                    version().c_str(), id.c_str(), request.first_line.c_str(),
                    request.Field("last-event-id").c_str());
-      if (!handler_(*this, request, *connection)) {
+      const bool goes_on = handler_(*this, request, *connection);
+      --running_;
+      if (!goes_on) {
         break;
       }
     }
@@ -693,6 +706,24 @@
     --open_;
   }
 
+  /// Waits for a slot; false if the caller leaves before.
+  bool TakeSlot(Connection& connection) {
+    ++waiting_;
+    while (true) {
+      int running = running_;
+      if (running < slots_ &&
+          running_.compare_exchange_strong(running, running + 1)) {
+        --waiting_;
+        return true;
+      }
+      if (stopping_ || connection.broken() || connection.PeerLeft()) {
+        --waiting_;
+        return false;
+      }
+      Sleep(2);
+    }
+  }
+
   void BreakConnections() {
     const std::lock_guard lock(mutex_);
     for (const auto& it : connections_) {
@@ -713,7 +744,10 @@
   std::atomic<int64_t> sequence_{0};
   std::atomic<int> listener_{-1};
   std::atomic<int> open_{0};
-  std::atomic<int> limit_{1 << 20};
+  std::atomic<int> slots_{1 << 20};
+  std::atomic<int> long_queue_{1 << 20};
+  std::atomic<int> running_{0};
+  std::atomic<int> waiting_{0};
   std::atomic<bool> stopping_{false};
   std::atomic<bool> paused_{false};
   std::atomic<bool> beating_{true};
