--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -295,7 +295,10 @@
   static constexpr uint16_t kFrontPort = 8149;
   static constexpr uint16_t kReadyPort = 8141;
 
-  Fleet(Record& record, size_t cores, size_t stores, size_t fronts)
+  /// `store_zones` has a letter for the zone of each store machine; without it,
+  /// the machines of a kind lie in the zones in turn.
+  Fleet(Record& record, size_t cores, size_t stores, size_t fronts,
+        const std::string& store_zones = {})
       : record_(record) {
     folder_ = std::filesystem::temp_directory_path() / "review-XXXXXX";
     if (mkdtemp(folder_.data()) == nullptr) {
@@ -308,8 +311,11 @@
           {"front", fronts}}) {
       for (size_t i = 0; i < count; ++i) {
         const std::string name = std::string(kind) + "-" + std::to_string(i + 1);
+        const bool has_zone =
+            std::string(kind) == "store" && i < store_zones.size();
+        const char zone = has_zone ? store_zones[i] : "abc"[i % 3];
         machines_[name] = {kind, net_ + std::to_string(n++),
-                           "zone-" + std::string(1, "abc"[i % 3]), 0};
+                           "zone-" + std::string(1, zone), 0};
       }
     }
   }
@@ -371,6 +377,18 @@
     record_.Line("started %s", name.c_str());
   }
 
+  /// Ends a machine's process and empties its disk.
+  void LoseDisk(const std::string& name) {
+    Machine& it = machines_.at(name);
+    kill(it.pid, SIGKILL);
+    waitpid(it.pid, nullptr, 0);
+    it.pid = 0;
+    std::error_code ec;
+    std::filesystem::remove_all(folder_ + "/data-" + name, ec);
+    is_first_start_ = false;
+    record_.Line("%s loses its disk", name.c_str());
+  }
+
   /// Names of processes that have ended by themselves.
   std::vector<std::string> Ended() {
     std::vector<std::string> names;
@@ -468,7 +486,8 @@
            "\",\"region\":\"r\",\"zones\":{\"zone-a\":\"r\",\"zone-b\":\"r\","
            "\"zone-c\":\"r\"},\"listen_addrs\":{" +
            addresses + "},\"port_range\":[7380,7395],\"seeds\":[" + seeds +
-           "],\"bootstrap\":true,\"tolerance_member\":" +
+           "],\"bootstrap\":" + (is_first_start_ ? "true" : "false") +
+           ",\"tolerance_member\":" +
            (is_front ? "false" : "true") +
            ",\"limits\":{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":" +
            (is_front ? "110" : "256") +
@@ -491,6 +510,7 @@
   std::string folder_;
   std::string net_;
   int next_ip_ = 100;
+  bool is_first_start_ = true;
   std::map<std::string, Machine> machines_;
 };
 
