--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -12,6 +12,8 @@
 constexpr int kPrograms = 12;
 constexpr int kTurns = 10;
 constexpr int kSecondsAfter = 5;
+/// Time objective of a program.
+constexpr int kProgramMs = 9000;
 
 /// Answers with three events.
 bool Turn(const Message& request, Connection& connection) {
@@ -52,7 +54,8 @@
     record.Line("the front machines are not ready");
     return kCouldNotRun;
   }
-  Sleep(3000);
+  // The platform lets 10 s pass before traffic starts.
+  Sleep(8000);
 
   std::atomic<bool> stop{false};
   std::atomic<int> whole{0};
@@ -65,10 +68,13 @@
         std::string previous;
         Clock::time_point previous_at;
         const std::string program = RandomHex(6);
+        const auto aim = Clock::now() + milliseconds(kProgramMs);
         for (int k = 0; k < kTurns && !stop; ++k) {
           // All turns of a line arrive through one zone.
           const std::string front = fleet.Names("front")[n % 3];
           const std::string id = RandomHex(16);
+          const auto left =
+              std::chrono::duration_cast<milliseconds>(aim - Clock::now()).count();
           Fields fields = {{"X-Request-Id", id},
                            {"X-Deadline-Ms", "3000"},
                            {"X-Model", "m"},
@@ -76,7 +82,7 @@
                            {"X-Prompt-Prefix", "5c1e07a2:200," + id + ":100"},
                            {"X-Program-Id", "p" + program},
                            {"X-Session-Id", "s" + program},
-                           {"X-Program-Deadline-Ms", "9000"}};
+                           {"X-Program-Deadline-Ms", std::to_string(left)}};
           if (!previous.empty()) {
             fields["X-Previous-Turn"] = previous;
           }
@@ -119,7 +125,7 @@
   if (HasTrouble()) {
     Message answer;
     accepted = fleet.Control("POST", "/Retire.Start/store-1",
-                             "{\"duration_s\":10}", 4000, &answer);
+                             "{\"duration_s\":8}", 4000, &answer);
     record.Line("order to empty store-1: %s",
                 accepted ? answer.first_line.c_str() : "not acknowledged");
   }
