cluster: Tell the keepers outside of the group of the list

Retire.Get said 'running' for as long as anyone asked, for every store machine that kept turns.

Cause: the group takes five voters and a learner, control machines first. A store machine outside of it has no state of the group, and the list of keepers came from that state. Such a keeper copied nothing, never told an empty one that all was repaired, could not confirm a list, and did not hear of an order to empty it. A member leaves the group at the order, before it applies the order, and stayed a keeper that does not retire.

Evidence on, 25 s after an order: instances_known 6, turns_keepers 3, leader_contact_age 25024 ms at a member; instances_known 0, turns_keepers 0, turns_unplaced = turns_kept = 30 and 41 at two others.

Change: the answers to announcements carry the position of the state that their list was taken from. An instance without a current state uses the newest list that it was told, for as long as a state counts as current. It reads the confirmed list from the leader that answered its announcements. A store without a list never reports that its turns are at others; a new leader counts an instance that it has not heard of as one with turns for 30 s, not 2 s. A complete keeper without turns sends no status, so that the list costs nothing where no turns are kept. An outsider announces itself to the leader alone, in place of a random instance and the leader.

Ruled out: admitting all machines with a disk to the group (each voter's sync counts towards a commit), and the watched list of a forwarder (a store machine watches nothing).

Tests: both cases of ledger_role_test.cpp fail on, at the wait for every ledger to know all keepers.

--- a/cluster/deployment_host.cpp
+++ b/cluster/deployment_host.cpp
@@ -387,6 +387,14 @@
   return leader == options_.self.instance() ? std::string() : leader;
 }
 
+std::string DeploymentHost::LeaderInContact() const {
+  if (HasLeaderContact()) {
+    return RemoteLeader();
+  }
+  return Now() - announced_leader_at_ < kStateAgeLimit ? announced_leader_
+                                                       : std::string();
+}
+
 void DeploymentHost::OnGroupMessage(const schema::GroupMessage& message) {
   schema::ConsensusMessage parsed;
   if (!group_ || !parsed.ParseFromString(message.payload())) {
--- a/cluster/deployment_host.h
+++ b/cluster/deployment_host.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -156,6 +157,11 @@
     return group_ ? group_->applied_index() : 0;
   }
   const control::DeploymentState& state() const { return machine_; }
+  /// The instances with a disk as they were up to kStateAgeLimit before this
+  /// instance heard of them. A member of the group has them in its state,
+  /// another instance from the last answer to its announcements. Nothing if it
+  /// has heard of none for kStateAgeLimit.
+  std::optional<std::vector<schema::InstanceRecord>> CurrentInstances() const;
   /// Returns whether this instance is a voter under its current incarnation.
   bool IsVoter() const {
     return group_->replica().membership().IsVoter(group_->replica().id());
@@ -200,7 +206,13 @@
   void Announce();
   void OnAnnouncement(const schema::InstanceAnnouncement& announcement,
                       const peer::Replier& replier);
-  void OnInstanceList(const schema::InstanceList& list);
+  /// Sends the announcement of this instance.
+  void AnnounceTo(const std::string& instance);
+  void OnInstanceList(const schema::InstanceList& list,
+                      const std::string& from);
+  /// Keeps the instances that a member of the group told, unless it is behind
+  /// what is known here.
+  void TakeAnnouncedList(const schema::InstanceList& list);
   /// Number of watchers of this instance and of those that announced themselves
   /// to it.
   size_t CountWatchers() const;
@@ -250,13 +262,20 @@
   void ReadInstancesLocally(InstancesCallback callback);
   core::Result<schema::RetirementState> LocalRetirementState(
       const std::string& name) const;
+  using MessageCallback =
+      std::function<void(const core::Result<schema::DeploymentMessage>&)>;
   /// Sends a request to the leader; kUnavailable if none is known.
-  void SendToLeader(
-      const schema::DeploymentMessage& message,
-      std::chrono::milliseconds timeout,
-      std::function<void(const core::Result<schema::DeploymentMessage>&)>
-          callback);
+  void SendToLeader(const schema::DeploymentMessage& message,
+                    std::chrono::milliseconds timeout,
+                    MessageCallback callback);
+  /// Sends a request to an instance; kUnavailable if `instance` is empty.
+  void SendTo(const std::string& instance,
+              const schema::DeploymentMessage& message,
+              std::chrono::milliseconds timeout, MessageCallback callback);
   std::string RemoteLeader() const;
+  /// Leader that this instance has contact with as a member of the group, or
+  /// that answered an announcement. Empty if there is none.
+  std::string LeaderInContact() const;
   core::TimePoint Now() const { return clock_.Now(); }
 
   HostOptions options_;
@@ -288,6 +307,16 @@
   core::TimePoint next_contact_report_;
   size_t announce_cursor_ = 0;
   std::map<std::string, LastAnnouncement> announcements_;
+  /// What a member of the group told in answer to an announcement.
+  struct AnnouncedList {
+    std::vector<schema::InstanceRecord> instances;
+    schema::StatePosition position;
+    core::TimePoint at;
+  };
+  std::optional<AnnouncedList> announced_list_;
+  /// Leader that answered an announcement last, and when.
+  std::string announced_leader_;
+  core::TimePoint announced_leader_at_;
   /// Peer addresses by instance.
   std::map<std::string, std::string> peer_addresses_;
   WatchRegistry watches_;
--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -6,6 +6,7 @@
 
 #include "cluster/deployment_host.h"
 #include "cluster/errors.h"
+#include "cluster/state_position.h"
 #include "logging/log.h"
 
 namespace hawthorn::cluster {
@@ -43,16 +44,15 @@
 }
 
 void DeploymentHost::Announce() {
-  const schema::DeploymentMessage message = SelfAnnouncement();
   if (is_leader()) {
     LastAnnouncement& self = announcements_[options_.self.instance()];
-    self.announcement = message.announcement();
+    self.announcement = SelfAnnouncement().announcement();
     self.at = Now();
     watches_.SetTotal(CountWatchers());
     watches_.SetForwarders(CollectForwarders());
     return;
   }
-  std::string to = HasLeaderContact() ? RemoteLeader() : std::string();
+  std::string to = LeaderInContact();
   // A leader without a known address cannot be asked; others know the address.
   if (!peer_addresses_.contains(to) && !peer_addresses_.empty()) {
     auto target = peer_addresses_.begin();
@@ -60,20 +60,24 @@
                                                 peer_addresses_.size()));
     to = target->first;
   }
-  if (to.empty()) {
-    return;
+  if (!to.empty()) {
+    AnnounceTo(to);
   }
-  peers_.Request(core::InstanceId(to), Pack(message), kAnnounceTimeout,
-                 [guard = QPointer<DeploymentHost>(this)](
-                     const core::Result<schema::PeerMessage>& reply) {
-                   if (!guard || !core::IsOk(reply)) {
-                     return;
-                   }
-                   const auto list = Unpack(core::Value(reply));
-                   if (core::IsOk(list) && core::Value(list).has_instances()) {
-                     guard->OnInstanceList(core::Value(list).instances());
-                   }
-                 });
+}
+
+void DeploymentHost::AnnounceTo(const std::string& instance) {
+  peers_.Request(
+      core::InstanceId(instance), Pack(SelfAnnouncement()), kAnnounceTimeout,
+      [guard = QPointer<DeploymentHost>(this),
+       instance](const core::Result<schema::PeerMessage>& reply) {
+        if (!guard || !core::IsOk(reply)) {
+          return;
+        }
+        const auto list = Unpack(core::Value(reply));
+        if (core::IsOk(list) && core::Value(list).has_instances()) {
+          guard->OnInstanceList(core::Value(list).instances(), instance);
+        }
+      });
 }
 
 size_t DeploymentHost::CountWatchers() const {
@@ -112,7 +116,8 @@
   });
 }
 
-void DeploymentHost::OnInstanceList(const schema::InstanceList& list) {
+void DeploymentHost::OnInstanceList(const schema::InstanceList& list,
+                                    const std::string& from) {
   if (list.watchers() > 0) {
     watches_.SetTotal(list.watchers());
   }
@@ -127,14 +132,48 @@
   for (const schema::InstanceRecord& record : list.instances()) {
     SetPeerAddress(record.instance(), record.peer_address());
   }
+  TakeAnnouncedList(list);
   if (HasLeaderContact() || list.leader().empty() ||
       list.leader() == options_.self.instance()) {
     return;
   }
-  // Not a member yet: announce this instance to the leader directly.
-  peers_.Request(core::InstanceId(list.leader()), Pack(SelfAnnouncement()),
-                 kAnnounceTimeout,
-                 [](const core::Result<schema::PeerMessage>&) {});
+  // Not a member: this instance announces itself to the leader directly.
+  if (list.leader() == from) {
+    announced_leader_ = from;
+    announced_leader_at_ = Now();
+  } else {
+    AnnounceTo(list.leader());
+  }
+}
+
+void DeploymentHost::TakeAnnouncedList(const schema::InstanceList& list) {
+  schema::StatePosition known;
+  known.set_index(group_->applied_position().index);
+  known.set_term(group_->applied_position().term);
+  if (announced_list_ && Precedes(known, announced_list_->position)) {
+    known = announced_list_->position;
+  }
+  if (!list.has_position() || Precedes(list.position(), known)) {
+    return;
+  }
+  announced_list_ = {{list.instances().begin(), list.instances().end()},
+                     list.position(),
+                     Now()};
+}
+
+std::optional<std::vector<schema::InstanceRecord>>
+DeploymentHost::CurrentInstances() const {
+  if (IsCurrent()) {
+    std::vector<schema::InstanceRecord> instances;
+    for (const auto& [id, record] : machine_.instances()) {
+      instances.push_back(record);
+    }
+    return instances;
+  }
+  if (announced_list_ && Now() - announced_list_->at < kStateAgeLimit) {
+    return announced_list_->instances;
+  }
+  return std::nullopt;
 }
 
 void DeploymentHost::OnAnnouncement(
@@ -160,6 +199,9 @@
     }
   }
   AppendInstances(machine_, reply.mutable_instances()->mutable_instances());
+  if (IsCurrent()) {
+    *reply.mutable_instances()->mutable_position() = MakeWatchSource().position;
+  }
   replier.Reply(Pack(reply));
 }
 
@@ -181,14 +223,14 @@
     const bool self = member.id == replica.id();
     ready += member.voter && (self || replica.HasCaughtUp(member.id)) ? 1 : 0;
   }
-  // A new leader has not heard of all instances yet. One that keeps no turns
-  // reports none; the turns of one that is gone are copied by the others.
+  // One that keeps no turns reports none. The turns of one that is gone are
+  // copied by the others; a new leader cannot tell for how long it has been.
   const auto announced = announcements_.find(record->instance());
+  const bool is_known = announced != announcements_.end();
+  const core::TimePoint heard = is_known ? announced->second.at : leader_since_;
   const bool has_turns =
-      announced == announcements_.end()
-          ? Now() - leader_since_ < kDeadAfter
-          : announced->second.announcement.unplaced_turns() > 0 &&
-                Now() - announced->second.at < kTurnsCopiedAfter;
+      (!is_known || announced->second.announcement.unplaced_turns() > 0) &&
+      Now() - heard < kTurnsCopiedAfter;
   state.set_completed(record->retiring() && !has_turns &&
                       replica.membership_committed() &&
                       membership.FindInstance(record->instance()) == nullptr &&
--- a/cluster/deployment_host_requests.cpp
+++ b/cluster/deployment_host_requests.cpp
@@ -229,16 +229,22 @@
   }
 }
 
-void DeploymentHost::SendToLeader(
-    const schema::DeploymentMessage& message, std::chrono::milliseconds timeout,
-    std::function<void(const core::Result<schema::DeploymentMessage>&)>
-        callback) {
-  const std::string leader = RemoteLeader();
-  if (leader.empty() || !HasLeaderContact()) {
+void DeploymentHost::SendToLeader(const schema::DeploymentMessage& message,
+                                  std::chrono::milliseconds timeout,
+                                  MessageCallback callback) {
+  SendTo(HasLeaderContact() ? RemoteLeader() : std::string(), message, timeout,
+         std::move(callback));
+}
+
+void DeploymentHost::SendTo(const std::string& instance,
+                            const schema::DeploymentMessage& message,
+                            std::chrono::milliseconds timeout,
+                            MessageCallback callback) {
+  if (instance.empty()) {
     callback(Unavailable("no leader is known"));
     return;
   }
-  peers_.Request(core::InstanceId(leader), Pack(message), timeout,
+  peers_.Request(core::InstanceId(instance), Pack(message), timeout,
                  [callback = std::move(callback)](
                      const core::Result<schema::PeerMessage>& reply) {
                    if (!core::IsOk(reply)) {
@@ -341,8 +347,9 @@
   }
   schema::DeploymentMessage message;
   message.mutable_read_instances();
-  SendToLeader(
-      message, kProposeTimeout,
+  // An instance outside of the group may ask, too: the leader answers for it.
+  SendTo(
+      LeaderInContact(), message, kProposeTimeout,
       ExtractField(std::move(callback), &schema::DeploymentMessage::instances));
 }
 
--- a/main/roles/control_role.cpp
+++ b/main/roles/control_role.cpp
@@ -123,16 +123,9 @@
 }
 
 void ControlRole::TickTurns() {
-  std::vector<schema::InstanceRecord> instances;
-  bool is_retiring = false;
-  for (const auto& [id, record] : host_.state().instances()) {
-    instances.push_back(record);
-    is_retiring = is_retiring || (id == settings_.ip && record.retiring());
-  }
-  // A state that is not current may lack instances that hold turns; that of an
-  // instance that retires is the last that it gets.
-  if (host_.IsCurrent() || is_retiring) {
-    turns_.SetKeepers(turns::KeepersOf(instances));
+  // A list that is not current may lack instances that hold turns.
+  if (const auto instances = host_.CurrentInstances()) {
+    turns_.SetKeepers(turns::KeepersOf(*instances));
   }
   turns_.Tick();
 }
--- a/tests/cluster/instance_read_test.cpp
+++ b/tests/cluster/instance_read_test.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "deployment_fixture.h"
 
@@ -57,6 +59,49 @@
   }
 }
 
+// Guards against an instance with a disk that is not a member of the group and
+// learns neither which others there are, nor that it is to retire, nor anything
+// from the next leader.
+TEST_CASE("An instance outside of the group follows the list") {
+  Deployment it(3);
+  it.StartInitialMembers({0, 1, 2});
+  REQUIRE(it.Publish(1));
+  std::vector<std::string> added;
+  for (const char* zone : {"a", "b", "c", "a", "b"}) {
+    added.push_back(it.Add(false, zone));
+  }
+  // The group takes six members.
+  REQUIRE(WaitFor([&] {
+    return std::count_if(added.begin(), added.end(),
+                         [&](const auto& id) { return it.IsMember(id); }) == 3;
+  }));
+  const auto outside =
+      std::find_if(added.begin(), added.end(),
+                   [&](const auto& id) { return !it.IsMember(id); });
+  DeploymentHost& host = it.host(*outside);
+  const auto knows = [&](size_t instances, bool retiring) {
+    return WaitFor([&, instances, retiring] {
+      const auto list = host.CurrentInstances();
+      return list && list->size() == instances &&
+             std::any_of(list->begin(), list->end(), [&](const auto& record) {
+               return record.instance() == *outside &&
+                      record.retiring() == retiring;
+             });
+    });
+  };
+  CHECK_FALSE(host.IsCurrent());
+  CHECK(knows(8, false));
+  CHECK(WaitFor([&] { return IdsOf(ReadAt(host)).size() == 8; }));
+  schema::DeploymentCommand order;
+  order.set_retire("machine-" + *outside);
+  REQUIRE(core::IsOk(it.Propose(it.initial_member(0), order)));
+  CHECK(knows(8, true));
+  it.Kill(it.Leader());
+  const std::string last = it.Add(false, "c");
+  CHECK(knows(9, true));
+  CHECK(WaitFor([&] { return IdsOf(ReadAt(host)).contains(last); }));
+}
+
 // Guards against a deposed leader that answers from before its successor.
 TEST_CASE("An isolated leader confirms no list of instances") {
   Deployment it(3);
--- /dev/null
+++ b/tests/main/ledger_role_test.cpp
@@ -0,0 +1,297 @@
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTemporaryDir>
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "main/roles/control_role.h"
+#include "tests/support/event_loop.h"
+#include "turns/turn_client.h"
+
+// Instances with a disk as real roles over loopback: how the list of those that
+// keep turns reaches an instance that is not a member of the group.
+namespace hawthorn::main {
+namespace {
+
+using std::chrono::milliseconds;
+using test::WaitFor;
+
+constexpr size_t kControls = 3;
+/// The group takes six members, the control instances first.
+constexpr size_t kLedgers = 6;
+constexpr size_t kChains = 60;
+constexpr milliseconds kTimeout{2000};
+
+/// Ports and addresses that other runs at the same time do not use.
+uint16_t FreePort() {
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost);
+  return server.serverPort();
+}
+
+std::string NetOf(int number) {
+  const auto run = static_cast<int>(QCoreApplication::applicationPid() % 250);
+  return "127." + std::to_string(run + 2) + "." + std::to_string(number) + ".";
+}
+
+std::unique_ptr<peer::PeerTransport> MakeTransport(const std::string& ip,
+                                                   uint16_t port) {
+  peer::PeerOptions options;
+  options.self = core::InstanceId(ip);
+  options.listen_address = ip + ":" + std::to_string(port);
+  options.key = "a key for tests only";
+  options.accept_unknown_peers = true;
+  options.ping_after = milliseconds(400);
+  options.receive_timeout = milliseconds(1000);
+  options.max_backoff = milliseconds(300);
+  auto transport = std::make_unique<peer::PeerTransport>(std::move(options));
+  REQUIRE(core::IsOk(transport->Listen()));
+  return transport;
+}
+
+class RoleFleet {
+ public:
+  RoleFleet() {
+    for (size_t n = 0; n < kControls + kLedgers; ++n) {
+      const bool is_control = n < kControls;
+      auto it = std::make_unique<Machine>();
+      platform::BootSettings& settings = it->settings;
+      settings.instance_name = is_control
+                                   ? "control-" + std::to_string(n)
+                                   : "ledger-" + std::to_string(n - kControls);
+      settings.ip = NetOf(77) + std::to_string(n + 1);
+      settings.zone = std::string(1, static_cast<char>('a' + n % 3));
+      settings.peer_port = peer_port_;
+      settings.bootstrap = true;
+      if (is_control) {
+        settings.control_address =
+            settings.ip + ":" + std::to_string(control_port_);
+        seeds_.push_back(settings.control_address);
+      }
+      machines_.push_back(std::move(it));
+    }
+    for (size_t n = 0; n < machines_.size(); ++n) {
+      machines_[n]->settings.seeds = seeds_;
+      Start(n);
+    }
+  }
+  ~RoleFleet() {
+    for (const auto& it : machines_) {
+      it->Stop();
+    }
+  }
+
+  void Start(size_t number) {
+    Machine& it = *machines_[number];
+    it.disk = std::make_unique<QTemporaryDir>();
+    it.settings.data_folder = it.disk->path().toStdString();
+    it.metrics = std::make_unique<core::Metrics>();
+    it.peers = MakeTransport(it.settings.ip, peer_port_);
+    it.role = std::make_unique<ControlRole>(it.settings, clock_, *it.metrics,
+                                            *it.peers);
+    REQUIRE(core::IsOk(it.role->Start()));
+  }
+  void Stop(size_t number) { machines_[number]->Stop(); }
+  /// Ends a ledger and starts it again with an empty disk.
+  void LoseDisk(size_t ledger) {
+    Machine& it = *machines_[kControls + ledger];
+    it.Stop();
+    it.settings.bootstrap = false;
+    Start(kControls + ledger);
+  }
+
+  double LedgerGauge(size_t ledger, const std::string& name) {
+    return Gauge(kControls + ledger, name);
+  }
+  /// Value of a gauge of a machine; -1 if it has none.
+  double Gauge(size_t number, const std::string& name) {
+    Machine& it = *machines_[number];
+    it.role->UpdateGauges();
+    const std::string text = "\n" + it.metrics->Exposition();
+    const std::string key = "\nhawthorn_" + name + " ";
+    const size_t at = text.find(key);
+    return at == std::string::npos ? -1
+                                   : std::stod(text.substr(at + key.size()));
+  }
+  bool AllLedgers(const std::string& gauge, double value) {
+    for (size_t n = 0; n < kLedgers; ++n) {
+      if (LedgerGauge(n, gauge) != value) {
+        return false;
+      }
+    }
+    return true;
+  }
+  /// Machine that leads the group; the number of machines if none does.
+  size_t Leader() {
+    for (size_t n = 0; n < kControls; ++n) {
+      if (machines_[n]->role && Gauge(n, "is_leader") == 1) {
+        return n;
+      }
+    }
+    return machines_.size();
+  }
+  /// Sends a command or a question to the leader. Returns nothing if it fails.
+  std::optional<schema::DeploymentMessage> AskLeader(
+      const schema::DeploymentMessage& message) {
+    const size_t leader = Leader();
+    if (leader == machines_.size()) {
+      return std::nullopt;
+    }
+    const platform::BootSettings& settings = machines_[leader]->settings;
+    peers_->SetPeer(core::InstanceId(settings.ip), settings.PeerAddress());
+    std::optional<core::Result<schema::PeerMessage>> reply;
+    peers_->Request(core::InstanceId(settings.ip), cluster::Pack(message),
+                    kTimeout, [&reply](const auto& it) { reply = it; });
+    WaitFor([&reply] { return reply.has_value(); });
+    if (!reply || !core::IsOk(*reply)) {
+      return std::nullopt;
+    }
+    return core::Value(cluster::Unpack(core::Value(*reply)));
+  }
+  bool Retire(size_t ledger) {
+    schema::DeploymentCommand command;
+    command.set_retire("ledger-" + std::to_string(ledger));
+    schema::DeploymentMessage message;
+    command.SerializeToString(message.mutable_propose());
+    const auto reply = AskLeader(message);
+    return reply && reply->reply().known();
+  }
+  bool IsRetired(size_t ledger) {
+    schema::DeploymentMessage message;
+    message.mutable_retirement()->set_name("ledger-" + std::to_string(ledger));
+    const auto reply = AskLeader(message);
+    return reply && reply->retirement_state().completed();
+  }
+
+  /// Reads the list of instances into the client, as an entry instance does.
+  bool UpdateClient() {
+    schema::DeploymentMessage message;
+    message.mutable_read_instances();
+    const auto reply = AskLeader(message);
+    if (!reply) {
+      return false;
+    }
+    const auto& records = reply->instances().instances();
+    list_ = {records.begin(), records.end()};
+    client_.SetInstances(list_);
+    return true;
+  }
+  size_t listed() const { return list_.size(); }
+
+  std::vector<std::string> WriteChains(const std::string& prefix) {
+    std::vector<std::string> kept;
+    size_t answers = 0;
+    for (size_t n = 0; n < kChains; ++n) {
+      relay::TurnRecord record;
+      record.turn = prefix + std::to_string(n);
+      record.input = "input";
+      record.output = "output";
+      record.retention = milliseconds(60000);
+      client_.Write(record, kTimeout,
+                    [&, turn = record.turn](const core::Status& status) {
+                      ++answers;
+                      if (core::IsOk(status)) {
+                        kept.push_back(turn);
+                      }
+                    });
+    }
+    WaitFor([&] { return answers == kChains; });
+    return kept;
+  }
+  size_t CountFound(const std::vector<std::string>& turns) {
+    size_t answers = 0;
+    size_t found = 0;
+    for (const std::string& it : turns) {
+      client_.Read("", it, kTimeout,
+                   [&](const core::Result<relay::TurnChain>& read) {
+                     ++answers;
+                     found += core::IsOk(read) ? 1 : 0;
+                   });
+    }
+    WaitFor([&] { return answers == turns.size(); });
+    return found;
+  }
+
+ private:
+  struct Machine {
+    platform::BootSettings settings;
+    std::unique_ptr<QTemporaryDir> disk;
+    std::unique_ptr<core::Metrics> metrics;
+    std::unique_ptr<peer::PeerTransport> peers;
+    std::unique_ptr<ControlRole> role;
+
+    void Stop() {
+      // Replies in flight refer to the role.
+      peers.reset();
+      role.reset();
+    }
+  };
+
+  core::SystemClock clock_;
+  uint16_t peer_port_ = FreePort();
+  uint16_t control_port_ = FreePort();
+  std::vector<std::string> seeds_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  core::Metrics metrics_;
+  std::unique_ptr<peer::PeerTransport> peers_ =
+      MakeTransport(NetOf(78) + "1", peer_port_);
+  turns::TransportLinks links_{*peers_};
+  std::vector<schema::InstanceRecord> list_;
+  turns::TurnClient client_{
+      {clock_, metrics_, links_, "a",
+       [this](turns::InstanceListCallback callback) { callback(list_); }}};
+};
+
+void WaitStarted(RoleFleet& fleet) {
+  REQUIRE(WaitFor([&] {
+    return fleet.UpdateClient() && fleet.listed() == kControls + kLedgers;
+  }));
+  // The group takes three of the six ledgers.
+  REQUIRE(WaitFor([&] { return fleet.Gauge(fleet.Leader(), "members") == 6; }));
+}
+
+}  // namespace
+
+// Guards against kept turns that are lost with the disks of ledgers that lose
+// them one at a time: those outside of the group had no list of keepers, copied
+// nothing, and never told an empty one that all was repaired.
+TEST_CASE("Ledgers outside of the group repair copies") {
+  RoleFleet fleet;
+  WaitStarted(fleet);
+  REQUIRE(WaitFor([&] { return fleet.AllLedgers("turns_keepers", kLedgers); }));
+  const std::vector<std::string> kept = fleet.WriteChains("t");
+  REQUIRE(kept.size() == kChains);
+  for (size_t n = 0; n < kLedgers; ++n) {
+    fleet.LoseDisk(n);
+    REQUIRE(WaitFor([&] {
+      return fleet.AllLedgers("turns_complete", 1) &&
+             fleet.AllLedgers("turns_unplaced", 0);
+    }));
+  }
+  CHECK(fleet.CountFound(kept) == kChains);
+}
+
+// Guards against an order to empty a ledger that never completes: a ledger that
+// leaves the group, or never was in it, did not hear of the order.
+TEST_CASE("Every ledger hears of the order to empty it") {
+  RoleFleet fleet;
+  WaitStarted(fleet);
+  REQUIRE(WaitFor([&] { return fleet.AllLedgers("turns_keepers", kLedgers); }));
+  const std::vector<std::string> kept = fleet.WriteChains("t");
+  REQUIRE(kept.size() == kChains);
+  // Members and others: which ledgers are members differs from run to run.
+  for (size_t n = 0; n < 3; ++n) {
+    REQUIRE(fleet.Retire(n));
+    REQUIRE(fleet.UpdateClient());
+    REQUIRE(WaitFor([&] { return fleet.IsRetired(n); }));
+    fleet.Stop(kControls + n);
+  }
+  CHECK(fleet.CountFound(kept) == kChains);
+}
+
+}  // namespace hawthorn::main
--- a/turns/turn_store.cpp
+++ b/turns/turn_store.cpp
@@ -356,7 +356,7 @@
     // Not known yet; a folder that cannot be opened holds nothing to wait for.
     return open_failed_ ? 0 : 1;
   }
-  if (is_keeper_ && !self_retiring_) {
+  if (keepers_.empty() || (is_keeper_ && !self_retiring_)) {
     // Never 0, so that no number from before the retirement completes it.
     return index_.size() + 1;
   }
--- a/turns/turn_store.h
+++ b/turns/turn_store.h
@@ -81,8 +81,9 @@
   /// Whether a turn that this instance does not have counts as denied.
   bool complete() const { return open_ && complete_; }
   bool is_open() const { return open_; }
-  /// Turns without all copies at others if this instance retires or keeps none.
-  /// Otherwise more than 0: it is itself one of the places of its turns.
+  /// Turns without all copies at others if this instance knows that it retires
+  /// or keeps none. Otherwise more than 0: it is itself one of the places of
+  /// its turns.
   uint64_t unplaced_turns() const;
   size_t size() const { return index_.size(); }
   /// Turns whose copies are not known to be whole.
--- a/turns/turn_store_repair.cpp
+++ b/turns/turn_store_repair.cpp
@@ -89,6 +89,10 @@
   if (!open_ || !is_keeper_) {
     return;
   }
+  if (complete_ && index_.size() == 0) {
+    // There is nothing to repair here, neither for others nor by them.
+    return;
+  }
   for (const auto& [instance, peer] : peers_) {
     parts_.links.Request(
         instance, message, kStatusTimeout,
