turns: Count denials against every placement that a turn may have

A 404 ends the program.

Cause: a reader denied after denials of all keepers but two, as each turn has three copies. A writer leaves retiring keepers out and wrote two copies, so the denial of the retiring one was enough. An empty keeper counted itself complete by the same number, and a write with two copies compared only the number of copies with the confirmed list.

Change: CoversAllPlacements says whether some instances have a copy of every record, whichever list it was written by: the active keepers of now with any of those that retire or left. Readers and empty keepers ask it; an empty keeper asks it of the confirmed list, too. A write with fewer than three copies ends once they suffice at keepers that are active in the confirmed list. While nothing retires, the rule is the one of before.

Why it works: earlier lists lack only keepers that joined since, and one that joins or returns empty is complete only after the others repaired their records.

--- a/tests/turns/turn_world.cpp
+++ b/tests/turns/turn_world.cpp
@@ -112,12 +112,12 @@
     machines_.back()->zone = zone_of(i);
     machines_.back()->links = std::make_unique<WorldLinks>(*this, NameOf(i));
   }
+  clients_.resize(zones);
   for (size_t i = 0; i < zones; ++i) {
     client_links_.push_back(
         std::make_unique<WorldLinks>(*this, "c" + std::to_string(i)));
-    clients_.push_back(std::make_unique<TurnClient>(
-        TurnClient::Parts{clock_, metrics_, *client_links_.back(), zone_of(i),
-                          ReaderFor("c" + std::to_string(i))}));
+    client_zones_.push_back(zone_of(i));
+    StartClient(i);
   }
   for (size_t i = 0; i < stores; ++i) {
     StartStore(i, true);
@@ -128,6 +128,22 @@
 
 TurnWorld::~TurnWorld() { events_.clear(); }
 
+void TurnWorld::StartClient(size_t number) {
+  clients_[number] = std::make_unique<TurnClient>(TurnClient::Parts{
+      clock_, metrics_, *client_links_[number], client_zones_[number],
+      ReaderFor("c" + std::to_string(number))});
+}
+
+void TurnWorld::RestartClient(size_t number) {
+  StartClient(number);
+  Announce();
+}
+
+void TurnWorld::Remove(size_t number) {
+  EraseDisk(number);
+  machines_[number]->removed = true;
+}
+
 size_t TurnWorld::AddStore(const std::string& zone) {
   const size_t number = machines_.size();
   machines_.push_back(std::make_unique<Machine>());
@@ -141,7 +157,8 @@
   return [this, name](InstanceListCallback callback) {
     At(Delay(), [this, name, callback = std::move(callback)] {
       if (group_answers && !cut.contains(name)) {
-        callback(Records());
+        // The answer travels, so that it may be behind when it arrives.
+        At(Delay(), [callback, records = Records()] { callback(records); });
       } else {
         callback(core::Error{core::ErrorCode::kUnavailable,
                              "no leader is known",
@@ -167,15 +184,35 @@
 void TurnWorld::Announce() {
   const std::vector<schema::InstanceRecord> records = Records();
   for (size_t i = 0; i < clients_.size(); ++i) {
-    if (!behind.contains("c" + std::to_string(i))) {
-      clients_[i]->SetInstances(records);
-    }
+    Tell("c" + std::to_string(i), records);
   }
   for (size_t i = 0; i < machines_.size(); ++i) {
-    if (machines_[i]->store && !behind.contains(NameOf(i))) {
-      machines_[i]->store->SetKeepers(KeepersOf(records));
+    Tell(NameOf(i), records);
+  }
+}
+
+void TurnWorld::Tell(const std::string& name,
+                     const std::vector<schema::InstanceRecord>& records) {
+  if (behind.contains(name)) {
+    return;
+  }
+  const auto take = [this, name, records] {
+    const size_t number = std::stoul(name.substr(1));
+    if (name.front() == 'c') {
+      clients_[number]->SetInstances(records);
+    } else if (machines_[number]->store) {
+      machines_[number]->store->SetKeepers(KeepersOf(records));
     }
+  };
+  if (watch_delay.count() == 0) {
+    take();
+    return;
   }
+  const auto delay = std::chrono::milliseconds(
+      random_() % static_cast<uint64_t>(watch_delay.count()));
+  core::TimePoint& told_at = told_at_[name];
+  told_at = std::max(told_at, clock_.Now() + delay);
+  At(core::MillisecondsBetween(clock_.Now(), told_at), take);
 }
 
 void TurnWorld::StartStore(size_t number, bool first_start) {
@@ -207,6 +244,9 @@
 
 bool TurnWorld::IsHealthy() const {
   for (const auto& it : machines_) {
+    if (it->removed) {
+      continue;
+    }
     if (!it->store || !it->store->complete()) {
       return false;
     }
--- a/tests/turns/turn_world.h
+++ b/tests/turns/turn_world.h
@@ -33,8 +33,15 @@
   /// Adds a store with an empty disk; it does not start the deployment.
   /// Returns its number.
   size_t AddStore(const std::string& zone);
-  /// Tells everyone but those in `behind` which instances there are.
+  /// Tells everyone but those in `behind` which instances there are, each after
+  /// a delay up to `watch_delay`.
   void Announce();
+  /// Replaces a client by one that remembers nothing. Its open reads and writes
+  /// are never answered.
+  void RestartClient(size_t number);
+  /// Takes a store away for good, with its disk.
+  void Remove(size_t number);
+  bool IsRemoved(size_t number) const { return machines_.at(number)->removed; }
 
   std::string NameOf(size_t store) const { return "s" + std::to_string(store); }
   TurnClient& client(size_t number) { return *clients_.at(number); }
@@ -53,6 +60,7 @@
   std::set<std::string> behind;
   /// Whether the group confirms reads of its list.
   bool group_answers = true;
+  std::chrono::milliseconds watch_delay{0};
   /// Lost and duplicated messages in 1000.
   uint64_t lost_per_mille = 0;
   uint64_t duplicated_per_mille = 0;
@@ -67,9 +75,14 @@
     std::unique_ptr<PeerLinks> links;
     std::unique_ptr<TurnDisk> disk;
     std::unique_ptr<TurnStore> store;
+    bool removed = false;
   };
 
   std::vector<schema::InstanceRecord> Records() const;
+  void StartClient(size_t number);
+  /// Hands a list to an instance or a client, after those before.
+  void Tell(const std::string& name,
+            const std::vector<schema::InstanceRecord>& records);
   /// Reads the list for an instance or a client.
   InstanceListReader ReaderFor(const std::string& name);
   void At(std::chrono::milliseconds delay, std::function<void()> event);
@@ -88,6 +101,9 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::unique_ptr<PeerLinks>> client_links_;
   std::vector<std::unique_ptr<TurnClient>> clients_;
+  std::vector<std::string> client_zones_;
+  /// When each was told of its last list, or will be.
+  std::map<std::string, core::TimePoint> told_at_;
 };
 
 }  // namespace hawthorn::turns
--- a/turns/placement.cpp
+++ b/turns/placement.cpp
@@ -56,13 +56,40 @@
   const auto active =
       std::count_if(keepers.begin(), keepers.end(),
                     [](const Keeper& it) { return !it.retiring; });
-  return std::min(kCopies, static_cast<size_t>(active));
+  return CopiesAmong(static_cast<size_t>(active));
 }
 
 size_t RequiredZones(const std::vector<Keeper>& keepers) {
   return std::min({kZones, ZoneCount(keepers), RequiredCopies(keepers)});
 }
 
+bool CoversAllPlacements(const std::vector<Keeper>& keepers,
+                         const std::set<std::string>& instances) {
+  size_t active = 0;
+  size_t active_others = 0;
+  size_t retiring = 0;
+  size_t retiring_others = 0;
+  for (const Keeper& it : keepers) {
+    const size_t other = instances.contains(it.instance) ? 0 : 1;
+    (it.retiring ? retiring : active) += 1;
+    (it.retiring ? retiring_others : active_others) += other;
+  }
+  bool has_placement = false;
+  // Of the lists with n of the retiring ones active, the worst one has those
+  // that are not covered.
+  for (size_t n = 0; n <= retiring; ++n) {
+    const size_t copies = CopiesAmong(active + n);
+    if (copies == 0) {
+      continue;
+    }
+    if (active_others + std::min(n, retiring_others) >= copies) {
+      return false;
+    }
+    has_placement = true;
+  }
+  return has_placement;
+}
+
 std::string MakeChainKey(std::string_view home_zone, std::string_view turn) {
   return std::string(home_zone).append(1, kSeparator).append(turn);
 }
--- a/turns/placement.h
+++ b/turns/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -19,6 +21,9 @@
 inline constexpr size_t kZones = 2;
 /// Losses that the copies survive.
 inline constexpr size_t kTolerated = kCopies - 1;
+/// Time for which an instance counts among those that may have a copy after it
+/// left or began to retire: its copies may not be replaced yet.
+inline constexpr std::chrono::minutes kLeavingTime{5};
 
 /// An instance that keeps turns.
 struct Keeper {
@@ -37,12 +42,33 @@
 std::vector<Keeper> KeepersOf(
     const std::vector<schema::InstanceRecord>& instances);
 
+/// Copies of a record if `active` keepers get new records.
+constexpr size_t CopiesAmong(size_t active) {
+  return std::min(kCopies, active);
+}
+
 /// Number of different zones of the keepers that are not retiring, and of the
 /// keepers that a record is written to.
 size_t ZoneCount(const std::vector<Keeper>& keepers);
 size_t RequiredCopies(const std::vector<Keeper>& keepers);
 size_t RequiredZones(const std::vector<Keeper>& keepers);
 
+/// Returns whether every record has a copy at one of `instances`, whichever
+/// list it was written by: only then may their word stand for all keepers.
+///
+/// A record is at CopiesAmong(n) of the n active keepers of its writer's list.
+/// In an earlier list than `keepers`, any of the instances that retire now may
+/// have been active; hence each number of them is considered. It may also have
+/// lacked instances that joined later. One that joins, or returns with an empty
+/// disk, must not be among `instances` before the others have repaired their
+/// records, since these have the copies of a list with the new one from then
+/// on.
+///
+/// `keepers` must contain every keeper that was added before the question, and
+/// as retiring those that have left.
+bool CoversAllPlacements(const std::vector<Keeper>& keepers,
+                         const std::set<std::string>& instances);
+
 /// Decides where a chain is kept.
 struct ChainPlace {
   uint64_t hash = 0;
--- a/turns/turn_client.cpp
+++ b/turns/turn_client.cpp
@@ -9,6 +9,15 @@
 
 namespace hawthorn::turns {
 
+namespace {
+
+bool Lists(const std::vector<Keeper>& keepers, const std::string& instance) {
+  return std::any_of(keepers.begin(), keepers.end(),
+                     [&](const Keeper& it) { return it.instance == instance; });
+}
+
+}  // namespace
+
 TurnClient::TurnClient(Parts parts)
     : parts_(std::move(parts)), list_query_(parts_.read_instances) {}
 
@@ -58,15 +67,17 @@
                 {"left", std::to_string(left_.size())}});
 }
 
-size_t TurnClient::CountPossibleKeepers(const KeeperList& list) {
+std::vector<Keeper> TurnClient::PossibleKeepers(
+    const std::vector<Keeper>& list) {
   const core::TimePoint now = parts_.clock.Now();
   std::erase_if(left_, [now](const auto& it) { return it.second <= now; });
-  const auto left = std::count_if(left_.begin(), left_.end(), [&](auto& it) {
-    return std::none_of(list->begin(), list->end(), [&](const Keeper& keeper) {
-      return keeper.instance == it.first;
-    });
-  });
-  return list->size() + static_cast<size_t>(left);
+  std::vector<Keeper> keepers = list;
+  for (const auto& [instance, until] : left_) {
+    if (!Lists(list, instance)) {
+      keepers.push_back({instance, "", "", true});
+    }
+  }
+  return keepers;
 }
 
 void TurnClient::ConfirmKeepers(
@@ -84,12 +95,9 @@
           parts_.links.SetAddress(it.instance, it.address);
         }
         for (const Keeper& it : *keepers_) {
-          const bool is_listed = std::any_of(
-              keepers.begin(), keepers.end(), [&](const Keeper& other) {
-                return other.instance == it.instance;
-              });
-          if (!is_listed) {
+          if (!Lists(keepers, it.instance)) {
             keepers.push_back(it);
+            keepers.back().retiring = true;
           }
         }
         callback(KeeperList(
--- a/turns/turn_client.h
+++ b/turns/turn_client.h
@@ -30,9 +30,6 @@
   static constexpr std::chrono::milliseconds kRetryDelay{100};
   /// Suggested delay of callers after an uncertain answer.
   static constexpr std::chrono::milliseconds kRetryAfter{300};
-  /// Time for which an instance counts among those that may have a copy after
-  /// it left or began to retire: its copies may not be replaced yet.
-  static constexpr std::chrono::minutes kLeavingTime{5};
   /// Turns whose chain key is remembered.
   static constexpr size_t kMaxChainKeys = 20000;
   /// A turn whose input and output are larger is not kept.
@@ -75,10 +72,10 @@
   /// Keepers among `instances`, without those that began to retire long ago.
   std::vector<Keeper> ActiveKeepers(
       const std::vector<schema::InstanceRecord>& instances);
-  /// Keepers of `list`, and those that left a short time ago.
-  size_t CountPossibleKeepers(const KeeperList& list);
+  /// Keepers of `list`, and as retiring those that left a short time ago.
+  std::vector<Keeper> PossibleKeepers(const std::vector<Keeper>& list);
   /// Calls back with a list that contains every keeper that was added before
-  /// this call, and those that this instance knew before.
+  /// this call, and as retiring others that this instance knew before.
   void ConfirmKeepers(
       std::function<void(const core::Result<KeeperList>&)> callback);
 
--- a/turns/turn_read.cpp
+++ b/turns/turn_read.cpp
@@ -204,13 +204,6 @@
   return true;
 }
 
-size_t TurnRead::NeededDenials() const {
-  // Each turn has kCopies copies, so that at least one is among all instances
-  // but kTolerated. With fewer instances, each of them has a copy.
-  const size_t known = client_.CountPossibleKeepers(keepers_);
-  return known > kTolerated ? known - kTolerated : known;
-}
-
 void TurnRead::OnDenied(const std::string& instance) {
   denials_.insert(instance);
   CheckDenials();
@@ -218,7 +211,7 @@
 
 void TurnRead::CheckDenials() {
   if (list_state_ == ListState::kBeingConfirmed ||
-      denials_.size() < NeededDenials()) {
+      !CoversAllPlacements(client_.PossibleKeepers(*keepers_), denials_)) {
     return;
   }
   if (!found_.empty()) {
@@ -258,14 +251,13 @@
              core::ErrorOf(list).message);
     return;
   }
-  const size_t before = keepers_->size();
-  keepers_ = core::Value(list);
+  const KeeperList watched = std::exchange(keepers_, core::Value(list));
   list_state_ = ListState::kConfirmed;
-  if (keepers_->size() > before) {
+  if (*keepers_ != *watched) {
     client_.parts_.metrics.Count("turns_lists_behind");
     logging::Log(logging::LogLevel::kInfo, "watched list of keepers is behind",
                  {{"turn", turn_},
-                  {"watched", std::to_string(before)},
+                  {"watched", std::to_string(watched->size())},
                   {"confirmed", std::to_string(keepers_->size())}});
   }
   CheckDenials();
--- a/turns/turn_read.h
+++ b/turns/turn_read.h
@@ -37,8 +37,6 @@
   /// confirmed before.
   void CheckDenials();
   void OnListConfirmed(const core::Result<KeeperList>& list);
-  /// Denials that make it certain that there is no such turn.
-  size_t NeededDenials() const;
   void Succeed();
   void Fail(core::ErrorCode code, const std::string& message);
   void Finish(const core::Result<relay::TurnChain>& result);
--- a/turns/turn_store.h
+++ b/turns/turn_store.h
@@ -101,9 +101,10 @@
   struct Peer {
     uint64_t incarnation = 0;
     bool reachable = true;
-    bool retiring = false;
     bool complete = true;
     int misses = 0;
+    /// Since when it is not reachable.
+    core::TimePoint unreachable_since;
     /// Turns added before this number have all their copies once the queue has
     /// passed it; set when the incarnation was first heard of.
     uint64_t mark = 0;
@@ -152,10 +153,11 @@
   /// Marks the folder as complete if all that it may have lost is at others.
   void CheckComplete();
   void MarkComplete();
-  /// Whether the other keepers have repaired what this one may have lost.
-  bool IsRepaired() const;
-  /// Whether each of these instances that keeps turns is among the known ones.
-  bool KnowsKeepers(const std::vector<schema::InstanceRecord>& instances) const;
+  /// Whether the other ones of these keepers have repaired what this one may
+  /// have lost.
+  bool IsRepaired(const std::vector<Keeper>& keepers) const;
+  /// Whether each of these keepers is among the known ones.
+  bool KnowsKeepers(const std::vector<Keeper>& keepers) const;
   void RepairStep();
   void OnChecked(const StepPtr& step, const std::string& instance,
                  const std::vector<TurnKey>& asked,
--- a/turns/turn_store_repair.cpp
+++ b/turns/turn_store_repair.cpp
@@ -29,7 +29,7 @@
       continue;
     }
     known.insert(it.instance);
-    peers_[it.instance].retiring = it.retiring;
+    peers_[it.instance];
     parts_.links.SetAddress(it.instance, it.address);
   }
   std::erase_if(peers_,
@@ -76,6 +76,7 @@
     return;
   }
   it->second.reachable = false;
+  it->second.unreachable_since = Now();
   it->second.repaired_for_us = false;
   Log(LogLevel::kWarn, "instance that keeps turns does not answer",
       {{"instance", instance}});
@@ -130,41 +131,46 @@
   }
 }
 
-bool TurnStore::IsRepaired() const {
-  // This instance and others that are not complete are losses already. What an
-  // instance that does not answer had is at another one only while the losses
-  // are not more than a turn has copies to spare.
-  size_t lost = 1;
+bool TurnStore::IsRepaired(const std::vector<Keeper>& keepers) const {
+  std::set<std::string> repaired;
+  std::vector<Keeper> possible;
   bool all_there = true;
-  for (const auto& [instance, peer] : peers_) {
-    if (peer.retiring && !peer.reachable) {
-      // It left once its turns were at others, or it failed before.
-      ++lost;
-      continue;
-    }
-    if (peer.reachable && !peer.repaired_for_us) {
-      return false;
+  for (const Keeper& it : keepers) {
+    const auto peer = peers_.find(it.instance);
+    if (it.instance != parts_.self && peer != peers_.end()) {
+      const Peer& state = peer->second;
+      if (state.reachable && !state.repaired_for_us) {
+        return false;
+      }
+      if (state.reachable && state.complete) {
+        repaired.insert(it.instance);
+      }
+      if (it.retiring && !state.reachable &&
+          Now() - state.unreachable_since >= kLeavingTime) {
+        // It left, and its turns are at others.
+        continue;
+      }
+      all_there = all_there && state.reachable;
     }
-    all_there = all_there && peer.reachable;
-    lost += peer.reachable && peer.complete ? 0 : 1;
+    possible.push_back(it);
   }
-  return all_there || lost <= kTolerated;
+  // What an instance that does not answer had, this one may have lost.
+  return all_there || CoversAllPlacements(possible, repaired);
 }
 
-bool TurnStore::KnowsKeepers(
-    const std::vector<schema::InstanceRecord>& instances) const {
-  const std::vector<Keeper> keepers = KeepersOf(instances);
+bool TurnStore::KnowsKeepers(const std::vector<Keeper>& keepers) const {
   return std::all_of(keepers.begin(), keepers.end(), [&](const Keeper& it) {
     return it.instance == parts_.self || peers_.contains(it.instance);
   });
 }
 
 void TurnStore::CheckComplete() {
-  if (complete_ || marking_ || confirming_ || !is_keeper_ || !IsRepaired()) {
+  if (complete_ || marking_ || confirming_ || !is_keeper_ ||
+      !IsRepaired(keepers_)) {
     return;
   }
   // A keeper that was added while this instance was away may hold the only
-  // other copies of what it had.
+  // other copies of what it had, and one that retires may have none.
   confirming_ = true;
   list_query_.Read(
       [this](const core::Result<std::vector<schema::InstanceRecord>>& list) {
@@ -174,13 +180,14 @@
               {{"error", core::ErrorOf(list).message}});
           return;
         }
-        if (!KnowsKeepers(core::Value(list))) {
+        const std::vector<Keeper> keepers = KeepersOf(core::Value(list));
+        if (!KnowsKeepers(keepers)) {
           Log(LogLevel::kInfo, "known instances that keep turns are behind",
               {{"known", std::to_string(peers_.size())},
                {"confirmed", std::to_string(core::Value(list).size())}});
           return;
         }
-        if (!complete_ && is_keeper_ && IsRepaired()) {
+        if (!complete_ && is_keeper_ && IsRepaired(keepers)) {
           MarkComplete();
         }
       });
--- a/turns/turn_write.cpp
+++ b/turns/turn_write.cpp
@@ -182,7 +182,7 @@
                                });
     return;
   }
-  if (RequiredCopies(*core::Value(list)) <= copies_) {
+  if (SufficesBy(*core::Value(list))) {
     Succeed();
     return;
   }
@@ -191,6 +191,22 @@
   Proceed();
 }
 
+bool TurnWrite::SufficesBy(const std::vector<Keeper>& list) const {
+  // Keepers that retire by now do not count: those that joined meanwhile do not
+  // wait for the repair of what is written to the others after they joined.
+  std::vector<const Keeper*> placed;
+  for (const Keeper& it : list) {
+    const bool has_copy = std::any_of(
+        acknowledged_.begin(), acknowledged_.end(),
+        [&](const Keeper* other) { return other->instance == it.instance; });
+    if (has_copy && !it.retiring) {
+      placed.push_back(&it);
+    }
+  }
+  return !placed.empty() &&
+         Suffices(placed, RequiredCopies(list), RequiredZones(list));
+}
+
 void TurnWrite::Succeed() {
   const schema::StoredTurn& turn = message_.write().copies(0).turn();
   client_.RememberChainKey(KeyOf(turn), turn.chain_key());
--- a/turns/turn_write.h
+++ b/turns/turn_write.h
@@ -29,6 +29,8 @@
   /// Ends the write once no keeper was added for which the copies are too few.
   void ConfirmList();
   void OnListConfirmed(const core::Result<KeeperList>& list);
+  /// Whether the keepers that acknowledged are enough by this list, too.
+  bool SufficesBy(const std::vector<Keeper>& list) const;
   void Succeed();
   void Finish(const core::Status& status);
   bool IsOver() const { return finished_ || alive_.expired(); }
