--- a/tests/turns/list_behind_test.cpp
+++ b/tests/turns/list_behind_test.cpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/turns/turn_world.h"
+#include "tests/turns/chain_requests.h"
 
 // Lists of keepers that are behind, at entry instances and at keepers.
 namespace hawthorn::turns {
@@ -11,60 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTimeout{1500};
-/// Enough chains for some to be placed on any three keepers.
-constexpr int kChains = 60;
-
-std::string TurnOf(int chain) { return "t" + std::to_string(chain); }
-
-/// Writes the first turn of each chain through a client. Returns the turns that
-/// were kept.
-std::vector<std::string> WriteChains(TurnWorld& world, size_t client) {
-  std::vector<std::string> kept;
-  for (int i = 0; i < kChains; ++i) {
-    relay::TurnRecord record;
-    record.turn = TurnOf(i);
-    record.input = "input";
-    record.output = "output";
-    record.retention = milliseconds(60000);
-    world.client(client).Write(record, kTimeout,
-                               [&kept, i](const core::Status& status) {
-                                 if (core::IsOk(status)) {
-                                   kept.push_back(TurnOf(i));
-                                 }
-                               });
-  }
-  world.Run(kTimeout + milliseconds(100));
-  return kept;
-}
-
-struct Reads {
-  int found = 0;
-  int denied = 0;
-  int uncertain = 0;
-
-  bool operator==(const Reads&) const = default;
-};
-
-Reads ReadAll(TurnWorld& world, size_t client,
-              const std::vector<std::string>& turns) {
-  Reads reads;
-  for (const std::string& it : turns) {
-    world.client(client).Read(
-        "", it, kTimeout, [&reads](const core::Result<relay::TurnChain>& read) {
-          if (core::IsOk(read)) {
-            ++reads.found;
-          } else if (core::ErrorOf(read).code == core::ErrorCode::kNotFound) {
-            ++reads.denied;
-          } else {
-            ++reads.uncertain;
-          }
-        });
-  }
-  world.Run(kTimeout + milliseconds(100));
-  return reads;
-}
-
 void RunUntilComplete(TurnWorld& world, size_t store) {
   for (int i = 0; i < 200 && !world.store(store)->complete(); ++i) {
     world.Run(milliseconds(100));
--- a/tests/turns/retirement_test.cpp
+++ b/tests/turns/retirement_test.cpp
@@ -5,63 +5,13 @@
 #include <string>
 #include <vector>
 
+#include "tests/turns/chain_requests.h"
 #include "tests/turns/turn_model.h"
 
 // Kept turns while instances retire, join, lose their disks and are behind.
 namespace hawthorn::turns {
 namespace {
 
-constexpr milliseconds kTimeout{1500};
-/// Enough chains for some to begin in each zone and be placed on any keepers.
-constexpr int kChains = 40;
-
-/// Writes first turns through a client. Returns those that were kept.
-std::vector<std::string> WriteChains(TurnWorld& world, size_t client,
-                                     const std::string& prefix) {
-  std::vector<std::string> kept;
-  for (int i = 0; i < kChains; ++i) {
-    relay::TurnRecord record;
-    record.turn = prefix + std::to_string(i);
-    record.input = "input";
-    record.output = "output";
-    record.retention = kRetention;
-    world.client(client).Write(record, kTimeout,
-                               [&kept, turn = record.turn](const auto& status) {
-                                 if (core::IsOk(status)) {
-                                   kept.push_back(turn);
-                                 }
-                               });
-  }
-  world.Run(kTimeout + milliseconds(100));
-  return kept;
-}
-
-struct Reads {
-  int found = 0;
-  int denied = 0;
-  int uncertain = 0;
-
-  bool operator==(const Reads&) const = default;
-};
-
-Reads ReadAll(TurnWorld& world, size_t client,
-              const std::vector<std::string>& turns) {
-  Reads reads;
-  for (const std::string& it : turns) {
-    world.client(client).Read("", it, kTimeout, [&reads](const auto& read) {
-      if (core::IsOk(read)) {
-        ++reads.found;
-      } else if (core::ErrorOf(read).code == core::ErrorCode::kNotFound) {
-        ++reads.denied;
-      } else {
-        ++reads.uncertain;
-      }
-    });
-  }
-  world.Run(kTimeout + milliseconds(100));
-  return reads;
-}
-
 /// Keepers "0", "1" and so on, of which the last ones are retiring.
 std::vector<Keeper> MakeKeepers(size_t active, size_t retiring) {
   std::vector<Keeper> keepers;
@@ -155,6 +105,7 @@
  private:
   static constexpr int kSteps = 250;
   static constexpr size_t kMaxStores = 9;
+  static constexpr size_t kMaxOrders = 5;
 
   size_t Random(size_t n) { return world_.random()() % n; }
 
@@ -292,8 +243,6 @@
     return true;
   }
 
-  static constexpr size_t kMaxOrders = 5;
-
   TurnWorld world_;
   Model model_;
   std::set<size_t> down_;
@@ -358,7 +307,7 @@
   world.behind = {"c0"};
   world.retiring = {"s0"};
   world.Announce();
-  const std::vector<std::string> kept = WriteChains(world, 1, "t");
+  const std::vector<std::string> kept = WriteChains(world, 1);
   REQUIRE(kept.size() == kChains);
   CHECK(ReadAll(world, 0, kept) == Reads{kChains, 0, 0});
   world.behind = {};
@@ -375,7 +324,7 @@
   // The keeper that loses its disk learns of the order from the group alone.
   world.behind = {"s1"};
   world.Announce();
-  const std::vector<std::string> kept = WriteChains(world, 0, "t");
+  const std::vector<std::string> kept = WriteChains(world, 0);
   REQUIRE(kept.size() == kChains);
   world.cut = {"s2"};
   world.EraseDisk(1);
@@ -409,7 +358,7 @@
   // Repair would add the missing copies later.
   world.behind = {"c0", "s0", "s1", "s2", world.NameOf(joined)};
   world.Announce();
-  const std::vector<std::string> kept = WriteChains(world, 0, "t");
+  const std::vector<std::string> kept = WriteChains(world, 0);
   REQUIRE(kept.size() == kChains);
   for (size_t reader = 1; reader < world.client_count(); ++reader) {
     CHECK(ReadAll(world, reader, kept) == Reads{kChains, 0, 0});
--- a/tests/turns/turn_model.h
+++ b/tests/turns/turn_model.h
@@ -5,14 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "tests/turns/turn_world.h"
+#include "tests/turns/chain_requests.h"
 
 namespace hawthorn::turns {
 
 using std::chrono::milliseconds;
 
-inline constexpr milliseconds kRetention{60000};
-
 /// What must be readable: the turns whose writes succeeded.
 struct ModelTurn {
   std::string previous;
