--- a/cluster/deployment_host_members.cpp
+++ b/cluster/deployment_host_members.cpp
@@ -147,9 +147,7 @@
 }
 
 void DeploymentHost::TakeAnnouncedList(const schema::InstanceList& list) {
-  schema::StatePosition known;
-  known.set_index(group_->applied_position().index);
-  known.set_term(group_->applied_position().term);
+  schema::StatePosition known = MakeWatchSource().position;
   if (announced_list_ && Precedes(known, announced_list_->position)) {
     known = announced_list_->position;
   }
--- a/turns/turn_store_repair.cpp
+++ b/turns/turn_store_repair.cpp
@@ -29,7 +29,7 @@
       continue;
     }
     known.insert(it.instance);
-    peers_[it.instance];
+    peers_.try_emplace(it.instance);
     parts_.links.SetAddress(it.instance, it.address);
   }
   std::erase_if(peers_,
@@ -84,16 +84,13 @@
 }
 
 void TurnStore::SendStatus() {
+  // A complete keeper without turns has nothing to repair and lacks nothing.
+  if (!open_ || !is_keeper_ || (complete_ && index_.size() == 0)) {
+    return;
+  }
   schema::TurnMessage message;
   message.mutable_status()->set_incarnation(incarnation_);
   message.mutable_status()->set_complete(complete_);
-  if (!open_ || !is_keeper_) {
-    return;
-  }
-  if (complete_ && index_.size() == 0) {
-    // There is nothing to repair here, neither for others nor by them.
-    return;
-  }
   for (const auto& [instance, peer] : peers_) {
     parts_.links.Request(
         instance, message, kStatusTimeout,
@@ -137,20 +134,24 @@
   bool all_there = true;
   for (const Keeper& it : keepers) {
     const auto peer = peers_.find(it.instance);
-    if (it.instance != parts_.self && peer != peers_.end()) {
-      const Peer& state = peer->second;
-      if (state.reachable && !state.repaired_for_us) {
+    if (peer == peers_.end()) {
+      // This instance itself.
+      possible.push_back(it);
+      continue;
+    }
+    const Peer& state = peer->second;
+    if (state.reachable) {
+      if (!state.repaired_for_us) {
         return false;
       }
-      if (state.reachable && state.complete) {
+      if (state.complete) {
         repaired.insert(it.instance);
       }
-      if (it.retiring && !state.reachable &&
-          Now() - state.unreachable_since >= kLeavingTime) {
-        // It left, and its turns are at others.
-        continue;
-      }
-      all_there = all_there && state.reachable;
+    } else if (it.retiring && Now() - state.unreachable_since >= kLeavingTime) {
+      // It left, and its turns are at others.
+      continue;
+    } else {
+      all_there = false;
     }
     possible.push_back(it);
   }
